--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,214 @@
+// Package config reads the platform's settings file.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Known is another controller node.
+type Known struct {
+	Member  string `toml:"member"`
+	Area    string `toml:"area"`
+	Address string `toml:"address"`
+}
+
+// Team is a team's guarantee and limit; a limit of 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one of the users' aims for a class of jobs.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers are the facts about workers, in seconds.
+type Workers struct {
+	ReportS   float64 `toml:"report_s"`
+	LeaseS    float64 `toml:"lease_s"`
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+	CancelS   float64 `toml:"cancel_s"`
+}
+
+// State are the limits of the state service.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud are the limits of the cloud.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits are those of the machine the process runs on.
+type Limits struct {
+	CPU      float64 `toml:"cpu"`
+	MemoryMB float64 `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+}
+
+// Facts describe the deployment.
+type Facts struct {
+	Nodes       int         `toml:"nodes"`
+	Zones       []string    `toml:"zones"`
+	TimeBoundMS float64     `toml:"time_bound_ms"`
+	Teams       []Team      `toml:"teams"`
+	Objectives  []Objective `toml:"objectives"`
+	Workers     Workers     `toml:"workers"`
+	State       State       `toml:"state"`
+	Cloud       Cloud       `toml:"cloud"`
+	Limits      Limits      `toml:"machine_limits"`
+}
+
+// External are the addresses of the outside services.
+type External struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Config is the whole settings file.
+type Config struct {
+	Member   string   `toml:"member"`
+	Area     string   `toml:"area"`
+	APIAddr  string   `toml:"api_addr"`
+	PeerBind string   `toml:"peer_bind"`
+	Known    []Known  `toml:"known"`
+	External External `toml:"external"`
+	Facts    Facts    `toml:"facts"`
+}
+
+// Load reads and checks a settings file. Unknown fields are ignored.
+func Load(path string) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads and checks settings.
+func Parse(raw []byte) (*Config, error) {
+	var c Config
+	if err := toml.Unmarshal(raw, &c); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, _ := de.Position()
+			return nil, fmt.Errorf("line %d: %s", row, de.Error())
+		}
+		return nil, err
+	}
+	return &c, c.check()
+}
+
+func (c *Config) check() error {
+	for _, f := range []struct{ name, value string }{{"member", c.Member}, {"area", c.Area}} {
+		if f.value == "" {
+			return fmt.Errorf("%s: missing", f.name)
+		}
+	}
+	addrs := []struct{ name, value string }{
+		{"api_addr", c.APIAddr}, {"peer_bind", c.PeerBind},
+		{"external.cloud", c.External.Cloud}, {"external.state", c.External.State},
+	}
+	names := map[string]bool{c.Member: true}
+	for i, k := range c.Known {
+		field := fmt.Sprintf("known[%d]", i)
+		if k.Member == "" {
+			return fmt.Errorf("%s.member: missing", field)
+		}
+		if names[k.Member] {
+			return fmt.Errorf("%s.member: %q is named twice", field, k.Member)
+		}
+		names[k.Member] = true
+		addrs = append(addrs, struct{ name, value string }{field + ".address", k.Address})
+	}
+	for _, a := range addrs {
+		if a.value == "" {
+			return fmt.Errorf("%s: missing", a.name)
+		}
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return fmt.Errorf("%s: %q is not an IP address with a port", a.name, a.value)
+		}
+	}
+	f := &c.Facts
+	if len(f.Zones) == 0 {
+		return errors.New("facts.zones: missing")
+	}
+	if len(f.Teams) == 0 {
+		return errors.New("facts.teams: missing")
+	}
+	teams := map[string]bool{}
+	for i, t := range f.Teams {
+		field := fmt.Sprintf("facts.teams[%d]", i)
+		if t.Name == "" {
+			return fmt.Errorf("%s.name: missing", field)
+		}
+		if teams[t.Name] {
+			return fmt.Errorf("%s.name: %q is named twice", field, t.Name)
+		}
+		teams[t.Name] = true
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			return fmt.Errorf("%s: negative amount", field)
+		}
+	}
+	for i, o := range f.Objectives {
+		if o.Kind == "" || o.WithinS < 0 {
+			return fmt.Errorf("facts.objectives[%d]: invalid", i)
+		}
+	}
+	for _, p := range []struct {
+		name  string
+		value float64
+	}{
+		{"facts.nodes", float64(f.Nodes)},
+		{"facts.workers.report_s", f.Workers.ReportS},
+		{"facts.workers.lease_s", f.Workers.LeaseS},
+		{"facts.workers.gang_wait_s", f.Workers.GangWaitS},
+		{"facts.workers.gang_peer_s", f.Workers.GangPeerS},
+		{"facts.workers.cancel_s", f.Workers.CancelS},
+		{"facts.state.rps", f.State.RPS},
+		{"facts.state.write_rps", f.State.WriteRPS},
+		{"facts.state.value_kb", f.State.ValueKB},
+		{"facts.state.txn_ops", float64(f.State.TxnOps)},
+		{"facts.cloud.rps", f.Cloud.RPS},
+		{"facts.cloud.list_lag_s", f.Cloud.ListLagS},
+		{"facts.machine_limits.cpu", f.Limits.CPU},
+		{"facts.machine_limits.memory_mb", f.Limits.MemoryMB},
+		{"facts.machine_limits.sockets", float64(f.Limits.Sockets)},
+	} {
+		if !(p.value > 0) {
+			return fmt.Errorf("%s: missing or not above 0", p.name)
+		}
+	}
+	if f.TimeBoundMS < 0 {
+		return errors.New("facts.time_bound_ms: negative")
+	}
+	return nil
+}
+
+// Seconds turns an amount of seconds into a duration.
+func Seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/fleet/cloud.go
@@ -0,0 +1,125 @@
+// Package fleet hires and returns a block's machines.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// Op is a kind of call to the cloud.
+type Op int
+
+// The calls of the cloud.
+const (
+	OpFlavors Op = iota
+	OpHire
+	OpDelete
+	OpList
+)
+
+// Call is one request to the cloud.
+type Call struct {
+	Op    Op
+	Hire  wire.Hire
+	Hosts []string // OpDelete
+	After string   // OpList
+}
+
+// Result is what came of a call.
+type Result struct {
+	Status  int // the HTTP status; 0 when no response came
+	Error   string
+	Flavors []wire.Flavor
+	Hosts   []string
+	Page    wire.HostPage
+}
+
+// NoCapacity is the cloud's word for a refusal that says: none available.
+const NoCapacity = "no capacity"
+
+// Caller carries out a call elsewhere and brings the result back to the
+// goroutine that owns all state.
+type Caller func(Call, func(now time.Time, r Result))
+
+// Client speaks to the cloud over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient makes a client of the cloud at addr.
+func NewClient(addr string, rt http.RoundTripper) *Client {
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: rt}}
+}
+
+// Do carries out a call. It blocks until the answer or the time limit.
+func (c *Client) Do(ctx context.Context, call Call) Result {
+	ctx, cancel := context.WithTimeout(ctx, tuning.CloudTimeout)
+	defer cancel()
+	method, path := http.MethodGet, "/flavors"
+	var body []byte
+	switch call.Op {
+	case OpHire:
+		method, path = http.MethodPost, "/machines"
+		body, _ = json.Marshal(call.Hire)
+	case OpDelete:
+		method, path = http.MethodPost, "/machines/delete"
+		body, _ = json.Marshal(wire.HostNames{Hosts: call.Hosts})
+	case OpList:
+		path = "/machines?Page=" + strconv.Itoa(tuning.CloudPage)
+		if call.After != "" {
+			path += "&After=" + url.QueryEscape(call.After)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return Result{}
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Result{}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, tuning.CloudAnswerBytes))
+	if err != nil {
+		return Result{}
+	}
+	res := Result{Status: resp.StatusCode}
+	if resp.StatusCode != http.StatusOK {
+		var e struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(raw, &e) == nil {
+			res.Error = e.Error
+		}
+		return res
+	}
+	switch call.Op {
+	case OpFlavors:
+		var f wire.Flavors
+		err = json.Unmarshal(raw, &f)
+		res.Flavors = f.Builds
+	case OpHire:
+		var h wire.HostNames
+		err = json.Unmarshal(raw, &h)
+		res.Hosts = h.Hosts
+	case OpList:
+		err = json.Unmarshal(raw, &res.Page)
+	}
+	if err != nil {
+		return Result{} // an answer that cannot be read is as good as none
+	}
+	return res
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,426 @@
+// Package leader keeps this node a member, elects a leader among the members,
+// and lets the leader lease machine blocks to live members.
+//
+// A member is a process: its incarnation is the lease it holds in the state
+// service, so a restarted process has no claim to what its predecessor held.
+package leader
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"juniperchute/internal/store"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// Keys of the control records, all under Control.
+const (
+	Control   = "c/"
+	keyBaton  = "c/baton"
+	keyLeader = "c/leader"
+	underMem  = "c/m/"
+	underBlk  = "c/b/"
+)
+
+// MemberRec is a live process, attached to its lease.
+type MemberRec struct {
+	Member string
+	Inc    uint64 // its lease, the process's identity
+	Since  int64  // when it joined, ms of the time of day
+}
+
+// Rec names the leader.
+type Rec struct {
+	Member string
+	Inc    uint64
+}
+
+// BlockRec is a block's tenure. It changes only when the tenure does.
+type BlockRec struct {
+	Holder string
+	Inc    uint64
+	Baton  uint64
+	// Ended: the previous holder's process had surely ended when this tenure
+	// began, so nothing renews its workers any more.
+	Ended bool
+}
+
+type batonRec struct{ Last uint64 }
+
+// Tenure is a block that this process holds.
+type Tenure struct {
+	Block int
+	Baton uint64
+	Stamp uint64 // version of the block's record; every write of the tenure is conditioned on it
+	Ended bool
+}
+
+type memberState int
+
+const (
+	memberOut      memberState = iota // no lease
+	memberGranting                    // asking for a lease
+	memberJoining                     // lease at hand, record not yet written
+	memberIn                          // record written
+)
+
+func (s memberState) String() string {
+	return [...]string{"out", "granting", "joining", "in"}[s]
+}
+
+// Slice is this node's part in membership, election and block leases.
+type Slice struct {
+	self   string
+	blocks int
+	wall   func() time.Time
+	call   store.Caller
+	log    *slog.Logger
+	mirror *store.Mirror
+
+	state    memberState
+	hold     uint64
+	deadline time.Time // until then this process may act for its lease
+	heard    time.Time
+	touching bool
+	touchDue time.Time
+	retry    time.Time
+	busy     bool // an election or assignment transaction is under way
+
+	members map[string]item[MemberRec]
+	leader  item[Rec]
+	recs    map[int]item[BlockRec]
+	baton   item[batonRec]
+	other   func(now time.Time, key string, it wire.Item, gone bool)
+}
+
+type item[T any] struct {
+	val   T
+	stamp uint64
+}
+
+// New makes the slice. other is told of changes of control keys that are not
+// this slice's own.
+func New(self string, blocks int, wall func() time.Time, call store.Caller, log *slog.Logger,
+	other func(now time.Time, key string, it wire.Item, gone bool)) *Slice {
+	s := &Slice{self: self, blocks: blocks, wall: wall, call: call, log: log, other: other,
+		members: map[string]item[MemberRec]{}, recs: map[int]item[BlockRec]{}}
+	s.mirror = store.NewMirror(Control, call, log, s.changed)
+	return s
+}
+
+func blockKey(b int) string { return fmt.Sprintf("%s%d", underBlk, b) }
+
+// BlockKey is the key of a block's record.
+func BlockKey(b int) string { return blockKey(b) }
+
+// Synced tells whether the control records have been read.
+func (s *Slice) Synced() bool { return s.mirror.Synced() }
+
+// Each calls f for every control record under a prefix.
+func (s *Slice) Each(under string, f func(it wire.Item)) { s.mirror.Each(under, f) }
+
+// Stamp is the version of a control record, 0 when it does not exist.
+func (s *Slice) Stamp(key string) uint64 { return s.mirror.Stamp(key) }
+
+// Heard is when the state service last answered the control watch or a
+// renewal.
+func (s *Slice) Heard() time.Time {
+	if s.heard.After(s.mirror.Heard()) {
+		return s.heard
+	}
+	return s.mirror.Heard()
+}
+
+// Inc is this process's incarnation, 0 while it has no lease.
+func (s *Slice) Inc() uint64 { return s.hold }
+
+// Blocks is the number of blocks.
+func (s *Slice) Blocks() int { return s.blocks }
+
+// Entitled tells whether this process's lease surely still stands.
+func (s *Slice) Entitled(now time.Time) bool {
+	return s.state == memberIn && now.Before(s.deadline)
+}
+
+// Deadline is when this process's lease may have ended.
+func (s *Slice) Deadline() time.Time { return s.deadline }
+
+// Holder names a block's holder and its Baton, as far as this node knows.
+func (s *Slice) Holder(block int) (member string, baton uint64, ok bool) {
+	r, ok := s.recs[block]
+	if !ok {
+		return "", 0, false
+	}
+	m, live := s.members[r.val.Holder]
+	return r.val.Holder, r.val.Baton, live && m.val.Inc == r.val.Inc
+}
+
+// Tenures lists the blocks that the records give to this process.
+func (s *Slice) Tenures() []Tenure {
+	var out []Tenure
+	if s.hold == 0 {
+		return nil
+	}
+	for b := range s.blocks {
+		if r, ok := s.recs[b]; ok && r.val.Holder == s.self && r.val.Inc == s.hold {
+			out = append(out, Tenure{Block: b, Baton: r.val.Baton, Stamp: r.stamp, Ended: r.val.Ended})
+		}
+	}
+	return out
+}
+
+// IsLeader tells whether the records name this process the leader.
+func (s *Slice) IsLeader() bool {
+	return s.hold != 0 && s.leader.stamp != 0 && s.leader.val.Member == s.self && s.leader.val.Inc == s.hold
+}
+
+// Members lists the live members by name, and the leader's name.
+func (s *Slice) Members() (names []string, leader string) {
+	for n := range s.members {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names, s.leader.val.Member
+}
+
+func decode[T any](log *slog.Logger, it wire.Item) (item[T], bool) {
+	out := item[T]{stamp: it.Stamp}
+	if err := json.Unmarshal(it.Value, &out.val); err != nil {
+		log.Error("control record cannot be read", "key", it.Path, "error", err)
+		return item[T]{}, false
+	}
+	return out, true
+}
+
+func (s *Slice) changed(now time.Time, key string, it wire.Item, gone bool) {
+	var b int
+	switch {
+	case key == keyBaton:
+		s.baton = item[batonRec]{}
+		if !gone {
+			s.baton, _ = decode[batonRec](s.log, it)
+		}
+	case key == keyLeader:
+		s.leader = item[Rec]{}
+		if !gone {
+			s.leader, _ = decode[Rec](s.log, it)
+		}
+	case len(key) > len(underMem) && key[:len(underMem)] == underMem:
+		name := key[len(underMem):]
+		delete(s.members, name)
+		if r, ok := decode[MemberRec](s.log, it); ok && !gone {
+			s.members[name] = r
+		}
+	case len(key) > len(underBlk) && key[:len(underBlk)] == underBlk:
+		if _, err := fmt.Sscanf(key[len(underBlk):], "%d", &b); err != nil {
+			return
+		}
+		delete(s.recs, b)
+		if r, ok := decode[BlockRec](s.log, it); ok && !gone {
+			s.recs[b] = r
+			s.log.Info("block held", "block", b, "holder", r.val.Holder, "baton", r.val.Baton)
+		}
+	default:
+		s.other(now, key, it, gone)
+	}
+}
+
+func (s *Slice) set(state memberState, why string) {
+	if state != s.state {
+		s.log.Debug("membership", "from", s.state, "to", state, "why", why)
+	}
+	s.state = state
+}
+
+// lapse gives up a lease that has ended.
+func (s *Slice) lapse(why string) {
+	s.set(memberOut, why)
+	s.hold, s.deadline = 0, time.Time{}
+}
+
+// Tick starts what is due.
+func (s *Slice) Tick(now time.Time) {
+	s.mirror.Tick(now)
+	switch s.state {
+	case memberOut:
+		if !now.Before(s.retry) {
+			s.grant(now)
+		}
+	case memberJoining:
+		s.touch(now)
+		if !now.Before(s.retry) && s.mirror.Synced() {
+			s.join(now)
+		}
+	case memberIn:
+		s.touch(now)
+		if s.Entitled(now) && s.mirror.Synced() && !s.busy && !now.Before(s.retry) {
+			s.campaign(now)
+		}
+	}
+}
+
+// until is how long a lease surely stands after a request sent at t was
+// granted: clocks may drift apart, and the holder stops a little early.
+func until(t time.Time) time.Time {
+	return t.Add(tuning.MemberLease - time.Duration(float64(tuning.MemberLease)*2*tuning.ClockDrift) - tuning.LeaseGuard)
+}
+
+func (s *Slice) grant(now time.Time) {
+	s.set(memberGranting, "no lease")
+	s.call(store.Call{Op: store.OpGrant, Life: tuning.MemberLease}, func(now time.Time, r store.Result) {
+		if !r.OK() || r.Hold == 0 {
+			s.set(memberOut, "lease refused")
+			s.retry = now.Add(tuning.MemberRetry)
+			return
+		}
+		s.hold, s.deadline = r.Hold, until(r.Sent)
+		s.touchDue = r.Sent.Add(tuning.MemberTouch)
+		s.set(memberJoining, "lease granted")
+		s.Tick(now)
+	})
+}
+
+func (s *Slice) touch(now time.Time) {
+	if s.touching || now.Before(s.touchDue) {
+		return
+	}
+	s.touching = true
+	hold := s.hold
+	s.call(store.Call{Op: store.OpTouch, Hold: hold}, func(now time.Time, r store.Result) {
+		s.touching = false
+		if s.hold != hold {
+			return
+		}
+		switch {
+		case r.OK():
+			s.heard = now
+			s.deadline = until(r.Sent)
+			s.touchDue = r.Sent.Add(tuning.MemberTouch)
+		case r.Status == 404:
+			s.lapse("lease ended")
+		default:
+			s.touchDue = now.Add(tuning.MemberRetry)
+		}
+	})
+}
+
+func (s *Slice) join(now time.Time) {
+	key := underMem + s.self
+	hold := s.hold
+	rec := MemberRec{Member: s.self, Inc: hold, Since: s.wall().UnixMilli()}
+	s.retry = now.Add(tuning.StateTimeout + tuning.MemberRetry)
+	s.call(store.Call{Op: store.OpMulti, Multi: wire.Multi{
+		When:   []wire.Cond{store.Is(key, s.mirror.Stamp(key))},
+		Writes: []wire.Write{store.Put(key, rec, hold)},
+	}}, func(now time.Time, r store.Result) {
+		s.retry = now.Add(tuning.MemberRetry)
+		if s.hold != hold || s.state != memberJoining {
+			return
+		}
+		switch {
+		case r.OK():
+			s.set(memberIn, "record written")
+			s.retry = now
+			s.Tick(now)
+		case r.Status == 400:
+			s.lapse("lease ended while joining")
+		case r.Status == 0 || r.Status == 409:
+			// perhaps written after all: the mirror will tell
+			if m, ok := s.members[s.self]; ok && m.val.Inc == hold {
+				s.set(memberIn, "record found")
+			}
+		}
+	})
+}
+
+// live tells whether the process that a record names is still a member.
+func (s *Slice) live(member string, inc uint64) bool {
+	m, ok := s.members[member]
+	return ok && m.val.Inc == inc
+}
+
+// campaign takes the lead when nobody live has it, and as leader assigns
+// blocks that nobody live holds.
+func (s *Slice) campaign(now time.Time) {
+	me, ok := s.members[s.self]
+	if !ok || me.val.Inc != s.hold {
+		return // our own record has not been read back yet
+	}
+	if s.leader.stamp == 0 || !s.live(s.leader.val.Member, s.leader.val.Inc) {
+		s.txn(now, wire.Multi{
+			When:   []wire.Cond{store.Is(keyLeader, s.leader.stamp), store.Is(underMem+s.self, me.stamp)},
+			Writes: []wire.Write{store.Put(keyLeader, Rec{Member: s.self, Inc: s.hold}, s.hold)},
+		})
+		return
+	}
+	if !s.IsLeader() {
+		return
+	}
+	for b := range s.blocks {
+		r := s.recs[b]
+		if r.stamp != 0 && s.live(r.val.Holder, r.val.Inc) {
+			continue
+		}
+		to, toStamp, ok := s.choose()
+		if !ok {
+			return
+		}
+		// a member whose record was replaced by a later process of its name
+		// has ended; one that is merely absent may only be cut off
+		_, back := s.members[r.val.Holder]
+		rec := BlockRec{Holder: to.Member, Inc: to.Inc, Baton: s.baton.val.Last + 1, Ended: r.stamp == 0 || back}
+		when := []wire.Cond{
+			store.Is(keyLeader, s.leader.stamp), store.Is(blockKey(b), r.stamp),
+			store.Is(keyBaton, s.baton.stamp), store.Is(underMem+to.Member, toStamp),
+		}
+		s.log.Info("assigning block", "block", b, "to", to.Member, "baton", rec.Baton, "ended", rec.Ended)
+		s.txn(now, wire.Multi{When: when, Writes: []wire.Write{
+			store.Put(keyBaton, batonRec{Last: rec.Baton}, 0), store.Put(blockKey(b), rec, 0),
+		}})
+		return
+	}
+}
+
+// choose picks the member to give a block to: the one with the fewest blocks,
+// then one that does not lead, then the one that has been in longest.
+func (s *Slice) choose() (MemberRec, uint64, bool) {
+	held := map[string]int{}
+	for _, r := range s.recs {
+		if s.live(r.val.Holder, r.val.Inc) {
+			held[r.val.Holder]++
+		}
+	}
+	var best item[MemberRec]
+	less := func(a, b MemberRec) bool {
+		if held[a.Member] != held[b.Member] {
+			return held[a.Member] < held[b.Member]
+		}
+		al, bl := a.Member == s.leader.val.Member, b.Member == s.leader.val.Member
+		if al != bl {
+			return bl
+		}
+		if a.Since != b.Since {
+			return a.Since < b.Since
+		}
+		return a.Member < b.Member
+	}
+	for _, m := range s.members {
+		if best.stamp == 0 || less(m.val, best.val) {
+			best = m
+		}
+	}
+	return best.val, best.stamp, best.stamp != 0
+}
+
+func (s *Slice) txn(now time.Time, m wire.Multi) {
+	s.busy = true
+	s.call(store.Call{Op: store.OpMulti, Multi: m}, func(now time.Time, r store.Result) {
+		s.busy = false
+		// what was written, by us or by another, arrives through the mirror
+		s.retry = now.Add(tuning.ElectionPause)
+	})
+}
--- /dev/null
+++ b/internal/node/core.go
@@ -0,0 +1,325 @@
+// Package node wires the slices together. Core is the state that one
+// goroutine owns; it takes events, decides without any I/O and asks an Env for
+// effects, whose results come back as events. Runtime is that goroutine and
+// the Env of a real process.
+package node
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"juniperchute/internal/admin"
+	"juniperchute/internal/config"
+	"juniperchute/internal/fleet"
+	"juniperchute/internal/leader"
+	"juniperchute/internal/peer/peerpb"
+	"juniperchute/internal/store"
+	"juniperchute/internal/submission"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// Env carries out effects. Each brings its result back to the goroutine that
+// owns the Core.
+type Env interface {
+	State(c store.Call, then func(now time.Time, r store.Result))
+	Cloud(c fleet.Call, then func(now time.Time, r fleet.Result))
+	// Do sends a direct command; status 0 means that no answer came.
+	Do(addr string, d wire.Do, then func(now time.Time, status int, rep *wire.Report))
+	Pulse(member string, m *peerpb.PulseMessage, then func(now time.Time, r *peerpb.PulseMessage, err error))
+	Progress(member string, m *peerpb.ProgressRequest, then func(now time.Time, r *peerpb.ProgressReply, err error))
+}
+
+// Core is all state of one controller.
+type Core struct {
+	cfg    *config.Config
+	blocks int
+	env    Env
+	rng    *rand.Rand
+	wall   func() time.Time
+	log    *slog.Logger
+
+	leader    *leader.Slice
+	users     *submission.Slice
+	tenures   map[int]*tenure
+	flavors   map[string]wire.Flavor
+	flavorRaw map[string]string
+	settings  admin.Settings
+	peers     map[string]*peerView
+	pulseDue  time.Time
+	timers    []timer
+}
+
+type peerView struct {
+	heard  time.Time     // when it last said so
+	silent time.Duration // since the state service answered it
+}
+
+type timer struct {
+	at time.Time
+	f  func(now time.Time)
+}
+
+// NewCore makes the state of one controller. wall is the time of day.
+func NewCore(cfg *config.Config, blocks int, env Env, rng *rand.Rand, wall func() time.Time, log *slog.Logger) *Core {
+	c := &Core{cfg: cfg, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
+		tenures: map[int]*tenure{}, flavors: map[string]wire.Flavor{}, flavorRaw: map[string]string{},
+		settings: admin.Defaults(), peers: map[string]*peerView{}}
+	c.leader = leader.New(cfg.Member, blocks, wall, c.state, log, c.control)
+	c.users = submission.New(cfg.Facts, blocks, wall, c.state, log,
+		func() map[string]wire.Flavor { return c.flavors }, c.progress)
+	for _, k := range cfg.Known {
+		c.peers[k.Member] = &peerView{}
+	}
+	return c
+}
+
+// state passes a call on, and looks after the tenures when its answer has
+// been handled.
+func (c *Core) state(call store.Call, then func(time.Time, store.Result)) {
+	c.env.State(call, func(now time.Time, r store.Result) {
+		then(now, r)
+		c.after(now)
+	})
+}
+
+func (c *Core) later(now time.Time, d time.Duration, f func(now time.Time)) {
+	c.timers = append(c.timers, timer{now.Add(d), f})
+}
+
+// control handles control records that are not the leader slice's.
+func (c *Core) control(now time.Time, key string, it wire.Item, gone bool) {
+	if key == admin.Key {
+		c.settings = admin.Defaults()
+		if !gone {
+			c.settings = admin.Read(it.Value, c.log)
+		}
+		for _, t := range c.tenures {
+			t.configure()
+		}
+		return
+	}
+	name, ok := fleet.FlavorName(key)
+	if !ok {
+		return
+	}
+	delete(c.flavors, name)
+	delete(c.flavorRaw, name)
+	var f wire.Flavor
+	if gone || json.Unmarshal(it.Value, &f) != nil {
+		return
+	}
+	c.flavors[name], c.flavorRaw[name] = f, string(it.Value)
+	for _, t := range c.tenures {
+		t.fleet.Flavor(f, string(it.Value))
+	}
+}
+
+// after begins and ends tenures as the records say.
+func (c *Core) after(now time.Time) {
+	mine := c.leader.Tenures()
+	for b, t := range c.tenures {
+		inc := c.leader.Inc()
+		_, baton, known := c.leader.Holder(b)
+		switch {
+		case t.state == tenureOver:
+		case inc != 0 && inc != t.inc:
+			// a new lease: nothing of the old one's may be used beside it
+			t.end(now, "this process has a new lease")
+		case known && baton > t.Baton:
+			t.end(now, "the block was given away")
+		}
+		if t.state == tenureOver && !slices.ContainsFunc(mine, func(l leader.Tenure) bool { return l.Block == b && l.Baton == t.Baton }) {
+			delete(c.tenures, b)
+		}
+	}
+	for _, l := range mine {
+		if c.tenures[l.Block] == nil && c.leader.Entitled(now) {
+			c.tenures[l.Block] = newTenure(now, c, l, c.leader.Inc())
+		}
+	}
+}
+
+// Tick starts what is due.
+func (c *Core) Tick(now time.Time) {
+	c.leader.Tick(now)
+	for i := 0; i < len(c.timers); {
+		if tm := c.timers[i]; !now.Before(tm.at) {
+			c.timers = slices.Delete(c.timers, i, i+1)
+			tm.f(now)
+			continue
+		}
+		i++
+	}
+	c.after(now)
+	for _, t := range c.tenures {
+		t.Tick(now)
+	}
+	if !now.Before(c.pulseDue) {
+		c.pulseDue = now.Add(tuning.PulseEvery)
+		c.pulse(now)
+	}
+}
+
+// silent is how long the state service has not answered this node; never
+// answered counts as a very long time.
+func (c *Core) silent(now time.Time) time.Duration {
+	if c.leader.Heard().IsZero() {
+		return time.Hour
+	}
+	return now.Sub(c.leader.Heard())
+}
+
+func (c *Core) pulseMessage(now time.Time) *peerpb.PulseMessage {
+	m := &peerpb.PulseMessage{Member: c.cfg.Member, StateSilentMs: c.silent(now).Milliseconds()}
+	for b := range c.blocks {
+		if holder, baton, ok := c.leader.Holder(b); ok || baton > 0 {
+			m.Holdings = append(m.Holdings, &peerpb.Holding{Block: int32(b), Baton: baton, Holder: holder})
+		}
+	}
+	return m
+}
+
+func (c *Core) pulse(now time.Time) {
+	for name := range c.peers {
+		c.env.Pulse(name, c.pulseMessage(now), func(now time.Time, r *peerpb.PulseMessage, err error) {
+			if err == nil {
+				c.heardPeer(now, name, r)
+			}
+		})
+	}
+}
+
+func (c *Core) heardPeer(now time.Time, name string, m *peerpb.PulseMessage) {
+	if p := c.peers[name]; p != nil {
+		p.heard, p.silent = now, time.Duration(m.StateSilentMs)*time.Millisecond
+	}
+	for _, h := range m.Holdings {
+		if t := c.tenures[int(h.Block)]; t != nil && t.state != tenureOver && h.Baton > t.Baton {
+			t.end(now, "a peer knows a higher Baton")
+		}
+	}
+}
+
+// Pulse answers a peer's pulse.
+func (c *Core) Pulse(now time.Time, m *peerpb.PulseMessage) *peerpb.PulseMessage {
+	c.heardPeer(now, m.Member, m)
+	return c.pulseMessage(now)
+}
+
+// outage tells whether every other controller has just said that the state
+// service does not answer it either: then no one can have taken a cancellation
+// or a block.
+func (c *Core) outage(now time.Time) bool {
+	for _, p := range c.peers {
+		if p.heard.IsZero() || now.Sub(p.heard) > 2*tuning.PulseEvery+tuning.PulseTimeout || p.silent < 2*tuning.PulseEvery {
+			return false
+		}
+	}
+	return len(c.peers) > 0
+}
+
+// Healthy tells whether this node can take requests. A node that alone lost
+// the state service says no, so that users go to the others; in an outage all
+// stay, as they would be slow to come back.
+func (c *Core) Healthy(now time.Time) bool {
+	if !c.leader.Synced() || len(c.flavors) == 0 {
+		return false
+	}
+	if c.silent(now) < tuning.CutAfter+tuning.WatchWait {
+		return true
+	}
+	for _, p := range c.peers {
+		if now.Sub(p.heard) < 3*tuning.PulseEvery && p.silent < tuning.CutAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// Report answers a worker's report.
+func (c *Core) Report(now time.Time, rep *wire.Report, reply func(status int, body any)) {
+	b := c.blockOf(rep.Host)
+	if t := c.tenures[b]; t != nil && t.state != tenureOver {
+		t.Report(now, rep, reply)
+		return
+	}
+	c.redirect(b, reply)
+}
+
+// blockOf finds the block of a machine: the one whose hire records name it;
+// machines that nobody expected go to the first block.
+func (c *Core) blockOf(host string) int {
+	if c.blocks == 1 {
+		return 0
+	}
+	for b, t := range c.tenures {
+		if t.state != tenureOver && t.reg.Get(host) != nil {
+			return b
+		}
+	}
+	for b := range c.blocks {
+		found := false
+		c.leader.Each(fleet.Hires(b), func(it wire.Item) {
+			found = found || strings.Contains(string(it.Value), `"`+host+`"`)
+		})
+		if found {
+			return b
+		}
+	}
+	return 0
+}
+
+// redirect sends a worker to its block's holder.
+func (c *Core) redirect(block int, reply func(status int, body any)) {
+	holder, _, live := c.leader.Holder(block)
+	if !live || holder == c.cfg.Member {
+		holder = ""
+	}
+	reply(http.StatusMisdirectedRequest, wire.Redirect{ReportsTo: holder})
+}
+
+// progress finds out how far a job is, from its block's holder.
+func (c *Core) progress(now time.Time, block int, id string, then func(now time.Time, p submission.Progress)) {
+	if t := c.tenures[block]; t != nil && t.state != tenureOver {
+		then(now, t.progress(id))
+		return
+	}
+	holder, _, ok := c.leader.Holder(block)
+	if !ok || c.peers[holder] == nil {
+		then(now, submission.Progress{})
+		return
+	}
+	c.env.Progress(holder, &peerpb.ProgressRequest{Block: int32(block), Job: id}, func(now time.Time, r *peerpb.ProgressReply, err error) {
+		if err != nil {
+			then(now, submission.Progress{})
+			return
+		}
+		then(now, submission.Progress{Known: r.Known, Done: int(r.Done), Running: int(r.Running)})
+	})
+}
+
+func (t *tenure) progress(id string) submission.Progress {
+	j := t.board.Job(id)
+	if j == nil {
+		return submission.Progress{}
+	}
+	return submission.Progress{Known: true, Done: j.Done(), Running: j.Running()}
+}
+
+// Progress answers a peer's question.
+func (c *Core) Progress(m *peerpb.ProgressRequest) *peerpb.ProgressReply {
+	if t := c.tenures[int(m.Block)]; t != nil && t.state != tenureOver {
+		p := t.progress(m.Job)
+		return &peerpb.ProgressReply{Known: p.Known, Done: int64(p.Done), Running: int64(p.Running)}
+	}
+	return &peerpb.ProgressReply{}
+}
+
+// Users is the slice that answers users.
+func (c *Core) Users() *submission.Slice { return c.users }
--- /dev/null
+++ b/internal/node/http.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"juniperchute/internal/submission"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// server is the HTTP server for users, workers and health checks.
+func (r *Runtime) server() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", only(http.MethodGet, r.health))
+	mux.HandleFunc("/submissions", only(http.MethodPost, r.submit))
+	mux.HandleFunc("/submissions/", r.job)
+	mux.HandleFunc("/checkin", only(http.MethodPost, r.checkin))
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusNotFound, submission.Problem{Error: "no such path"}, 0)
+	})
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: tuning.HeaderTimeout,
+		ReadTimeout:       tuning.HeaderTimeout,
+		IdleTimeout:       tuning.IdleTimeout,
+		MaxHeaderBytes:    16 << 10,
+	}
+}
+
+func only(method string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		if req.Method != method && !(method == http.MethodGet && req.Method == http.MethodHead) {
+			w.Header().Set("Allow", method)
+			answer(w, http.StatusMethodNotAllowed, submission.Problem{Error: "method not allowed"}, 0)
+			return
+		}
+		h(w, req)
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body any, retryAfter int) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		status, raw = http.StatusInternalServerError, []byte("{}")
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(raw)))
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(retryAfter))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(raw) // a client that has gone away is no concern of ours
+}
+
+func respond(w http.ResponseWriter, resp submission.Response) {
+	answer(w, resp.Status, resp.Body, resp.RetryAfter)
+}
+
+// body reads a request body of at most the protocol's size.
+func body(w http.ResponseWriter, req *http.Request) ([]byte, bool) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, tuning.BodyBytes))
+	if err == nil {
+		return raw, true
+	}
+	var big *http.MaxBytesError
+	why := "body cannot be read"
+	if errors.As(err, &big) {
+		why = "body is too large"
+	}
+	answer(w, http.StatusBadRequest, submission.Problem{Error: why}, 0)
+	return nil, false
+}
+
+// ask hands a request to the owner and waits for its answer. When the owner's
+// buffer is full the user is told so at once.
+func (r *Runtime) ask(w http.ResponseWriter, req *http.Request, f func(now time.Time, reply func(submission.Response))) {
+	start := time.Now()
+	ch := make(chan submission.Response, 1)
+	if !r.offer(func(now time.Time) { f(now, func(s submission.Response) { ch <- s }) }) {
+		respond(w, submission.Busy())
+		return
+	}
+	select {
+	case s := <-ch:
+		r.lat.note(latUser, time.Since(start))
+		respond(w, s)
+	case <-req.Context().Done():
+	}
+}
+
+func (r *Runtime) health(w http.ResponseWriter, req *http.Request) {
+	r.ask(w, req, func(now time.Time, reply func(submission.Response)) {
+		if r.core.Healthy(now) {
+			reply(submission.Response{Status: http.StatusOK, Body: struct{}{}})
+			return
+		}
+		reply(submission.Unable("cannot take requests"))
+	})
+}
+
+func (r *Runtime) submit(w http.ResponseWriter, req *http.Request) {
+	raw, ok := body(w, req)
+	if !ok {
+		return
+	}
+	spec, err := wire.ParseSubmission(raw)
+	if err != nil {
+		answer(w, http.StatusBadRequest, submission.Problem{Error: err.Error()}, 0)
+		return
+	}
+	r.ask(w, req, func(now time.Time, reply func(submission.Response)) { r.core.users.Submit(now, spec, reply) })
+}
+
+func (r *Runtime) job(w http.ResponseWriter, req *http.Request) {
+	id := strings.TrimPrefix(req.URL.Path, "/submissions/")
+	if cancelled, ok := strings.CutSuffix(id, "/cancel"); ok && !strings.Contains(cancelled, "/") {
+		only(http.MethodPost, func(w http.ResponseWriter, req *http.Request) {
+			r.ask(w, req, func(now time.Time, reply func(submission.Response)) { r.core.users.Cancel(now, cancelled, reply) })
+		})(w, req)
+		return
+	}
+	if strings.Contains(id, "/") {
+		answer(w, http.StatusNotFound, submission.Problem{Error: "no such path"}, 0)
+		return
+	}
+	only(http.MethodGet, func(w http.ResponseWriter, req *http.Request) {
+		r.ask(w, req, func(now time.Time, reply func(submission.Response)) { r.core.users.Query(now, id, reply) })
+	})(w, req)
+}
+
+func (r *Runtime) checkin(w http.ResponseWriter, req *http.Request) {
+	raw, ok := body(w, req)
+	if !ok {
+		return
+	}
+	var rep wire.Report
+	if err := json.Unmarshal(raw, &rep); err != nil || rep.Host == "" || rep.Stint == 0 {
+		r.log.Info("report refused", "from", req.RemoteAddr, "error", err)
+		answer(w, http.StatusBadRequest, submission.Problem{Error: "not a report"}, 0)
+		return
+	}
+	r.ask(w, req, func(now time.Time, reply func(submission.Response)) {
+		r.core.Report(now, &rep, func(status int, body any) { reply(submission.Response{Status: status, Body: body}) })
+	})
+}
+
+// direct sends a command straight to a worker.
+func direct(ctx context.Context, client *http.Client, addr string, d wire.Do) (int, *wire.Report) {
+	raw, err := json.Marshal(d)
+	if err != nil {
+		return 0, nil
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/do", bytes.NewReader(raw))
+	if err != nil {
+		return 0, nil
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	var rep wire.Report
+	if err := json.NewDecoder(io.LimitReader(resp.Body, tuning.WorkerAnswerBytes)).Decode(&rep); err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, &rep
+}
--- /dev/null
+++ b/internal/node/tenure.go
@@ -0,0 +1,505 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/fleet"
+	"juniperchute/internal/leader"
+	"juniperchute/internal/placement"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/store"
+	"juniperchute/internal/submission"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
+)
+
+type tenureState int
+
+const (
+	// tenureLoading: jobs, tallies and hires are being read.
+	tenureLoading tenureState = iota
+	// tenureFencing: machines that an earlier tenure used are being heard.
+	tenureFencing
+	// tenureOpen: every machine the block may have is heard or surely gone.
+	tenureOpen
+	// tenureOver: the block is another's, or about to be.
+	tenureOver
+)
+
+func (s tenureState) String() string {
+	return [...]string{"loading", "fencing", "open", "over"}[s]
+}
+
+// tenure is the time in which this process holds one block.
+type tenure struct {
+	leader.Tenure
+	c     *Core
+	inc   uint64
+	state tenureState
+	since time.Time
+	log   *slog.Logger
+	reg   *worker.Registry
+	book  *quota.Book
+	board *placement.Board
+	fleet *fleet.Slice
+	jobs  *store.Mirror
+
+	early    bool // jobs now being read were accepted before this tenure
+	tallied  bool // tallies have been read
+	tallies  map[string]map[int]*store.Record
+	orphans  []*store.Record // tallies of jobs that are over
+	found    []wire.Item     // tallies read before their jobs
+	tallyDue time.Time
+	dirty    map[string]*placement.Job
+	finals   map[string]bool // jobs whose end is being written
+	finalDue map[string]time.Time
+	fenceDue map[string]time.Time
+	stints   map[string]uint64 // sessions learned while fencing
+}
+
+func newTenure(now time.Time, c *Core, l leader.Tenure, inc uint64) *tenure {
+	t := &tenure{
+		Tenure: l, c: c, inc: inc, since: now, log: c.log.With("block", l.Block, "baton", l.Baton),
+		tallies: map[string]map[int]*store.Record{}, dirty: map[string]*placement.Job{},
+		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, stints: map[string]uint64{},
+	}
+	t.reg = worker.NewRegistry(c.cfg.Facts.Workers, t.log)
+	t.book = quota.NewBook(c.cfg.Facts.Teams, l.Block, c.blocks)
+	t.board = placement.NewBoard(c.cfg.Facts, l.Baton, t.book, t.reg, c.rng, t.log, t.finished)
+	t.fleet = fleet.New(now, l.Block, l.Baton, t.cond(), c.cfg.Facts, c.env.Cloud, t.call, t.log, t.reg, t.board, t.lost,
+		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) })
+	t.jobs = store.NewMirror(submission.OpenUnder(l.Block), t.call, t.log, t.jobChanged)
+	t.early = true
+	t.log.Info("tenure begins", "ended", l.Ended)
+	for name, f := range c.flavors {
+		t.fleet.Flavor(f, c.flavorRaw[name])
+	}
+	c.leader.Each(fleet.Hires(l.Block), func(it wire.Item) { t.fleet.Load(now, it) })
+	t.configure()
+	t.jobs.Tick(now)
+	t.loadTallies(now, "")
+	return t
+}
+
+func (t *tenure) cond() wire.Cond { return store.Is(leader.BlockKey(t.Block), t.Stamp) }
+
+// call passes a call on and drops its answer once the tenure is over.
+func (t *tenure) call(c store.Call, then func(time.Time, store.Result)) {
+	t.c.env.State(c, func(now time.Time, r store.Result) {
+		if t.state != tenureOver {
+			then(now, r)
+			t.c.after(now)
+		}
+	})
+}
+
+func (t *tenure) set(now time.Time, s tenureState, why string) {
+	if t.state == s {
+		return
+	}
+	t.log.Info("tenure", "from", t.state.String(), "to", s.String(), "why", why, "after", now.Sub(t.since))
+	t.state = s
+}
+
+func (t *tenure) end(now time.Time, why string) {
+	t.set(now, tenureOver, why)
+	t.jobs.Stop()
+}
+
+// lost is told when a write finds the block's record changed.
+func (t *tenure) lost(now time.Time) { t.end(now, "the block's record has changed") }
+
+func (t *tenure) configure() {
+	s := t.c.settings
+	t.board.Set = placement.Settings{DropThreshold: s.DropThreshold}
+	t.fleet.Set = fleet.Settings{MaxMachines: s.MaxMachines, Paused: s.HirePaused, IdleReturn: s.IdleReturn}
+}
+
+// renewBound is how long after its own lease's end a holder goes on renewing
+// workers: what it cannot know to be cancelled must be gone in time.
+func (t *tenure) renewBound() time.Duration {
+	w := t.c.cfg.Facts.Workers
+	return max(0, config.Seconds(w.CancelS)-t.reg.Expiry()-tuning.RenewMargin)
+}
+
+// unheardUntil is when the lease of a machine that this tenure has not heard
+// is surely over, whatever the holder before it did.
+func (t *tenure) unheardUntil() time.Time {
+	u := t.since.Add(t.reg.Expiry())
+	if !t.Ended {
+		u = u.Add(t.renewBound())
+	}
+	return u
+}
+
+func (t *tenure) jobChanged(now time.Time, key string, it wire.Item, gone bool) {
+	id := strings.TrimPrefix(key, submission.OpenUnder(t.Block))
+	if gone {
+		t.board.CloseJob(now, id)
+		t.dropTallies(now, id)
+		delete(t.dirty, id)
+		delete(t.finalDue, id)
+		return
+	}
+	var rec submission.OpenRec
+	if err := json.Unmarshal(it.Value, &rec); err != nil || rec.Spec.ID != id || rec.Spec.Pieces < 1 || rec.Spec.Pieces > wire.MaxPieces {
+		t.log.Error("job entry cannot be read", "key", key, "error", err)
+		return
+	}
+	// The predecessor started nothing after its lease ended, and that was
+	// before the block's record changed: younger jobs are on no machine.
+	t.board.AddJob(rec.Spec, time.UnixMilli(rec.At), it.Stamp, it.Stamp < t.Stamp)
+}
+
+// Tallies: which tasks of an open job have completed, in chunks that fit one
+// value.
+
+type tallyRec struct{ Bits []byte }
+
+func tallyUnder(block int) string { return "t/" + strconv.Itoa(block) + "/" }
+
+func tallyKey(block int, job string, chunk int) string {
+	return fmt.Sprintf("%s%s/%d", tallyUnder(block), job, chunk)
+}
+
+func (t *tenure) chunk() int { return int(t.c.cfg.Facts.State.ValueKB*1024) * tuning.TallyBits }
+
+func (t *tenure) loadTallies(now time.Time, after string) {
+	t.call(store.Call{Op: store.OpList, Class: store.ClassLease, Under: tallyUnder(t.Block), After: after, Page: tuning.ListPage}, func(now time.Time, r store.Result) {
+		if !r.OK() {
+			t.c.later(now, tuning.MirrorRetry, func(now time.Time) {
+				if t.state != tenureOver {
+					t.loadTallies(now, after)
+				}
+			})
+			return
+		}
+		t.found = append(t.found, r.Items...)
+		if n := len(r.Items); r.More && n > 0 {
+			t.loadTallies(now, r.Items[n-1].Path)
+			return
+		}
+		t.tallied = true
+		t.loaded(now)
+	})
+}
+
+// loaded goes on to fencing once everything has been read.
+func (t *tenure) loaded(now time.Time) {
+	if t.state != tenureLoading || !t.tallied || !t.jobs.Synced() {
+		return
+	}
+	for _, it := range t.found {
+		job, num, _ := strings.Cut(strings.TrimPrefix(it.Path, tallyUnder(t.Block)), "/")
+		chunk, err := strconv.Atoi(num)
+		var rec tallyRec
+		j := t.board.Job(job)
+		if err != nil || chunk < 0 || json.Unmarshal(it.Value, &rec) != nil {
+			t.log.Error("tally cannot be read", "key", it.Path)
+			continue
+		}
+		file := t.tally(job, chunk, it.Stamp)
+		if j == nil {
+			file.Set(nil)
+			t.orphans = append(t.orphans, file)
+			delete(t.tallies, job)
+			continue
+		}
+		for i, b := range rec.Bits {
+			for k := range 8 {
+				if b&(1<<k) != 0 {
+					j.Recover(chunk*t.chunk() + i*8 + k)
+				}
+			}
+		}
+	}
+	t.found = nil
+	for _, j := range t.board.Jobs() {
+		if j.Complete() {
+			t.dirty[j.Spec.ID] = j
+		}
+	}
+	t.set(now, tenureFencing, "records read")
+	for _, m := range slices.Clone(t.reg.All()) {
+		if m.State == worker.Up {
+			t.board.Reported(now, m, worker.Fresh, false)
+		}
+	}
+}
+
+func (t *tenure) tally(job string, chunk int, stamp uint64) *store.Record {
+	if t.tallies[job] == nil {
+		t.tallies[job] = map[int]*store.Record{}
+	}
+	f := t.tallies[job][chunk]
+	if f == nil {
+		pending := map[int][]int{}
+		f = store.NewRecord(tallyKey(t.Block, job, chunk), stamp, store.ClassTally, t.cond(), t.call, func(now time.Time, ver int) {
+			j := t.board.Job(job)
+			for v, ns := range pending {
+				if v <= ver {
+					for _, n := range ns {
+						if j != nil {
+							j.Durable(n)
+						}
+					}
+					delete(pending, v)
+				}
+			}
+		}, t.lost)
+		f.Note = func(ver int, ns []int) { pending[ver] = ns }
+		t.tallies[job][chunk] = f
+	}
+	return f
+}
+
+func (t *tenure) dropTallies(now time.Time, job string) {
+	for _, f := range t.tallies[job] {
+		f.Set(nil)
+		t.orphans = append(t.orphans, f)
+	}
+	delete(t.tallies, job)
+}
+
+// finished is told of each completed task.
+func (t *tenure) finished(now time.Time, j *placement.Job) { t.dirty[j.Spec.ID] = j }
+
+// save writes completions down: the end of a job at once, the rest in batches.
+func (t *tenure) save(now time.Time) {
+	batch := !now.Before(t.tallyDue)
+	for id, j := range t.dirty {
+		if j.Complete() {
+			if !t.finals[id] && !now.Before(t.finalDue[id]) {
+				t.finalize(now, j)
+			}
+			continue
+		}
+		if !batch {
+			continue
+		}
+		for c := 0; c*t.chunk() < j.Spec.Pieces; c++ {
+			fresh, bits := j.Unsaved(c*t.chunk(), (c+1)*t.chunk())
+			if len(fresh) > 0 {
+				f := t.tally(id, c, 0)
+				f.Note(f.Set(tallyRec{bits}), fresh)
+			}
+		}
+		delete(t.dirty, id)
+	}
+	if batch {
+		t.tallyDue = now.Add(tuning.TallyEvery)
+	}
+	for _, fs := range t.tallies {
+		for _, f := range fs {
+			f.Tick(now)
+		}
+	}
+	t.orphans = slices.DeleteFunc(t.orphans, func(f *store.Record) bool {
+		f.Tick(now)
+		return f.Settled()
+	})
+}
+
+// finalize writes a job's end: done, unless its user was faster with a
+// cancellation.
+func (t *tenure) finalize(now time.Time, j *placement.Job) {
+	id := j.Spec.ID
+	t.finals[id] = true
+	t.call(store.Call{Op: store.OpMulti, Class: store.ClassFinal, Multi: wire.Multi{
+		When: []wire.Cond{t.cond(), store.Is(submission.JobKey(id), j.Stamp)},
+		Writes: []wire.Write{
+			store.Put(submission.JobKey(id), submission.JobRec{Stage: wire.JobDone, Block: t.Block, Done: j.Spec.Pieces}, 0),
+			store.Remove(submission.OpenKey(t.Block, id)),
+		},
+	}}, func(now time.Time, r store.Result) {
+		delete(t.finals, id)
+		switch {
+		case r.OK():
+			t.log.Info("job done", "job", id, "class", j.Spec.Lane, "took", t.c.wall().Sub(j.At))
+			t.over(now, id)
+		case r.Status == 409 && slices.Contains(r.Failed, leader.BlockKey(t.Block)):
+			t.lost(now)
+		case r.Status == 409:
+			t.reread(now, id)
+		default:
+			t.finalDue[id] = now.Add(tuning.RecordRetry)
+		}
+	})
+}
+
+func (t *tenure) over(now time.Time, id string) {
+	t.board.CloseJob(now, id)
+	t.dropTallies(now, id)
+	delete(t.dirty, id)
+	delete(t.finalDue, id)
+}
+
+// reread settles a conflict about a job's end: it was cancelled, or an earlier
+// write of ours was applied after all.
+func (t *tenure) reread(now time.Time, id string) {
+	t.finals[id] = true
+	t.call(store.Call{Op: store.OpGet, Class: store.ClassFinal, Key: submission.JobKey(id)}, func(now time.Time, r store.Result) {
+		delete(t.finals, id)
+		t.finalDue[id] = now.Add(tuning.RecordRetry)
+		var rec submission.JobRec
+		if r.OK() && json.Unmarshal(r.Item.Value, &rec) == nil {
+			if rec.Stage != wire.JobPending || rec.Block != t.Block {
+				t.over(now, id)
+			} else if j := t.board.Job(id); j != nil {
+				j.Stamp = r.Item.Stamp
+			}
+		}
+	})
+}
+
+// Tick starts what is due.
+func (t *tenure) Tick(now time.Time) {
+	if t.state == tenureOver {
+		return
+	}
+	t.jobs.Tick(now)
+	t.loaded(now)
+	for _, m := range t.reg.Quiet(now, t.unheardUntil()) {
+		t.board.Lost(now, m, "lease surely over")
+	}
+	if t.state == tenureLoading || !t.c.leader.Entitled(now) {
+		return
+	}
+	t.fence(now)
+	t.save(now)
+	t.fleet.Tick(now)
+	t.settle(now)
+}
+
+// fence asks the machines not heard yet for their account, under the new
+// Baton, and opens the tenure once none is left.
+func (t *tenure) fence(now time.Time) {
+	var blocked quota.Room
+	unheard := 0
+	for _, m := range t.reg.All() {
+		if m.State == worker.Unheard || m.State == worker.Deleting && m.Answered.IsZero() && m.Used {
+			unheard++
+			blocked = blocked.Add(m.Cap)
+			if m.Address != "" && !m.DoBusy && !now.Before(t.fenceDue[m.Host]) {
+				t.fenceDue[m.Host] = now.Add(tuning.FenceRetry)
+				t.direct(now, m, []wire.Order{})
+			}
+		} else if m.Stranger {
+			blocked = blocked.Add(m.Cap)
+		}
+	}
+	t.book.Block(blocked)
+	if unheard == 0 && t.state == tenureFencing {
+		t.set(now, tenureOpen, "every machine heard or gone")
+		t.board.Open(now)
+	}
+}
+
+// direct sends a direct command.
+func (t *tenure) direct(now time.Time, m *worker.Machine, orders []wire.Order) {
+	stint := m.Stint
+	if stint == 0 {
+		if stint = t.stints[m.Host]; stint == 0 {
+			stint = 1
+		}
+	}
+	m.DoBusy = true
+	t.c.env.Do(m.Address, wire.Do{Baton: t.Baton, Stint: stint, Orders: orders}, func(now time.Time, status int, rep *wire.Report) {
+		if t.state == tenureOver {
+			return
+		}
+		m.DoBusy = false
+		if status != http.StatusOK && status != http.StatusConflict || rep == nil || rep.Host != m.Host {
+			if m.Stint == stint && len(orders) > 0 {
+				m.OpenDo++
+			}
+			return
+		}
+		t.board.Answered(m, orders)
+		if rep.Baton > t.Baton {
+			t.end(now, "a machine has seen a higher Baton")
+			return
+		}
+		if rep.Baton < t.Baton {
+			// refused for its session: now that is known
+			t.stints[m.Host] = rep.Stint
+			t.fenceDue[m.Host] = now
+			return
+		}
+		t.absorb(now, m, rep, false)
+		t.settle(now)
+	})
+}
+
+func (t *tenure) absorb(now time.Time, m *worker.Machine, rep *wire.Report, checkin bool) bool {
+	v := t.reg.Absorb(now, m, rep, checkin)
+	if v == worker.Stale {
+		return false
+	}
+	t.fleet.Reporting(now, m)
+	if t.state != tenureLoading {
+		t.board.Reported(now, m, v, checkin)
+	}
+	return true
+}
+
+// Report answers a worker's report.
+func (t *tenure) Report(now time.Time, rep *wire.Report, reply func(status int, body any)) {
+	if rep.Baton > t.Baton {
+		t.end(now, "a report shows a higher Baton")
+		t.c.redirect(t.Block, reply)
+		return
+	}
+	entitled := t.c.leader.Entitled(now)
+	if !entitled && now.After(t.c.leader.Deadline().Add(t.renewBound())) && !t.c.outage(now) {
+		reply(http.StatusServiceUnavailable, submission.Problem{Error: "lease is over"})
+		return
+	}
+	m := t.reg.Get(rep.Host)
+	if m == nil {
+		m = t.reg.Add(now, rep.Host, worker.Booting)
+		m.IdleFrom = now
+		m.Build, m.Yard, m.Loaners = rep.Build, rep.Yard, rep.Loaners
+	}
+	out := wire.Orders{Baton: t.Baton, Orders: []wire.Order{}}
+	// A machine that an earlier tenure used is heard only once it has seen
+	// this Baton: what it says before may be minutes old.
+	if rep.Baton == t.Baton || !m.Used {
+		if !t.absorb(now, m, rep, true) {
+			reply(http.StatusServiceUnavailable, submission.Problem{Error: "a newer report has been handled"})
+			return
+		}
+		if entitled && t.state != tenureLoading {
+			t.save(now)
+			t.board.Draw(now)
+			if rep.Baton == t.Baton {
+				out.Orders = append(out.Orders, t.board.Orders(now, m, true)...)
+			}
+		}
+	}
+	m.Answered = now
+	reply(http.StatusOK, out)
+	t.settle(now)
+}
+
+// settle draws, and sends at once what should not wait for a report.
+func (t *tenure) settle(now time.Time) {
+	if t.state == tenureLoading || t.state == tenureOver || !t.c.leader.Entitled(now) {
+		return
+	}
+	t.board.Draw(now)
+	for _, m := range t.board.Kicks(now) {
+		if orders := t.board.Orders(now, m, false); len(orders) > 0 {
+			t.direct(now, m, orders)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/board.go
@@ -0,0 +1,647 @@
+package placement
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
+)
+
+// Settings are the operators' settings that placement heeds.
+type Settings struct {
+	DropThreshold int // stops after which a spare is dropped
+}
+
+// Counters tell what became of the copies.
+type Counters struct {
+	MainsStarted, SparesStarted, SparesFinished, SparesYielded, SparesDropped, Redrawn, Preempted, Failed, GangsPlaced int
+}
+
+type queues struct {
+	high, low []*Task
+}
+
+// Board is the placement state of one block in one tenure.
+type Board struct {
+	Set      Settings
+	Count    Counters
+	facts    config.Facts
+	baton    uint64
+	book     *quota.Book
+	reg      *worker.Registry
+	rng      *rand.Rand
+	log      *slog.Logger
+	jobs     map[string]*Job
+	order    []*Job // open jobs by rank, then age
+	q        map[*worker.Machine]*queues
+	on       map[*worker.Machine][]*Task // tasks handed out to each machine
+	open     bool                        // every machine the block may have is heard or surely gone
+	strays   map[*worker.Machine][]wire.Piece
+	pace     map[string]float64 // by class: run time over the owner's estimate
+	finished func(now time.Time, j *Job)
+}
+
+// NewBoard makes an empty board; finished is told of each task's completion.
+func NewBoard(facts config.Facts, baton uint64, book *quota.Book, reg *worker.Registry, rng *rand.Rand,
+	log *slog.Logger, finished func(now time.Time, j *Job)) *Board {
+	return &Board{
+		Set: Settings{DropThreshold: tuning.DropThreshold}, facts: facts, baton: baton, book: book, reg: reg, rng: rng, log: log,
+		jobs: map[string]*Job{}, q: map[*worker.Machine]*queues{}, on: map[*worker.Machine][]*Task{},
+		strays: map[*worker.Machine][]wire.Piece{}, pace: map[string]float64{}, finished: finished,
+	}
+}
+
+// Job returns an open job, or nil.
+func (b *Board) Job(id string) *Job {
+	if j := b.jobs[id]; j != nil && !j.closed {
+		return j
+	}
+	return nil
+}
+
+// Jobs lists the open jobs by rank, then age.
+func (b *Board) Jobs() []*Job { return b.order }
+
+// AddJob takes up an open job.
+func (b *Board) AddJob(spec wire.Submission, at time.Time, stamp uint64, early bool) *Job {
+	if j := b.jobs[spec.ID]; j != nil {
+		j.Stamp = stamp
+		return j
+	}
+	rank, _ := wire.Rank(spec.Rank)
+	j := &Job{
+		Spec: spec, At: at, Stamp: stamp, Early: early, rank: rank,
+		need:  quota.Room{CPUs: spec.Vcpus, GPUs: spec.Gpus, MemGB: spec.MemGb},
+		tasks: map[int]*Task{}, done: newBitset(spec.Pieces), durable: newBitset(spec.Pieces),
+		failedOn: map[string]int{}, wellOn: map[string]bool{},
+	}
+	b.jobs[spec.ID] = j
+	i, _ := slices.BinarySearchFunc(b.order, j, func(a, x *Job) int {
+		if a.rank != x.rank {
+			return x.rank - a.rank
+		}
+		if c := a.At.Compare(x.At); c != 0 {
+			return c
+		}
+		if a.Spec.ID < x.Spec.ID {
+			return -1
+		}
+		return 1
+	})
+	b.order = slices.Insert(b.order, i, j)
+	b.log.Debug("job open", "job", spec.ID, "class", spec.Lane, "team", spec.Crew, "shape", spec.Shape, "pieces", spec.Pieces)
+	return j
+}
+
+// Recover marks tasks as durably done, from the tallies.
+func (j *Job) Recover(n int) {
+	if n >= 0 && n < j.Spec.Pieces {
+		j.done.add(n)
+		j.durable.add(n)
+	}
+}
+
+// Durable marks a completed task's outcome as kept by the state service.
+func (j *Job) Durable(n int) { j.durable.add(n) }
+
+// Unsaved lists the completed tasks of a range whose outcome is not durable,
+// and all completed tasks of the range as bits.
+func (j *Job) Unsaved(from, to int) (fresh []int, bits []byte) {
+	to = min(to, j.Spec.Pieces)
+	bits = make([]byte, (to-from+7)/8)
+	for n := from; n < to; n++ {
+		if j.done.has(n) {
+			bits[(n-from)/8] |= 1 << ((n - from) % 8)
+			if !j.durable.has(n) {
+				fresh = append(fresh, n)
+			}
+		}
+	}
+	return fresh, bits
+}
+
+// HasUnsaved tells whether some outcome is not durable yet.
+func (j *Job) HasUnsaved() bool { return j.done.count > j.durable.count }
+
+// CloseJob ends a job, done or cancelled: none of its tasks starts any more,
+// and those on machines are told to stop.
+func (b *Board) CloseJob(now time.Time, id string) {
+	j := b.jobs[id]
+	if j == nil || j.closed {
+		return
+	}
+	j.closed = true
+	if i := slices.Index(b.order, j); i >= 0 {
+		b.order = slices.Delete(b.order, i, i+1)
+	}
+	for _, t := range j.tasks {
+		b.unqueue(t)
+		switch t.phase {
+		case Idle:
+			delete(j.tasks, t.N)
+		case Sent, Live, Stopping:
+			b.stop(now, t, 0, "job is over")
+		}
+	}
+	b.sweep(j)
+	b.log.Debug("job closed", "job", id, "left", j.located)
+}
+
+func (b *Board) sweep(j *Job) {
+	if j.closed && j.located == 0 {
+		delete(b.jobs, j.Spec.ID)
+	}
+}
+
+// setPhase is the one place that changes a task's phase, and with it the
+// accounts of its machine and team.
+func (b *Board) setPhase(now time.Time, t *Task, p Phase, why string) {
+	was := t.phase
+	if was == p {
+		return
+	}
+	onBefore, onAfter := was >= Sent && was <= Stopping, p >= Sent && p <= Stopping
+	m := t.at
+	switch {
+	case !onBefore && onAfter:
+		m.Taken = m.Taken.Add(t.Job.need)
+		if t.spare {
+			m.Spares = m.Spares.Add(t.Job.need)
+		}
+		m.Busy++
+		b.book.Use(t.Job.Spec.Crew, t.Job.need, 1)
+		t.Job.located++
+		b.on[m] = append(b.on[m], t)
+		t.sentAt, t.runFrom, t.stage = now, time.Time{}, ""
+	case onBefore && !onAfter:
+		m.Taken = m.Taken.Sub(t.Job.need)
+		if t.spare {
+			m.Spares = m.Spares.Sub(t.Job.need)
+		}
+		m.Busy--
+		if m.Busy == 0 {
+			m.IdleFrom = now
+			m.Taken, m.Spares = quota.Room{}, quota.Room{}
+		}
+		b.book.Use(t.Job.Spec.Crew, t.Job.need, -1)
+		t.Job.located--
+		if i := slices.Index(b.on[m], t); i >= 0 {
+			b.on[m] = slices.Delete(b.on[m], i, i+1)
+		}
+		if len(b.on[m]) == 0 {
+			delete(b.on, m)
+		}
+		t.at = nil
+	}
+	t.phase = p
+	b.log.Debug("task", "task", t.Name(), "try", t.try, "host", m.Host, "from", was.String(), "to", p.String(), "spare", t.spare, "why", why)
+}
+
+// hand puts a task's copy on a machine: the order goes out next.
+func (b *Board) hand(now time.Time, t *Task, m *worker.Machine, try uint64, spare bool, why string) {
+	t.at, t.try, t.spare = m, try, spare
+	t.reported, t.ordered, t.openDo, t.tally, t.stint, t.stopDue, t.grace = false, false, 0, 0, 0, false, 0
+	b.setPhase(now, t, Sent, why)
+}
+
+// nextTry makes an attempt number that no earlier attempt of the job has: the
+// tenure's Baton is in the high bits, so it grows without a write.
+func (b *Board) nextTry(j *Job) uint64 {
+	j.seq++
+	return b.baton<<tuning.TryBits | j.seq&(1<<tuning.TryBits-1)
+}
+
+// stop tells a task on a machine to stop.
+func (b *Board) stop(now time.Time, t *Task, grace float64, why string) {
+	if t.phase == Stopping && grace >= t.grace {
+		return
+	}
+	t.grace, t.stopDue = grace, true
+	b.setPhase(now, t, Stopping, why)
+}
+
+// grace is how long a job's running task is given to save.
+func (j *Job) grace() float64 {
+	if j.Spec.BookmarkS <= 0 {
+		return 0
+	}
+	return j.Spec.StowS + tuning.SaveGrace.Seconds()
+}
+
+// yield stops a task so that it can go on later; a gang stops as a whole.
+func (b *Board) yield(now time.Time, t *Task, why string) {
+	if !t.Job.Gang() {
+		b.stop(now, t, t.Job.grace(), why)
+		return
+	}
+	t.Job.broken = true
+	for _, o := range t.Job.tasks {
+		if o.phase == Sent || o.phase == Live {
+			b.stop(now, o, t.Job.grace(), why)
+		}
+	}
+}
+
+// gone takes a task off its machine; it may start again elsewhere.
+func (b *Board) gone(now time.Time, t *Task, wait time.Duration, why string) {
+	j := t.Job
+	spare := t.spare
+	stopped := t.phase == Stopping
+	b.setPhase(now, t, Idle, why)
+	t.try = 0
+	switch {
+	case j.closed:
+		b.unqueue(t)
+		delete(j.tasks, t.N)
+	case j.Gang():
+		b.unqueue(t)
+		delete(j.tasks, t.N)
+		j.giveBack(t.N, now.Add(wait))
+		b.breakGang(now, j, why)
+	case spare && t.main != nil && stopped:
+		// a spare that gave way: its main keeps its place, the spare waits
+		// again until it has been stopped too often
+		if t.low == nil || t.stops >= b.Set.DropThreshold {
+			b.dropLow(t)
+		}
+	default:
+		b.unqueue(t)
+		delete(j.tasks, t.N)
+		j.giveBack(t.N, now.Add(wait))
+	}
+	b.sweep(j)
+}
+
+// breakGang ends a gang's attempt: whatever is left of it has to go before
+// the next one.
+func (b *Board) breakGang(now time.Time, j *Job, why string) {
+	j.broken = false
+	for _, o := range j.tasks {
+		switch o.phase {
+		case Idle:
+			b.unqueue(o)
+			delete(j.tasks, o.N)
+			j.giveBack(o.N, now)
+		case Sent, Live:
+			j.broken = true
+			b.stop(now, o, 0, "attempt over: "+why)
+		case Stopping:
+			j.broken = true
+		}
+	}
+}
+
+// finish records a task's completion.
+func (b *Board) finish(now time.Time, t *Task) {
+	j := t.Job
+	if t.phase >= Sent && t.phase <= Stopping {
+		if t.spare {
+			b.Count.SparesFinished++
+		}
+		j.wellOn[t.at.Host] = true
+		if !t.runFrom.IsZero() && j.Spec.GuessS > 0 && !j.Gang() {
+			ratio := now.Sub(t.runFrom).Seconds() / j.Spec.GuessS
+			old, ok := b.pace[j.Spec.Lane]
+			if !ok {
+				old = 1
+			}
+			b.pace[j.Spec.Lane] = old + (ratio-old)*tuning.PaceWeight
+		}
+		b.setPhase(now, t, Finished, "done")
+	} else {
+		t.phase = Finished
+	}
+	b.unqueue(t)
+	delete(j.tasks, t.N)
+	if j.done.add(t.N) && !j.closed {
+		b.finished(now, j)
+	}
+	b.sweep(j)
+}
+
+// Lost gives up everything on a machine: its lease is surely over, its
+// session is a new one, or its deletion was answered.
+func (b *Board) Lost(now time.Time, m *worker.Machine, why string) {
+	for len(b.on[m]) > 0 {
+		b.gone(now, b.on[m][0], 0, why)
+	}
+	delete(b.strays, m)
+	m.Stranger = false
+}
+
+// Forget drops a machine that is gone.
+func (b *Board) Forget(now time.Time, m *worker.Machine) {
+	b.Lost(now, m, "machine gone")
+	b.clearQueues(now, m)
+	delete(b.q, m)
+}
+
+// clearQueues sends a machine's queued copies back to be drawn elsewhere.
+func (b *Board) clearQueues(now time.Time, m *worker.Machine) {
+	q := b.q[m]
+	if q == nil {
+		return
+	}
+	for len(q.high) > 0 {
+		t := q.high[0]
+		b.takeBack(now, t)
+	}
+	for len(q.low) > 0 {
+		b.dropLow(q.low[0])
+	}
+}
+
+// takeBack makes a queued main held again. A gang's place is kept or given
+// up as a whole.
+func (b *Board) takeBack(now time.Time, t *Task) {
+	j := t.Job
+	if j.Gang() {
+		for _, o := range j.tasks {
+			b.unqueue(o)
+			if o.phase == Idle {
+				delete(j.tasks, o.N)
+				j.giveBack(o.N, now)
+			}
+		}
+		return
+	}
+	if t.phase != Idle {
+		// its spare runs: only the main's place is given up
+		b.dropMain(t)
+		return
+	}
+	b.unqueue(t)
+	delete(j.tasks, t.N)
+	j.giveBack(t.N, now)
+}
+
+func (b *Board) queue(m *worker.Machine) *queues {
+	q := b.q[m]
+	if q == nil {
+		q = &queues{}
+		b.q[m] = q
+	}
+	return q
+}
+
+func (b *Board) queueMain(now time.Time, t *Task, m *worker.Machine) {
+	t.main, t.mainSince = m, now
+	q := b.queue(m)
+	q.high = append(q.high, t)
+	m.Promised = m.Promised.Add(t.Job.need)
+	b.book.Promise(t.Job.Spec.Crew, t.Job.need, 1)
+}
+
+func (b *Board) dropMain(t *Task) {
+	m := t.main
+	if m == nil {
+		return
+	}
+	q := b.queue(m)
+	if i := slices.Index(q.high, t); i >= 0 {
+		q.high = slices.Delete(q.high, i, i+1)
+	}
+	m.Promised = m.Promised.Sub(t.Job.need)
+	if len(q.high) == 0 {
+		m.Promised = quota.Room{}
+	}
+	b.book.Promise(t.Job.Spec.Crew, t.Job.need, -1)
+	t.main = nil
+}
+
+func (b *Board) queueLow(t *Task, m *worker.Machine) {
+	t.low = m
+	q := b.queue(m)
+	q.low = append(q.low, t)
+}
+
+func (b *Board) dropLow(t *Task) {
+	if t.low == nil {
+		return
+	}
+	q := b.queue(t.low)
+	if i := slices.Index(q.low, t); i >= 0 {
+		q.low = slices.Delete(q.low, i, i+1)
+	}
+	t.low = nil
+}
+
+func (b *Board) unqueue(t *Task) {
+	b.dropMain(t)
+	b.dropLow(t)
+}
+
+// Open lifts the hold on tasks whose whereabouts were not known.
+func (b *Board) Open(now time.Time) { b.open = true }
+
+// Reported brings the board up to date with a machine's newest account.
+func (b *Board) Reported(now time.Time, m *worker.Machine, v worker.Verdict, checkin bool) {
+	if v == worker.Renewed {
+		b.Lost(now, m, "worker's session is a new one")
+		m.Images = map[string]time.Time{}
+	}
+	shown := make(map[string]*wire.Piece, len(m.Pieces))
+	for i := range m.Pieces {
+		p := &m.Pieces[i]
+		shown[p.Piece] = p
+	}
+	for _, t := range slices.Clone(b.on[m]) {
+		if t.at != m {
+			continue // an earlier one took its whole gang along
+		}
+		p := shown[t.Name()]
+		if p != nil && p.Try == t.try {
+			b.saw(now, m, t, p)
+			continue
+		}
+		// Absent. An attempt that was once reported is gone. One that never
+		// was may still be on its way: in the answer to the last report,
+		// unless a later report shows that the worker dropped that answer;
+		// or in a direct command that nobody answered.
+		if t.reported {
+			b.gone(now, t, 0, "no longer reported")
+		} else if t.phase == Stopping && t.openDo == 0 && (!t.ordered || checkin && (t.tally == 0 || m.Tally > t.tally)) {
+			b.gone(now, t, 0, "never started")
+		}
+	}
+	b.unexplained(now, m, shown)
+}
+
+// saw handles a task that its machine reports.
+func (b *Board) saw(now time.Time, m *worker.Machine, t *Task, p *wire.Piece) {
+	t.reported = true
+	if p.Stage != wire.PieceExited {
+		if p.Stage != wire.PieceFetching {
+			m.Images[t.Job.Spec.Bundle] = now
+		}
+		if p.Stage == wire.PieceRunning && t.runFrom.IsZero() {
+			t.runFrom = now
+		}
+		t.stage = p.Stage
+		if t.phase == Sent {
+			b.setPhase(now, t, Live, p.Stage)
+		}
+		return
+	}
+	j := t.Job
+	b.log.Debug("task exited", "task", p.Piece, "try", p.Try, "host", m.Host, "cause", p.Cause, "stored", p.Stored)
+	switch p.Cause {
+	case wire.CauseDone:
+		b.finish(now, t)
+		if j.Gang() {
+			b.finishGang(now, j)
+		}
+	case wire.CauseError:
+		b.failed(now, m, t)
+		b.gone(now, t, tuning.RetryPause, p.Cause)
+	case wire.CauseNoRoom, wire.CauseInUse, wire.CauseUnknown:
+		b.log.Info("start refused", "task", p.Piece, "host", m.Host, "cause", p.Cause)
+		b.gone(now, t, tuning.RefusedPause, p.Cause)
+	default:
+		b.gone(now, t, 0, p.Cause)
+	}
+}
+
+// finishGang completes a gang: if one of its tasks is done, every one is.
+func (b *Board) finishGang(now time.Time, j *Job) {
+	for _, t := range j.tasks {
+		if t.phase >= Sent && t.phase <= Stopping {
+			continue // its own exit is still to be reported
+		}
+		b.unqueue(t)
+		delete(j.tasks, t.N)
+	}
+	for n := range j.Spec.Pieces {
+		if j.tasks[n] == nil && j.done.add(n) && !j.closed {
+			b.finished(now, j)
+		}
+	}
+}
+
+// failed looks for who is to blame for a task that failed: its machine, when
+// it has failed several jobs or a job that runs well elsewhere; else the job,
+// which then waits longer each time.
+func (b *Board) failed(now time.Time, m *worker.Machine, t *Task) {
+	j := t.Job
+	b.Count.Failed++
+	j.errors++
+	j.failedOn[m.Host]++
+	m.Blames[j.Spec.ID]++
+	well := false
+	for h := range j.wellOn {
+		well = well || h != m.Host
+	}
+	jobs := 0
+	for id := range m.Blames {
+		if o := b.jobs[id]; o == nil || len(o.failedOn) < tuning.BadJobMachines || len(o.wellOn) > 0 {
+			jobs++
+		}
+	}
+	if jobs >= tuning.FaultyJobs || well && m.Blames[j.Spec.ID] >= tuning.FaultyErrors {
+		if !m.Faulty {
+			b.log.Info("machine is faulty", "host", m.Host, "jobs", jobs)
+		}
+		m.Faulty = true
+	}
+	if len(j.failedOn) >= tuning.BadJobMachines && len(j.wellOn) == 0 {
+		pause := tuning.RetryPause << min(j.errors, tuning.RetryDoublings)
+		j.notBefore = now.Add(pause)
+		b.log.Info("job fails everywhere", "job", j.Spec.ID, "pause", pause)
+	}
+}
+
+// unexplained handles what a machine reports that the board does not expect
+// there: tasks that an earlier tenure started, and the remains of jobs that
+// are over.
+func (b *Board) unexplained(now time.Time, m *worker.Machine, shown map[string]*wire.Piece) {
+	delete(b.strays, m)
+	m.Stranger = false
+	for _, p := range m.Pieces {
+		id, n, ok := wire.ParsePiece(p.Piece)
+		var j *Job
+		if ok {
+			j = b.jobs[id]
+		}
+		if j != nil && n < j.Spec.Pieces {
+			if t := j.tasks[n]; t != nil && t.at == m && t.try == p.Try {
+				continue
+			}
+		} else {
+			j = nil
+		}
+		if p.Stage == wire.PieceExited {
+			if j != nil && p.Cause == wire.CauseDone && !j.done.has(n) {
+				b.foundDone(now, j, n)
+			}
+			continue
+		}
+		if j != nil && !j.closed && !j.done.has(n) {
+			if t := j.tasks[n]; t == nil || t.phase == Idle {
+				b.adopt(now, j, n, m, p)
+				continue
+			}
+		}
+		b.log.Info("stray task", "task", p.Piece, "try", p.Try, "host", m.Host)
+		b.strays[m] = append(b.strays[m], p)
+		m.Stranger = m.Stranger || j == nil
+	}
+}
+
+// foundDone records a completion that an earlier tenure did not get to.
+func (b *Board) foundDone(now time.Time, j *Job, n int) {
+	t := j.tasks[n]
+	if t == nil {
+		t = &Task{Job: j, N: n}
+	}
+	if t.phase >= Sent && t.phase <= Stopping {
+		// a copy of a completed task: it will be stopped as a stray
+		b.stop(now, t, 0, "completed elsewhere")
+		if j.done.add(n) && !j.closed {
+			b.finished(now, j)
+		}
+		return
+	}
+	b.finish(now, t)
+	if j.Gang() {
+		b.finishGang(now, j)
+	}
+}
+
+// adopt takes over a task that an earlier tenure started.
+func (b *Board) adopt(now time.Time, j *Job, n int, m *worker.Machine, p wire.Piece) {
+	t := j.tasks[n]
+	if t == nil {
+		t = &Task{Job: j, N: n}
+		j.tasks[n] = t
+	}
+	b.unqueue(t)
+	b.hand(now, t, m, p.Try, false, "adopted")
+	t.ordered = true
+	b.saw(now, m, t, &p)
+	if !j.Gang() {
+		return
+	}
+	switch {
+	case j.try == 0 || j.located == 1:
+		j.try = p.Try
+	case j.try != p.Try:
+		b.breakGang(now, j, "two attempts found")
+	}
+}
+
+// Running is how many of a job's tasks are on machines, for display.
+func (j *Job) Running() int {
+	n := 0
+	for _, t := range j.tasks {
+		if t.phase == Live && t.stage != wire.PieceFetching || t.phase == Stopping {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/placement/demand.go
@@ -0,0 +1,233 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/worker"
+)
+
+// Offer is a kind of machine that can be hired now.
+type Offer struct {
+	Build, Yard string
+	Loaners     bool
+	Cap         quota.Room
+	Price       float64
+	BootS       float64
+	Left        int // how many more may be asked for
+}
+
+// bin is a machine, present or to be hired, in the packing of the demand.
+type bin struct {
+	m       *worker.Machine
+	build   string
+	yard    string
+	loaners bool
+	cap     quota.Room
+	free    quota.Room // now, for gangs
+	time    float64    // seconds of the whole machine within the horizon
+}
+
+// Horizon is how long an array's work may wait and run in all for its class's
+// aims to hold.
+func Horizon(objectives []config.Objective, lane string) float64 {
+	h := 0.0
+	for _, o := range objectives {
+		if o.Kind == "finished" && o.Class == lane && (h == 0 || o.WithinS < h) {
+			h = o.WithinS
+		}
+	}
+	if h == 0 {
+		h = tuning.DefaultAim.Seconds()
+	}
+	return h * tuning.HorizonShare
+}
+
+// Expect estimates a task's run time in seconds.
+func (b *Board) Expect(j *Job) float64 {
+	e := j.Spec.GuessS
+	if r, ok := b.pace[j.Spec.Lane]; ok {
+		e *= r
+	}
+	return max(e, tuning.LeastRun.Seconds())
+}
+
+// Demand packs all waiting work onto the machines there are and returns how
+// many more of each offer would be needed for the rest. Machines that the
+// packing uses are marked as wanted.
+func (b *Board) Demand(now time.Time, offers []Offer, coming []int) []int {
+	var bins []*bin
+	for _, m := range b.reg.All() {
+		m.Wanted = m.Busy > 0
+		if m.Faulty || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting {
+			continue
+		}
+		bn := &bin{m: m, build: m.Build, yard: m.Yard, loaners: m.Loaners, cap: m.Cap, free: m.FreeForMain()}
+		bins = append(bins, bn)
+	}
+	for i, o := range offers {
+		for range coming[i] {
+			bins = append(bins, &bin{build: o.Build, yard: o.Yard, loaners: o.Loaners, cap: o.Cap, free: o.Cap})
+		}
+	}
+	hires := make([]int, len(offers))
+	open := func(j *Job) *bin {
+		best := -1
+		for i, o := range offers {
+			if o.Left-hires[i] <= 0 || !j.allows(o.Build, o.Yard, o.Loaners) || !o.Cap.Fits(j.need) {
+				continue
+			}
+			if best < 0 || o.Price/float64(o.Cap.Count(j.need, 1<<20)) < offers[best].Price/float64(offers[best].Cap.Count(j.need, 1<<20)) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		hires[best]++
+		o := offers[best]
+		bn := &bin{build: o.Build, yard: o.Yard, loaners: o.Loaners, cap: o.Cap, free: o.Cap}
+		bins = append(bins, bn)
+		return bn
+	}
+	budget := map[string]quota.Room{}
+	admit := func(j *Job, r quota.Room) bool {
+		// what a team's limit does not let start needs no machine
+		sum := budget[j.Spec.Crew].Add(r)
+		if !b.book.Admits(j.Spec.Crew, sum, true) {
+			return false
+		}
+		budget[j.Spec.Crew] = sum
+		return true
+	}
+	for _, j := range b.order {
+		if !j.Gang() || j.located > 0 || len(j.tasks) > 0 || j.Complete() || now.Before(j.notBefore) {
+			continue
+		}
+		if !admit(j, j.need.Times(float64(j.Spec.Pieces))) {
+			continue
+		}
+		for range j.Spec.Pieces {
+			var best *bin
+			for _, bn := range bins {
+				if bn.free.Fits(j.need) && j.allows(bn.build, bn.yard, bn.loaners) && (bn.m == nil || j.failedOn[bn.m.Host] == 0) &&
+					(best == nil || cheaper(j, bn, best)) {
+					best = bn
+				}
+			}
+			if best == nil {
+				best = open(j)
+			}
+			if best == nil {
+				break
+			}
+			best.free = best.free.Sub(j.need)
+			if best.m != nil {
+				best.m.Wanted = true
+			}
+		}
+	}
+	b.arrayDemand(now, bins, open, admit)
+	return hires
+}
+
+// cheaper prefers the bin of the cheaper kind, then one already in use.
+func cheaper(j *Job, a, c *bin) bool {
+	if a.loaners != c.loaners {
+		return a.loaners
+	}
+	ab, cb := a.m != nil && a.m.Busy > 0, c.m != nil && c.m.Busy > 0
+	return ab && !cb
+}
+
+// arrayDemand pours the arrays' waiting work, as machine time within the
+// class's horizon, into what the gangs leave.
+func (b *Board) arrayDemand(now time.Time, bins []*bin, open func(*Job) *bin, admit func(*Job, quota.Room) bool) {
+	type load struct {
+		j    *Job
+		n    int
+		late float64
+	}
+	var loads []load
+	for _, j := range b.order {
+		if j.Gang() || now.Before(j.notBefore) {
+			continue
+		}
+		n := j.held()
+		for _, t := range j.tasks {
+			if t.phase == Idle {
+				n++
+			}
+		}
+		if n > 0 {
+			loads = append(loads, load{j: j, n: n})
+		}
+	}
+	slices.SortStableFunc(loads, func(a, c load) int { return cmp.Compare(c.j.rank, a.j.rank) })
+	committed := map[*worker.Machine]float64{}
+	for m, ts := range b.on {
+		for _, t := range ts {
+			left := b.Expect(t.Job) - now.Sub(t.sentAt).Seconds()
+			committed[m] += max(left, tuning.LeastRun.Seconds()) * t.Job.need.Share(m.Cap)
+		}
+	}
+	spent := map[*bin]float64{}
+	for _, l := range loads {
+		j := l.j
+		h := Horizon(b.facts.Objectives, j.Spec.Lane)
+		dur := b.Expect(j)
+		room := func(bn *bin) float64 {
+			// machine time this bin can give to the job within its horizon
+			if !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) {
+				return 0
+			}
+			t := h - spent[bn]
+			if bn.m != nil {
+				t -= committed[bn.m]
+			}
+			if bn.m == nil || bn.m.State == worker.Booting {
+				t = max(t, min(dur, h)-spent[bn])
+			}
+			return t
+		}
+		work := float64(l.n)
+		each := func(bn *bin) float64 { return dur / float64(max(1, bn.cap.Count(j.need, 1<<20))) }
+		pour := func(bn *bin) {
+			n := min(work, room(bn)/each(bn))
+			if n <= 0 {
+				return
+			}
+			if bn.m != nil {
+				bn.m.Wanted = true
+			}
+			spent[bn] += n * each(bn)
+			work -= n
+		}
+		for _, cheap := range []bool{true, false} {
+			for _, bn := range bins {
+				if bn.loaners == cheap && work > 0 {
+					pour(bn)
+				}
+			}
+		}
+		for work > tuning.HireRest {
+			if !admit(j, j.need) {
+				break
+			}
+			bn := open(j)
+			if bn == nil {
+				break
+			}
+			bins = append(bins, bn)
+			before := work
+			pour(bn)
+			if work == before {
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/draw.go
@@ -0,0 +1,582 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
+)
+
+// allows tells whether a job may run on a machine at all: type, zone and kind.
+func (j *Job) allows(build, yard string, loaners bool) bool {
+	s := &j.Spec
+	if loaners && !s.Loaners {
+		return false
+	}
+	if s.Yard != "" && s.Yard != yard {
+		return false
+	}
+	return s.AnyBuild || slices.Contains(s.Builds, build)
+}
+
+// yards counts a job's tasks by zone: those on machines, and with queued also
+// those that have been drawn.
+func (j *Job) yards(queued bool) map[string]int {
+	n := map[string]int{}
+	for _, t := range j.tasks {
+		switch {
+		case t.phase >= Sent && t.phase <= Stopping:
+			n[t.at.Yard]++
+		case queued && t.main != nil:
+			n[t.main.Yard]++
+		}
+	}
+	return n
+}
+
+// zoneOK tells whether one more task of a job may be in a zone, beside n.
+func (j *Job) zoneOK(yard string, n map[string]int) bool {
+	if j.Spec.Together {
+		for y, c := range n {
+			if c > 0 && y != yard {
+				return false
+			}
+		}
+	}
+	return !j.Spec.Apart || n[yard]+1 <= (j.Spec.Pieces+1)/2
+}
+
+// constrained tells whether where a job's tasks may be depends on the others.
+func (j *Job) constrained() bool { return j.Spec.Together || j.Spec.Apart }
+
+// startable tells whether all that may be on unseen machines allows a held
+// task of the job to start.
+func (b *Board) startable(j *Job) bool { return b.open || !j.Early }
+
+// Draw takes up held tasks in order and queues their copies, places gangs
+// whole, and redraws what is stuck.
+func (b *Board) Draw(now time.Time) {
+	b.recalls(now)
+	b.redraw(now)
+	for i := 0; i < len(b.order); {
+		// jobs of one rank: first those within their team's guarantee
+		k := i
+		for k < len(b.order) && b.order[k].rank == b.order[i].rank {
+			k++
+		}
+		for _, guaranteed := range []bool{true, false} {
+			for _, j := range b.order[i:k] {
+				b.drawJob(now, j, guaranteed)
+			}
+		}
+		i = k
+	}
+	for _, j := range b.order {
+		if j.Gang() {
+			b.startGang(now, j)
+		}
+	}
+}
+
+func (b *Board) waits(j *Job, why string) {
+	if j.why != why {
+		j.why = why
+		b.log.Debug("job waits", "job", j.Spec.ID, "why", why, "held", j.held())
+	}
+}
+
+func (b *Board) drawJob(now time.Time, j *Job, guaranteed bool) {
+	if now.Before(j.notBefore) || j.held() == 0 && !j.Gang() {
+		return
+	}
+	if !b.startable(j) {
+		b.waits(j, "its tasks may be on machines not heard yet")
+		return
+	}
+	if j.Gang() {
+		b.drawGang(now, j, guaranteed)
+		return
+	}
+	spread := j.yards(true)
+	for j.held() > 0 {
+		if guaranteed && !b.book.Guaranteed(j.Spec.Crew, j.need) {
+			return
+		}
+		if !b.book.Admits(j.Spec.Crew, j.need, true) {
+			b.waits(j, "team's limit")
+			return
+		}
+		m := b.pick(j, func(m *worker.Machine) (int, bool) {
+			if !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || !j.zoneOK(m.Yard, spread) ||
+				!m.FreeForMain().Fits(j.need) || j.failedOn[m.Host] > 0 && len(j.failedOn) < tuning.BadJobMachines {
+				return 0, false
+			}
+			return b.tier(j, m), true
+		})
+		if m == nil {
+			b.waits(j, "no room")
+			return
+		}
+		n, ok := j.take(now)
+		if !ok {
+			b.waits(j, "pause after a failure")
+			return
+		}
+		j.why = ""
+		t := &Task{Job: j, N: n}
+		j.tasks[n] = t
+		b.queueMain(now, t, m)
+		spread[m.Yard]++
+		b.drawSpare(now, t)
+	}
+}
+
+// tier ranks machines that fit: cheap ones for whoever may use them, then
+// ones already in use, so that whole machines stay free, then ones that have
+// the image.
+func (b *Board) tier(j *Job, m *worker.Machine) int {
+	s := 0
+	if j.Spec.Loaners && !m.Loaners {
+		s += 4
+	}
+	if m.Busy == 0 && len(b.queue(m).high) == 0 {
+		s += 2
+	}
+	if _, ok := m.Images[j.Spec.Bundle]; !ok {
+		s++
+	}
+	return s
+}
+
+// pick chooses at random among the machines of the lowest tier.
+func (b *Board) pick(j *Job, fit func(m *worker.Machine) (int, bool)) *worker.Machine {
+	var best *worker.Machine
+	low, n := 0, 0
+	for _, m := range b.reg.All() {
+		tier, ok := fit(m)
+		if !ok || best != nil && tier > low {
+			continue
+		}
+		if best == nil || tier < low {
+			best, low, n = m, tier, 1
+			continue
+		}
+		n++
+		if b.rng.IntN(n) == 0 {
+			best = m
+		}
+	}
+	return best
+}
+
+// drawSpare queues a task's spare low at another random worker whose whole
+// room it fits.
+func (b *Board) drawSpare(now time.Time, t *Task) {
+	j := t.Job
+	m := b.pick(j, func(m *worker.Machine) (int, bool) {
+		if m == t.main || !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || !m.Cap.Fits(j.need) ||
+			len(b.queue(m).low) >= tuning.LowDepth || j.failedOn[m.Host] > 0 {
+			return 0, false
+		}
+		return 0, true
+	})
+	if m != nil {
+		b.queueLow(t, m)
+	}
+}
+
+// recalls prepares machines that the cloud is about to take: queued copies
+// leave at once, tasks that can save are stopped just in time to do so.
+func (b *Board) recalls(now time.Time) {
+	for _, m := range b.reg.All() {
+		if q := b.q[m]; q != nil && len(q.high)+len(q.low) > 0 && !m.Usable(now) {
+			b.clearQueues(now, m)
+		}
+		if m.Recall.IsZero() {
+			continue
+		}
+		margin := config.Seconds(b.facts.Workers.ReportS*tuning.RecallReports) + tuning.SaveGrace
+		for _, t := range slices.Clone(b.on[m]) {
+			if t.phase == Live && t.Job.Spec.BookmarkS > 0 && t.stage != wire.PieceFetching &&
+				now.Add(config.Seconds(t.Job.Spec.StowS)+margin).After(m.Recall) {
+				b.yield(now, t, "machine is recalled")
+			}
+		}
+	}
+}
+
+// redraw moves mains that have been stuck past a report round while another
+// machine would take them now.
+func (b *Board) redraw(now time.Time) {
+	round := config.Seconds(b.facts.Workers.ReportS * tuning.RedrawReports)
+	for _, m := range b.reg.All() {
+		q := b.q[m]
+		if q == nil {
+			continue
+		}
+		for _, t := range slices.Clone(q.high) {
+			j := t.Job
+			if j.Gang() || t.phase != Idle || now.Sub(t.mainSince) < round {
+				continue
+			}
+			other := b.pick(j, func(o *worker.Machine) (int, bool) {
+				ok := o != m && o.Usable(now) && j.allows(o.Build, o.Yard, o.Loaners) && j.failedOn[o.Host] == 0 &&
+					o.Free().Sub(o.Promised).Fits(j.need)
+				return 0, ok
+			})
+			if other != nil {
+				b.Count.Redrawn++
+				b.takeBack(now, t)
+			}
+		}
+	}
+}
+
+// place is where a gang's task would go, and what it would cost.
+type place struct {
+	m     *worker.Machine
+	score float64
+	stop  []*Task // to be stopped for it
+}
+
+// drawGang places a waiting gang whole, first fit, or not at all.
+func (b *Board) drawGang(now time.Time, j *Job, guaranteed bool) {
+	if j.located > 0 || j.broken {
+		if b.open && !j.broken && j.located < j.Spec.Pieces-j.done.count && j.try != 0 {
+			b.breakGang(now, j, "incomplete")
+		}
+		return
+	}
+	if len(j.tasks) > 0 || j.Complete() {
+		return
+	}
+	all := j.need.Times(float64(j.Spec.Pieces))
+	if guaranteed && !b.book.Guaranteed(j.Spec.Crew, all) {
+		return
+	}
+	if !b.book.Admits(j.Spec.Crew, all, true) {
+		b.waits(j, "team's limit")
+		return
+	}
+	yards := []string{""}
+	if j.Spec.Together {
+		yards = b.facts.Zones
+	}
+	var best []place
+	cost := 0.0
+	for _, y := range yards {
+		if got := b.fitGang(now, j, y, guaranteed); got != nil {
+			sum := 0.0
+			for _, p := range got {
+				sum += p.score
+			}
+			if best == nil || sum < cost {
+				best, cost = got, sum
+			}
+		}
+	}
+	if best == nil {
+		b.waits(j, "no room for all tasks")
+		return
+	}
+	b.Count.GangsPlaced++
+	j.why = ""
+	for n, p := range best {
+		t := &Task{Job: j, N: n}
+		j.tasks[n] = t
+		b.queueMain(now, t, p.m)
+		for _, v := range p.stop {
+			if v.phase == Sent || v.phase == Live {
+				b.Count.Preempted++
+				b.yield(now, v, "gives way to "+j.Spec.ID)
+			}
+		}
+	}
+	j.next, j.returned = j.Spec.Pieces, nil
+}
+
+// fitGang finds a place for each task of a gang, in one zone if one is named.
+func (b *Board) fitGang(now time.Time, j *Job, yard string, guaranteed bool) []place {
+	type cand struct {
+		place
+		room quota.Room
+	}
+	var cands []cand
+	for _, m := range b.reg.All() {
+		if !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || yard != "" && m.Yard != yard || j.failedOn[m.Host] > 0 {
+			continue
+		}
+		c := cand{place: place{m: m}, room: m.FreeForMain()}
+		if !c.room.Fits(j.need) {
+			c.stop, c.room, c.score = b.victims(now, j, m, c.room, guaranteed)
+			if !c.room.Fits(j.need) {
+				continue
+			}
+			c.score += tuning.ScorePreempt
+		}
+		if _, ok := m.Images[j.Spec.Bundle]; !ok {
+			c.score += tuning.ScoreNoImage
+		}
+		if j.Spec.Loaners && !m.Loaners {
+			c.score += tuning.ScoreOrdinary
+		}
+		cands = append(cands, c)
+	}
+	slices.SortStableFunc(cands, func(a, c cand) int { return cmp.Compare(a.score, c.score) })
+	var out []place
+	inYard := map[string]int{}
+	for i := range cands {
+		c := &cands[i]
+		for len(out) < j.Spec.Pieces && c.room.Fits(j.need) && j.zoneOK(c.m.Yard, inYard) {
+			c.room = c.room.Sub(j.need)
+			inYard[c.m.Yard]++
+			out = append(out, c.place)
+			c.stop, c.score = nil, 0
+		}
+	}
+	if len(out) < j.Spec.Pieces {
+		return nil
+	}
+	return out
+}
+
+// victims chooses the tasks to stop on a machine so that need fits: work of
+// lower rank, or of a team beyond its guarantee for one within its own.
+func (b *Board) victims(now time.Time, j *Job, m *worker.Machine, room quota.Room, guaranteed bool) (stop []*Task, left quota.Room, cost float64) {
+	var may []*Task
+	for _, t := range b.on[m] {
+		o := t.Job
+		if t.spare || o.closed {
+			continue // its room counts as free already, or is about to be
+		}
+		if o.rank < j.rank || guaranteed && o.Spec.Crew != j.Spec.Crew && b.book.Beyond(o.Spec.Crew) {
+			may = append(may, t)
+		}
+	}
+	slices.SortFunc(may, func(a, c *Task) int { return cmp.Compare(b.loss(now, a), b.loss(now, c)) })
+	for _, t := range may {
+		if room.Fits(j.need) {
+			break
+		}
+		room = room.Add(t.Job.need)
+		cost += b.loss(now, t)
+		stop = append(stop, t)
+	}
+	return stop, room, cost
+}
+
+// loss is the work, in seconds, that stopping a task throws away.
+func (b *Board) loss(now time.Time, t *Task) float64 {
+	ran := now.Sub(t.sentAt).Seconds()
+	if t.Job.Spec.BookmarkS > 0 {
+		ran = t.Job.Spec.StowS
+	}
+	return ran * t.Job.need.Share(t.at.Cap)
+}
+
+// startGang hands out a placed gang once the room of each task is free.
+func (b *Board) startGang(now time.Time, j *Job) {
+	if len(j.tasks) != j.Spec.Pieces || j.located > 0 || j.broken {
+		return
+	}
+	ahead := map[*worker.Machine]quota.Room{}
+	for n := range j.Spec.Pieces {
+		t := j.tasks[n]
+		if t == nil || t.main == nil || t.main.State != worker.Up {
+			return
+		}
+		room, ok := ahead[t.main]
+		if !ok {
+			room = t.main.Free()
+		}
+		if !room.Fits(j.need) {
+			b.yieldSpares(now, t.main, j.need.Sub(room))
+			return
+		}
+		ahead[t.main] = room.Sub(j.need)
+	}
+	if !b.book.Admits(j.Spec.Crew, j.need.Times(float64(j.Spec.Pieces)), false) {
+		return
+	}
+	j.try = b.nextTry(j)
+	for n := range j.Spec.Pieces {
+		t := j.tasks[n]
+		m := t.main
+		b.unqueue(t)
+		b.hand(now, t, m, j.try, false, "gang starts")
+	}
+}
+
+// yieldSpares stops running spares on a machine until what lacks is covered.
+func (b *Board) yieldSpares(now time.Time, m *worker.Machine, lacks quota.Room) {
+	for _, t := range slices.Clone(b.on[m]) {
+		if lacks.CPUs <= 0 && lacks.GPUs <= 0 && lacks.MemGB <= 0 {
+			return
+		}
+		if t.spare {
+			if t.phase != Stopping {
+				t.stops++
+				b.Count.SparesYielded++
+				if t.stops >= b.Set.DropThreshold {
+					b.Count.SparesDropped++
+				}
+				b.stop(now, t, t.Job.grace(), "spare gives way")
+			}
+			lacks = lacks.Sub(t.Job.need)
+		}
+	}
+}
+
+// heads hands out what is at the head of a machine's queues: mains first, and
+// spares only while no main waits.
+func (b *Board) heads(now time.Time, m *worker.Machine) {
+	q := b.q[m]
+	if q == nil || !m.Usable(now) {
+		return
+	}
+	room := m.Free()
+	for _, t := range slices.Clone(q.high) {
+		j := t.Job
+		if t.main != m {
+			continue
+		}
+		if j.Gang() {
+			room = room.Sub(j.need) // startGang hands these out
+			continue
+		}
+		switch {
+		case t.phase != Idle:
+			// its own spare runs: that has to stop and be reported first
+			if t.phase == Sent || t.phase == Live {
+				t.stops++
+				b.Count.SparesYielded++
+				b.stop(now, t, j.grace(), "its main is at the head")
+			}
+		case !b.book.Admits(j.Spec.Crew, j.need, false) || !j.zoneOK(m.Yard, j.yards(false)):
+		case room.Fits(j.need):
+			b.Count.MainsStarted++
+			b.unqueue(t)
+			b.hand(now, t, m, b.nextTry(j), false, "main at the head")
+		default:
+			b.yieldSpares(now, m, j.need.Sub(room))
+		}
+		room = room.Sub(j.need)
+	}
+	if len(q.high) > 0 {
+		return
+	}
+	stuck := config.Seconds(b.facts.Workers.ReportS * tuning.SpareReports)
+	for _, t := range slices.Clone(q.low) {
+		j := t.Job
+		if t.low != m || t.phase != Idle || t.main == nil || now.Sub(t.mainSince) < stuck || !room.Fits(j.need) ||
+			!b.book.Admits(j.Spec.Crew, j.need, true) || !j.zoneOK(m.Yard, j.yards(false)) {
+			continue
+		}
+		b.Count.SparesStarted++
+		b.hand(now, t, m, b.nextTry(j), true, "spare while no main waits")
+		room = room.Sub(j.need)
+	}
+}
+
+// Orders lists what a machine is to be told now. With checkin they go into
+// the answer to its report, otherwise into a direct command.
+func (b *Board) Orders(now time.Time, m *worker.Machine, checkin bool) []wire.Order {
+	b.heads(now, m)
+	var out []wire.Order
+	zero := 0.0
+	for i := range m.Pieces {
+		if len(out) == tuning.OrdersMost {
+			return out
+		}
+		p := &m.Pieces[i]
+		id, n, ok := wire.ParsePiece(p.Piece)
+		var j *Job
+		if ok {
+			if j = b.jobs[id]; j != nil && n >= j.Spec.Pieces {
+				j = nil
+			}
+		}
+		if p.Stage == wire.PieceExited {
+			// a completion stays reported until it is kept elsewhere
+			if j == nil || j.closed || p.Cause != wire.CauseDone || j.durable.has(n) {
+				if b.mayReap(m, p) {
+					out = append(out, wire.Order{Verb: wire.VerbReap, Piece: p.Piece, Try: p.Try})
+				}
+			}
+			continue
+		}
+		var t *Task
+		if j != nil {
+			t = j.tasks[n]
+		}
+		switch {
+		case t == nil || t.at != m || t.try != p.Try:
+			out = append(out, wire.Order{Verb: wire.VerbStop, Piece: p.Piece, Try: p.Try, WindDownS: &zero})
+		case t.phase == Stopping && (p.Stage != wire.PieceSaving || t.grace == 0):
+			g := t.grace
+			out = append(out, wire.Order{Verb: wire.VerbStop, Piece: p.Piece, Try: p.Try, WindDownS: &g})
+			t.stopDue = false
+		}
+	}
+	for _, t := range b.on[m] {
+		if len(out) == tuning.OrdersMost {
+			return out
+		}
+		switch {
+		case t.phase == Sent:
+			out = append(out, wire.Order{Verb: wire.VerbRun, Piece: t.Name(), Try: t.try})
+			t.ordered, t.stint = true, m.Stint
+			if checkin {
+				t.tally = m.Tally
+			} else {
+				t.openDo++
+			}
+		case t.phase == Stopping && !t.reported && t.ordered:
+			// perhaps on its way: the stop follows it
+			g := t.grace
+			out = append(out, wire.Order{Verb: wire.VerbStop, Piece: t.Name(), Try: t.try, WindDownS: &g})
+			t.stopDue = false
+		}
+	}
+	return out
+}
+
+// mayReap tells whether a worker may forget an attempt: not while an
+// unanswered direct command could start it again.
+func (b *Board) mayReap(m *worker.Machine, p *wire.Piece) bool {
+	return m.OpenDo == 0
+}
+
+// Answered settles a direct command: executed or surely not.
+func (b *Board) Answered(m *worker.Machine, orders []wire.Order) {
+	for _, t := range b.on[m] {
+		for _, o := range orders {
+			if o.Verb == wire.VerbRun && o.Try == t.try && o.Piece == t.Name() && t.openDo > 0 {
+				t.openDo--
+			}
+		}
+	}
+}
+
+// Kicks lists the machines that should be told at once rather than with the
+// answer to their next report.
+func (b *Board) Kicks(now time.Time) []*worker.Machine {
+	var out []*worker.Machine
+	for _, m := range b.reg.All() {
+		if m.State != worker.Up || m.DoBusy || !m.Used {
+			continue
+		}
+		for _, t := range b.on[m] {
+			if t.phase == Sent && !t.ordered && t.Job.Gang() || t.phase == Stopping && t.stopDue && t.ordered && !t.Job.closed {
+				out = append(out, m)
+				break
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/store/mirror.go
@@ -0,0 +1,182 @@
+package store
+
+import (
+	"log/slog"
+	"strings"
+	"time"
+
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// Caller carries out a call elsewhere and brings the result back to the
+// goroutine that owns all state.
+type Caller func(Call, func(now time.Time, r Result))
+
+type mirrorState int
+
+const (
+	mirrorIdle      mirrorState = iota // nothing under way
+	mirrorListing                      // reading all keys
+	mirrorFollowing                    // waiting for changes
+	mirrorStopped
+)
+
+// Mirror keeps a copy of all keys with a prefix. It lists them, then follows
+// their changes, and lists again when it has fallen too far behind.
+type Mirror struct {
+	under  string
+	call   Caller
+	log    *slog.Logger
+	change func(now time.Time, key string, it wire.Item, gone bool)
+
+	state  mirrorState
+	round  int // tells answers of an abandoned round apart
+	synced bool
+	epoch  uint64
+	heard  time.Time
+	retry  time.Time
+	items  map[string]wire.Item
+	seen   map[string]bool // keys listed in this round
+	base   uint64          // the revision that this round's list began at
+}
+
+// NewMirror makes a mirror of the keys under a prefix; change is told of each
+// change, in order.
+func NewMirror(under string, call Caller, log *slog.Logger,
+	change func(now time.Time, key string, it wire.Item, gone bool)) *Mirror {
+	return &Mirror{under: under, call: call, log: log, change: change, items: map[string]wire.Item{}}
+}
+
+// Synced tells whether all keys have been read at least once.
+func (m *Mirror) Synced() bool { return m.synced }
+
+// Heard is when the state service last answered this mirror.
+func (m *Mirror) Heard() time.Time { return m.heard }
+
+// Get returns a key.
+func (m *Mirror) Get(key string) (wire.Item, bool) {
+	it, ok := m.items[key]
+	return it, ok
+}
+
+// Stamp returns a key's version, 0 when it does not exist.
+func (m *Mirror) Stamp(key string) uint64 { return m.items[key].Stamp }
+
+// Each calls f for every key under a prefix, in no order.
+func (m *Mirror) Each(under string, f func(it wire.Item)) {
+	for k, it := range m.items {
+		if strings.HasPrefix(k, under) {
+			f(it)
+		}
+	}
+}
+
+func (m *Mirror) set(s mirrorState) { m.state = s }
+
+// Stop ends the mirror; answers still under way are ignored.
+func (m *Mirror) Stop() {
+	m.set(mirrorStopped)
+	m.round++
+}
+
+// Tick starts what is due.
+func (m *Mirror) Tick(now time.Time) {
+	if m.state != mirrorIdle || now.Before(m.retry) {
+		return
+	}
+	if m.synced {
+		m.follow(now)
+		return
+	}
+	m.round++
+	m.seen, m.base = map[string]bool{}, 0
+	m.list(now, "")
+}
+
+func (m *Mirror) failed(now time.Time) {
+	m.set(mirrorIdle)
+	m.retry = now.Add(tuning.MirrorRetry)
+}
+
+func (m *Mirror) list(now time.Time, after string) {
+	m.set(mirrorListing)
+	round := m.round
+	m.call(Call{Op: OpList, Class: ClassLease, Under: m.under, After: after, Page: tuning.ListPage}, func(now time.Time, r Result) {
+		if m.round != round {
+			return
+		}
+		if !r.OK() {
+			m.failed(now)
+			return
+		}
+		m.heard = now
+		if m.base == 0 {
+			m.base = r.Epoch
+		}
+		last := after
+		for _, it := range r.Items {
+			m.seen[it.Path] = true
+			m.put(now, it)
+			last = it.Path
+		}
+		if r.More && last != after {
+			m.list(now, last)
+			return
+		}
+		for k, it := range m.items {
+			if !m.seen[k] {
+				delete(m.items, k)
+				m.change(now, k, it, true)
+			}
+		}
+		m.seen, m.epoch, m.synced = nil, m.base, true
+		m.follow(now)
+	})
+}
+
+func (m *Mirror) put(now time.Time, it wire.Item) {
+	if old, ok := m.items[it.Path]; ok && old.Stamp >= it.Stamp {
+		return
+	}
+	m.items[it.Path] = it
+	m.change(now, it.Path, it, false)
+}
+
+func (m *Mirror) follow(now time.Time) {
+	m.set(mirrorFollowing)
+	m.round++
+	round := m.round
+	m.call(Call{Op: OpChanges, Class: ClassLease, Under: m.under, Since: m.epoch, WaitMs: int(tuning.WatchWait.Milliseconds())}, func(now time.Time, r Result) {
+		if m.round != round {
+			return
+		}
+		switch {
+		case r.Status == 410:
+			// too far behind: read all keys again
+			m.synced = false
+			m.set(mirrorIdle)
+			m.Tick(now)
+		case !r.OK():
+			m.failed(now)
+		default:
+			m.heard = now
+			for _, ev := range r.Events {
+				m.apply(now, ev)
+			}
+			m.epoch = max(m.epoch, r.Epoch)
+			m.follow(now)
+		}
+	})
+}
+
+func (m *Mirror) apply(now time.Time, ev wire.Change) {
+	if ev.Write != "" {
+		m.put(now, wire.Item{Path: ev.Write, Value: ev.Value, Stamp: ev.Stamp})
+		return
+	}
+	if it, ok := m.items[ev.Remove]; ok && it.Stamp < ev.Stamp {
+		delete(m.items, ev.Remove)
+		m.change(now, ev.Remove, it, true)
+	}
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,247 @@
+// Package tuning holds the service's constants, each with its unit and reason.
+// What a deployment may differ in comes from the platform's settings; what an
+// operator may change comes through the administration API.
+package tuning
+
+import "time"
+
+// Leases and membership.
+const (
+	// MemberLease is a member's lease in the state service. The design's 10 s
+	// is as long as a worker's own lease where leases are shortest: workers
+	// would lose their tasks before a successor could renew them. A third of
+	// that leaves time for a takeover and for two lost renewals.
+	MemberLease = 3500 * time.Millisecond
+	// MemberTouch is how long after a renewal the next is sent: three may be
+	// lost before the lease ends.
+	MemberTouch = 1000 * time.Millisecond
+	// MemberRetry is the pause after a failed renewal or grant.
+	MemberRetry = 250 * time.Millisecond
+	// LeaseGuard is how long before its lease may end a holder stops acting:
+	// covers a late timer and the way to the network.
+	LeaseGuard = 150 * time.Millisecond
+	// ClockDrift is the largest drift between two steady clocks, as a part.
+	ClockDrift = 0.0005
+	// ElectionPause follows each election or assignment transaction, so that
+	// its outcome has arrived before the next.
+	ElectionPause = 50 * time.Millisecond
+	// Blocks is the number of machine blocks: one packs best and keeps quotas
+	// exact for fleets of a few dozen machines.
+	Blocks = 1
+	// RenewMargin is kept of the time for a cancellation when a holder that
+	// lost touch with the state service goes on renewing workers.
+	RenewMargin = 5 * time.Second
+)
+
+// The state service.
+const (
+	// StateTimeout bounds a call: answers usually take under 10 ms.
+	StateTimeout = 1500 * time.Millisecond
+	// StateAnswerBytes bounds an answer: lists are at most 512 KiB, a watch
+	// may say more.
+	StateAnswerBytes = 8 << 20
+	// StateShare is one node's part of the service's rates when there are
+	// several: they rarely need it at the same time.
+	StateShare = 0.6
+	// BudgetRetry is the pause before a call that found no rate left tries
+	// again, in the client's own queue.
+	BudgetRetry = 50 * time.Millisecond
+	// ListPage is how many keys one call lists, the service's largest page.
+	ListPage = 1000
+	// WatchWait is how long one watch waits: short, so that one whose
+	// connection died in silence is soon replaced.
+	WatchWait = 4 * time.Second
+	// MirrorRetry is the pause after a failed list or watch.
+	MirrorRetry = 250 * time.Millisecond
+	// RecordRetry is the pause after a failed write of a record.
+	RecordRetry = 300 * time.Millisecond
+	// StateCalls is how many calls to the state service may be under way at
+	// once, watches aside.
+	StateCalls = 8
+)
+
+// WriteReserve is the part of a full write bucket that each class of calls,
+// in order leases, users, finals, tallies, leaves for the ones before it.
+var WriteReserve = [...]float64{0, 0.1, 0.2, 0.4}
+
+// Users.
+const (
+	// RetryAfterBusy and RetryAfterUnable tell a user, in seconds, when to
+	// come back: overload passes quickly, an outage takes a little longer.
+	RetryAfterBusy   = 1
+	RetryAfterUnable = 2
+	// FinalsKept is how many ended jobs a node answers from memory.
+	FinalsKept = 20000
+	// SubmitsInHand bounds submissions and cancellations under way.
+	SubmitsInHand = 64
+	// ReadsInHand bounds the jobs being read for queries.
+	ReadsInHand = 128
+	// CancelTries is how often a cancellation looks again after a conflict.
+	CancelTries = 3
+	// BodyBytes is the largest request body, by the protocol.
+	BodyBytes = 64 << 10
+)
+
+// Workers.
+const (
+	// LeaseMargin is added to a worker's lease before it counts as over.
+	LeaseMargin = 300 * time.Millisecond
+	// SilentReports, in report intervals, and SilentGrace: a machine that has
+	// not reported for so long gets no new work.
+	SilentReports = 1.6
+	SilentGrace   = 500 * time.Millisecond
+	// DoTimeout bounds a direct command, which normally takes milliseconds.
+	DoTimeout = 3 * time.Second
+	// DoCalls is how many direct commands may be under way at once.
+	DoCalls = 16
+	// FenceRetry is the pause before an unheard machine is asked again.
+	FenceRetry = 1 * time.Second
+	// TryBits is how many low bits of an attempt number count within a tenure.
+	TryBits = 20
+)
+
+// Placement.
+const (
+	// DropThreshold is the design document's count of stops after which a
+	// spare is dropped.
+	DropThreshold = 10
+	// LowDepth is how many spares may queue at one worker.
+	LowDepth = 8
+	// RedrawReports is the report round, in report intervals, after which a
+	// stuck main is redrawn: reports vary by a quarter.
+	RedrawReports = 1.5
+	// SpareReports is how long, in report intervals, a main must have waited
+	// before its spare starts: a main whose machine reports in time would
+	// stop the spare at once.
+	SpareReports = 1.5
+	// SaveGrace is added to the time a task needs to save.
+	SaveGrace = 1 * time.Second
+	// RecallReports is how early, in report intervals, tasks on a recalled
+	// machine are told to save: the stop may have to wait for a report.
+	RecallReports = 1.3
+	// RetryPause follows a task's failure; it doubles, RetryDoublings times
+	// at most, while its job fails everywhere.
+	RetryPause     = 1 * time.Second
+	RetryDoublings = 5
+	// RefusedPause follows a refused start.
+	RefusedPause = 1 * time.Second
+	// FaultyJobs is how many jobs must have failed on a machine for it to
+	// count as faulty, FaultyErrors how many tasks of one job that runs well
+	// elsewhere.
+	FaultyJobs   = 2
+	FaultyErrors = 2
+	// BadJobMachines is on how many machines a job must have failed, without
+	// any success, to be taken for a job with a mistake.
+	BadJobMachines = 3
+	// PaceWeight is the weight of the newest run time in a class's pace.
+	PaceWeight = 0.1
+)
+
+// Scores of a gang's possible places; the lowest sum is taken. In seconds of
+// a whole machine's work that would be given up for it.
+const (
+	ScorePreempt  = 30.0 // a stop and a reported exit come first
+	ScoreNoImage  = 20.0 // the image has to be fetched
+	ScoreOrdinary = 10.0 // a cheap machine would do
+)
+
+// The fleet.
+const (
+	// CloudTimeout bounds a call to the cloud.
+	CloudTimeout = 5 * time.Second
+	// CloudAnswerBytes bounds an answer of the cloud.
+	CloudAnswerBytes = 4 << 20
+	// CloudPage is how many machines one call lists, the cloud's largest page.
+	CloudPage = 500
+	// CloudShare is the part of the cloud's rate that one holder uses.
+	CloudShare = 0.6
+	// CloudRetry is the pause after a failed call.
+	CloudRetry = 1 * time.Second
+	// CloudCalls is how many calls may be under way at once.
+	CloudCalls = 4
+	// FlavorsEvery is how often prices are read.
+	FlavorsEvery = 30 * time.Second
+	// ListEvery is how often the machines are listed.
+	ListEvery = 5 * time.Second
+	// DemandEvery is how often the demand is compared with the machines.
+	DemandEvery = 1 * time.Second
+	// HirePage is the most machines asked for in one hire.
+	HirePage = 20
+	// CapacityRetry is the pause after the cloud had none of a kind.
+	CapacityRetry = 10 * time.Second
+	// DeletePage is the most machines in one deletion, by the protocol.
+	DeletePage = 100
+	// StuckBoots is after how many times its usual boot time a machine that
+	// has not reported is given up.
+	StuckBoots = 3.0
+	// MissingLists is from how many lists in a row a machine that was listed
+	// must be missing to be taken for gone: a list may be older than the one
+	// before.
+	MissingLists = 3
+	// StrangerLists is in how many lists a machine nobody knows must be
+	// before it is adopted: deleted machines stay listed for a while.
+	StrangerLists = 4
+	// RecallOver is how long after a recall the machine surely is gone.
+	RecallOver = 2 * time.Second
+	// LapsedReturn is how long a machine whose lease is over may stay silent
+	// before it is returned: it costs as much as one that works.
+	LapsedReturn = 10 * time.Second
+	// IdleReturn is how long a machine without work is kept.
+	IdleReturn = 40 * time.Second
+	// DefaultAim stands for a class's aim when the settings have none.
+	DefaultAim = 300 * time.Second
+	// HorizonShare is the part of a class's aim that its waiting work may
+	// take on the machines there are before more are hired.
+	HorizonShare = 0.35
+	// LeastRun is the least run time assumed of a task.
+	LeastRun = 10 * time.Second
+	// HireRest is the waiting work, in tasks, not worth another machine.
+	HireRest = 0.5
+)
+
+// The process.
+const (
+	// TickEvery is how often slices look for what is due.
+	TickEvery = 100 * time.Millisecond
+	// TallyEvery is how long completions gather before they are written.
+	TallyEvery = 1500 * time.Millisecond
+	// TallyBits is how many bits of a tally go into one byte of a value's
+	// limit: base64 and the rest of the record take their part.
+	TallyBits = 3
+	// EventBuffer is how many events may wait for the owner goroutine.
+	EventBuffer = 256
+	// PulseEvery is how often the controllers exchange what they know.
+	PulseEvery = 1 * time.Second
+	// PulseTimeout bounds a pulse, ProgressTimeout a question for progress: a
+	// user waits 2 s for an answer.
+	PulseTimeout    = 800 * time.Millisecond
+	ProgressTimeout = 400 * time.Millisecond
+	// PeerCalls is how many calls to peers may be under way at once.
+	PeerCalls = 32
+	// CutAfter is how long the state service must have been silent to a node,
+	// while a peer hears it, for the node to call itself unhealthy.
+	CutAfter = 4 * time.Second
+	// HeaderTimeout and IdleTimeout bound what a client's connection may take.
+	HeaderTimeout = 5 * time.Second
+	IdleTimeout   = 90 * time.Second
+	// SocketShare is the part of the socket limit given to clients.
+	SocketShare = 0.75
+	// DialTimeout bounds the making of a connection: one that takes longer
+	// leads into a cut.
+	DialTimeout = 1 * time.Second
+	// PeerRetry and PeerRetryMost bound the pauses between attempts to reach
+	// a peer: one that was restarted should be heard again at once.
+	PeerRetry     = 200 * time.Millisecond
+	PeerRetryMost = 1 * time.Second
+	// WorkerAnswerBytes bounds a worker's answer: a report has at most one
+	// entry a task.
+	WorkerAnswerBytes = 1 << 20
+	// OrdersMost bounds the orders in one answer, so that it stays far below
+	// the protocol's 64 KiB a line.
+	OrdersMost = 300
+	// StatusJobs bounds the jobs in a status.
+	StatusJobs = 200
+	// MemoryShare is the part of the memory limit given to the Go heap; the
+	// program's text and the runtime's own memory take the rest.
+	MemoryShare = 0.6
+)
--- /dev/null
+++ b/internal/worker/worker.go
@@ -0,0 +1,229 @@
+// Package worker keeps the lives of a block's machines: what their workers
+// reported last, what is on them, and when their leases are surely over.
+package worker
+
+import (
+	"log/slog"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// State is a stage in a machine's life as its block's holder sees it.
+type State int
+
+// The states of a machine.
+const (
+	// Booting: hired, and never used by any tenure: nothing can be on it.
+	Booting State = iota
+	// Unheard: used by an earlier tenure and not heard in this one.
+	Unheard
+	// Up: reports.
+	Up
+	// Silent: reports have stopped, its lease may still stand.
+	Silent
+	// Lapsed: silent until its lease was surely over: nothing is on it.
+	Lapsed
+	// Deleting: a deletion is under way.
+	Deleting
+	// Gone: its deletion was answered.
+	Gone
+)
+
+func (s State) String() string {
+	return [...]string{"booting", "unheard", "up", "silent", "lapsed", "deleting", "gone"}[s]
+}
+
+// Machine is one machine of the block.
+type Machine struct {
+	Host    string
+	Address string
+	Build   string
+	Yard    string
+	Loaners bool
+	Cap     quota.Room
+
+	State   State
+	Since   time.Time // of the state
+	Born    time.Time // when this tenure learned of it, less its age if known
+	Stint   uint64
+	Tally   uint64
+	Checkin uint64    // tally of the last report, as opposed to answers to direct commands
+	Heard   time.Time // last report or answer
+	Checked time.Time // last report
+	// Answered is when the last report that was answered came in. The
+	// worker's lease counts from when it sent it, so not later.
+	Answered time.Time
+	Recall   time.Time // when the cloud takes it away; zero: no notice
+	Pieces   []wire.Piece
+	Stranger bool // has tasks that no open job explains
+	Recorded bool // its hire record names it
+	Used     bool // its hire record says that it may have tasks
+	Faulty   bool
+	Wanted   bool // a demand pass found a use for it
+	IdleFrom time.Time
+
+	// The account of what may be on it, kept by placement.
+	Taken    quota.Room // by copies handed out, until they are known gone
+	Spares   quota.Room // the part of Taken that spares have
+	Promised quota.Room // to queued mains
+	Busy     int        // copies handed out and not known gone
+	Images   map[string]time.Time
+	Blames   map[string]int // failures by job
+	DoBusy   bool           // a direct command is under way
+	OpenDo   int            // direct commands that nobody answered, in this session
+}
+
+// Usable tells whether new work may be drawn to the machine.
+func (m *Machine) Usable(now time.Time) bool {
+	return m.State == Up && m.Recall.IsZero() && !m.Faulty && m.Used && !m.Stranger
+}
+
+// Free is the room not taken.
+func (m *Machine) Free() quota.Room { return m.Cap.Sub(m.Taken) }
+
+// FreeForMain is the room a main may claim: spares give way to it.
+func (m *Machine) FreeForMain() quota.Room {
+	return m.Cap.Sub(m.Taken).Add(m.Spares).Sub(m.Promised)
+}
+
+// Registry is all machines of a block in one tenure.
+type Registry struct {
+	facts  config.Workers
+	log    *slog.Logger
+	hosts  map[string]*Machine
+	order  []*Machine // in the order in which they became known
+	expiry time.Duration
+}
+
+// NewRegistry makes an empty registry.
+func NewRegistry(facts config.Workers, log *slog.Logger) *Registry {
+	lease := config.Seconds(facts.LeaseS)
+	return &Registry{facts: facts, log: log, hosts: map[string]*Machine{},
+		expiry: lease + time.Duration(float64(lease)*2*tuning.ClockDrift) + tuning.LeaseMargin}
+}
+
+// Expiry is how long after its last answered report came in a worker's lease
+// is surely over.
+func (r *Registry) Expiry() time.Duration { return r.expiry }
+
+// Get returns a machine, or nil.
+func (r *Registry) Get(host string) *Machine { return r.hosts[host] }
+
+// All lists the machines in the order in which they became known.
+func (r *Registry) All() []*Machine { return r.order }
+
+// Add makes a machine known.
+func (r *Registry) Add(now time.Time, host string, state State) *Machine {
+	m := &Machine{Host: host, Since: now, Born: now, State: state, Images: map[string]time.Time{}, Blames: map[string]int{}}
+	r.hosts[host] = m
+	r.order = append(r.order, m)
+	return m
+}
+
+// Set changes a machine's state. It is the only place that does.
+func (r *Registry) Set(now time.Time, m *Machine, s State, why string) {
+	if m.State == s {
+		return
+	}
+	r.log.Info("machine", "host", m.Host, "from", m.State.String(), "to", s.String(), "why", why)
+	m.State, m.Since = s, now
+	if s == Gone {
+		delete(r.hosts, m.Host)
+		for i, o := range r.order {
+			if o == m {
+				r.order = append(r.order[:i:i], r.order[i+1:]...)
+				break
+			}
+		}
+	}
+}
+
+// Verdict is what a report amounts to.
+type Verdict int
+
+// The verdicts on a report.
+const (
+	Fresh Verdict = iota
+	// Stale: an older or repeated message; nothing may be concluded from it.
+	Stale
+	// Renewed: fresh, and the worker's lease had expired since the last one.
+	Renewed
+)
+
+// Absorb takes in a worker's account of itself. checkin tells a report from
+// the answer to a direct command.
+func (r *Registry) Absorb(now time.Time, m *Machine, rep *wire.Report, checkin bool) Verdict {
+	// Reports held back by a cut arrive late and out of order: their task
+	// list is as old as they are.
+	if m.Stint != 0 && (rep.Stint < m.Stint || rep.Stint == m.Stint && rep.Tally <= m.Tally) {
+		return Stale
+	}
+	v := Fresh
+	if m.Stint != 0 && rep.Stint > m.Stint {
+		v = Renewed
+		m.OpenDo = 0 // commands of an earlier session are void
+	}
+	m.Stint, m.Tally, m.Heard = rep.Stint, rep.Tally, now
+	if checkin {
+		m.Checkin, m.Checked = rep.Tally, now
+	}
+	if m.Answered.IsZero() {
+		// from here on the worker drops whatever an earlier tenure answers
+		m.Answered = now
+	}
+	m.Address, m.Build, m.Yard, m.Loaners = rep.Address, rep.Build, rep.Yard, rep.Loaners
+	m.Recall = time.Time{}
+	if rep.RecallS != nil {
+		m.Recall = now.Add(config.Seconds(*rep.RecallS))
+	}
+	m.Pieces = rep.Pieces
+	if m.State != Deleting && m.State != Gone {
+		r.Set(now, m, Up, "reported")
+	}
+	return v
+}
+
+// Quiet moves machines that have stopped reporting on, and returns those
+// whose leases have just become surely over.
+func (r *Registry) Quiet(now time.Time, unheardUntil time.Time) []*Machine {
+	var over []*Machine
+	for _, m := range r.order {
+		switch m.State {
+		case Up:
+			if now.Sub(m.Heard) > r.silence() {
+				r.Set(now, m, Silent, "no report")
+			}
+		case Silent, Deleting:
+			if m.Busy > 0 && now.After(m.LeaseEnd(r.expiry, unheardUntil)) {
+				if m.State == Silent {
+					r.Set(now, m, Lapsed, "lease surely over")
+				}
+				over = append(over, m)
+			} else if m.State == Silent && now.After(m.LeaseEnd(r.expiry, unheardUntil)) {
+				r.Set(now, m, Lapsed, "lease surely over")
+			}
+		case Unheard:
+			if now.After(unheardUntil) && now.After(m.LeaseEnd(r.expiry, unheardUntil)) {
+				r.Set(now, m, Lapsed, "lease surely over, never heard")
+				over = append(over, m)
+			}
+		}
+	}
+	return over
+}
+
+// LeaseEnd is when the worker's lease is surely over if nothing more is heard.
+func (m *Machine) LeaseEnd(expiry time.Duration, unheardUntil time.Time) time.Time {
+	if m.Answered.IsZero() {
+		return unheardUntil
+	}
+	return m.Answered.Add(expiry)
+}
+
+func (r *Registry) silence() time.Duration {
+	return config.Seconds(r.facts.ReportS*tuning.SilentReports) + tuning.SilentGrace
+}
