--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -114,6 +114,7 @@
 	}
 	spec, err := wire.ParseSubmission(raw)
 	if err != nil {
+		r.log.Info("submission refused", "error", err)
 		answer(w, http.StatusBadRequest, submission.Problem{Error: err.Error()}, 0)
 		return
 	}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -491,6 +491,11 @@
 	}
 	j := t.Job
 	b.log.Debug("task exited", "task", p.Piece, "try", p.Try, "host", m.Host, "cause", p.Cause, "stored", p.Stored)
+	switch {
+	case p.Cause == wire.CauseDone && j.Standing():
+		b.gone(now, t, tuning.RetryPause, "a service's task ended")
+		return
+	}
 	switch p.Cause {
 	case wire.CauseDone:
 		b.finish(now, t)
@@ -576,7 +581,7 @@
 			j = nil
 		}
 		if p.Stage == wire.PieceExited {
-			if j != nil && p.Cause == wire.CauseDone && !j.done.has(n) {
+			if j != nil && p.Cause == wire.CauseDone && !j.Standing() && !j.done.has(n) {
 				b.foundDone(now, j, n)
 			}
 			continue
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -105,13 +105,14 @@
 		return true
 	}
 	for _, j := range b.order {
-		if !j.Gang() || j.located > 0 || len(j.tasks) > 0 || j.Complete() || now.Before(j.notBefore) {
+		n := j.held()
+		if now.Before(j.notBefore) || j.Gang() && len(j.tasks) > 0 || !j.Gang() && !j.Standing() {
 			continue
 		}
-		if !admit(j, j.need.Times(float64(j.Spec.Pieces))) {
+		if n == 0 || !admit(j, j.need.Times(float64(n))) {
 			continue
 		}
-		for range j.Spec.Pieces {
+		for range n {
 			var best *bin
 			for _, bn := range bins {
 				if bn.free.Fits(j.need) && j.allows(bn.build, bn.yard, bn.loaners) && (bn.m == nil || j.failedOn[bn.m.Host] == 0) &&
@@ -154,7 +155,7 @@
 	}
 	var loads []load
 	for _, j := range b.order {
-		if j.Gang() || now.Before(j.notBefore) {
+		if j.Gang() || j.Standing() || now.Before(j.notBefore) {
 			continue
 		}
 		n := j.held()
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -132,7 +132,9 @@
 		j.tasks[n] = t
 		b.queueMain(now, t, m)
 		spread[m.Yard]++
-		b.drawSpare(now, t)
+		if !j.Standing() {
+			b.drawSpare(now, t)
+		}
 	}
 }
 
@@ -503,7 +505,7 @@
 		}
 		if p.Stage == wire.PieceExited {
 			// a completion stays reported until it is kept elsewhere
-			if j == nil || j.closed || p.Cause != wire.CauseDone || j.durable.has(n) {
+			if j == nil || j.closed || p.Cause != wire.CauseDone || j.Standing() || j.durable.has(n) {
 				if b.mayReap(m, p) {
 					out = append(out, wire.Order{Verb: wire.VerbReap, Piece: p.Piece, Try: p.Try})
 				}
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -101,6 +101,9 @@
 // Gang tells whether all tasks run together or none.
 func (j *Job) Gang() bool { return j.Spec.Shape == wire.ShapeGang }
 
+// Standing tells whether the job is a service, which ends only when cancelled.
+func (j *Job) Standing() bool { return j.Spec.Shape == wire.ShapeStanding }
+
 // Done is how many tasks have completed.
 func (j *Job) Done() int { return j.done.count }
 
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -138,7 +138,7 @@
 	}
 	team := s.facts.Teams[i]
 	n := 1.0
-	if spec.Shape == wire.ShapeGang {
+	if spec.Shape != wire.ShapeBatch {
 		n = float64(spec.Pieces)
 	}
 	if team.CPUsMax > 0 && n*spec.Vcpus > team.CPUsMax+1e-6 || team.GPUsMax > 0 && n*spec.Gpus > team.GPUsMax+1e-6 {
@@ -166,7 +166,7 @@
 	switch {
 	case len(yards) == 0:
 		return "a task fits no allowed machine type", false
-	case spec.Shape == wire.ShapeGang && spec.Apart && spec.Pieces > 1 && (spec.Together || len(yards) == 1):
+	case spec.Shape != wire.ShapeBatch && spec.Apart && spec.Pieces > 1 && (spec.Together || len(yards) == 1):
 		return "its tasks cannot be spread over zones", false
 	}
 	return "", false
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -157,7 +157,7 @@
 	s.Lane = f.text("Lane")
 	s.Crew = f.text("Crew")
 	s.Shape = f.text("Shape")
-	if f.err == nil && s.Shape != ShapeBatch && s.Shape != ShapeGang {
+	if f.err == nil && s.Shape != ShapeBatch && s.Shape != ShapeGang && s.Shape != ShapeStanding {
 		f.fail("Shape", "unknown")
 	}
 	s.Rank = f.text("Rank")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,6 +8,9 @@
 const (
 	ShapeBatch = "batch"
 	ShapeGang  = "gang"
+	// ShapeStanding is a service: its tasks run until its user cancels it.
+	// The protocol's pages do not list it, but its users submit it.
+	ShapeStanding = "standing"
 )
 
 // Stages of a job as its user sees them.
