--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -89,6 +90,7 @@
 	board   *placement.Board
 	lost    func(now time.Time)
 	gone    func(now time.Time, m *worker.Machine)
+	foreign func(host string) bool
 	flavors map[string]wire.Flavor
 	known   map[string]string // machine types as recorded for all nodes
 	files   []*store.Record   // of the machine types
@@ -111,20 +113,31 @@
 	page       []wire.Host
 }
 
-// New makes the slice of one tenure.
+// New makes the slice of one tenure. lost is told when the tenure is over, gone
+// when a machine's deletion was answered; foreign tells whether a machine is or
+// may turn out to be another block's.
 func New(now time.Time, block int, baton uint64, tenure wire.Cond, facts config.Facts, cloud Caller, state store.Caller, log *slog.Logger,
-	reg *worker.Registry, board *placement.Board, lost func(time.Time), gone func(time.Time, *worker.Machine)) *Slice {
+	reg *worker.Registry, board *placement.Board, lost func(time.Time), gone func(time.Time, *worker.Machine), foreign func(host string) bool) *Slice {
 	rps := facts.Cloud.RPS * tuning.CloudShare
 	return &Slice{
 		Set:   Settings{IdleReturn: tuning.IdleReturn},
 		block: block, baton: baton, tenure: tenure, facts: facts, cloud: cloud, state: state, log: log, reg: reg, board: board,
-		lost: lost, gone: gone, flavors: map[string]wire.Flavor{}, known: map[string]string{},
+		lost: lost, gone: gone, foreign: foreign, flavors: map[string]wire.Flavor{}, known: map[string]string{},
 		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))), born: now,
 		hires: map[string]*hire{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
 		listed: map[string]bool{}, missing: map[string]int{},
 	}
 }
 
+// sorted lists the hires by name.
+func (s *Slice) sorted() []*hire {
+	out := make([]*hire, 0, len(s.hires))
+	for _, name := range slices.Sorted(maps.Keys(s.hires)) {
+		out = append(out, s.hires[name])
+	}
+	return out
+}
+
 func (s *Slice) set(h *hire, st hireState, why string) {
 	if h.state != st {
 		s.log.Debug("hire", "name", h.name, "from", h.state.String(), "to", st.String(), "why", why)
@@ -200,6 +213,16 @@
 	}
 }
 
+// Owns tells whether a hire record names a machine, and whether the record
+// still waits for its machines' names.
+func Owns(it wire.Item, host string) (owned, waiting bool) {
+	var rec HireRec
+	if json.Unmarshal(it.Value, &rec) != nil {
+		return false, false
+	}
+	return slices.Contains(rec.Hosts, host), len(rec.Hosts) == 0
+}
+
 // Flavor takes note of a machine type as recorded for all nodes.
 func (s *Slice) Flavor(f wire.Flavor, raw string) {
 	s.known[f.Name] = raw
@@ -221,7 +244,7 @@
 		return
 	}
 	s.size(m)
-	for _, h := range s.hires {
+	for _, h := range s.sorted() {
 		if _, used := h.rec.Used[m.Host]; !used && slices.Contains(h.rec.Hosts, m.Host) {
 			if h.rec.Used == nil {
 				h.rec.Used = map[string]string{}
@@ -235,7 +258,7 @@
 
 // unsettled tells whether some hire's machines are not known yet.
 func (s *Slice) unsettled() bool {
-	for _, h := range s.hires {
+	for _, h := range s.sorted() {
 		if h.state == hireAsking || h.state == hireRecording {
 			return true
 		}
@@ -245,10 +268,10 @@
 
 // adopt records a machine that no hire explains: a late hire of some tenure.
 func (s *Slice) adopt(now time.Time, m *worker.Machine) {
-	if s.unsettled() {
+	if s.unsettled() || s.foreign(m.Host) {
 		return // one of the hires under way may explain it
 	}
-	for _, h := range s.hires {
+	for _, h := range s.sorted() {
 		if slices.Contains(h.rec.Hosts, m.Host) {
 			m.Recorded = true
 			return
@@ -271,7 +294,7 @@
 	for _, f := range s.files {
 		f.Tick(now)
 	}
-	for _, h := range s.hires {
+	for _, h := range s.sorted() {
 		h.file.Tick(now)
 		if h.state == hireAsking && !h.busy && !now.Before(h.retry) && s.may(now) {
 			s.ask(now, h)
@@ -468,7 +491,7 @@
 // strike takes a machine that is gone off its hire's record.
 func (s *Slice) strike(now time.Time, host string) {
 	delete(s.missing, host)
-	for _, h := range s.hires {
+	for _, h := range s.sorted() {
 		i := slices.Index(h.rec.Hosts, host)
 		if i < 0 {
 			continue
@@ -513,7 +536,7 @@
 		if m == nil {
 			// deleted machines stay listed for a while: only one that is
 			// still there well after the lag was hired by nobody we know
-			if s.block != 0 || s.unsettled() || s.strangers(h.ID) {
+			if s.block != 0 || s.unsettled() || s.foreign(h.ID) || s.strangers(h.ID) {
 				continue
 			}
 			m = s.meet(now, h.ID, worker.Booting, h.Build, h.Yard, h.Loaners)
@@ -558,7 +581,7 @@
 	if s.Set.MaxMachines > 0 {
 		left = min(left, s.Set.MaxMachines-have)
 	}
-	for _, name := range sortedNames(s.flavors) {
+	for _, name := range slices.Sorted(maps.Keys(s.flavors)) {
 		f := s.flavors[name]
 		for _, yard := range f.Yards {
 			for _, loaners := range []bool{true, false} {
@@ -576,7 +599,7 @@
 	}
 	// machines asked for and not yet granted count as on their way
 	coming := make([]int, len(offers))
-	for _, h := range s.hires {
+	for _, h := range s.sorted() {
 		if h.state == hireRecording || h.state == hireAsking {
 			for i, o := range offers {
 				if o.Build == h.rec.Build && o.Yard == h.rec.Yard && o.Loaners == h.rec.Loaners {
@@ -601,12 +624,3 @@
 		h.file.Tick(now)
 	}
 }
-
-func sortedNames(m map[string]wire.Flavor) []string {
-	var out []string
-	for n := range m {
-		out = append(out, n)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"juniperchute/internal/admin"
@@ -123,7 +122,11 @@
 // after begins and ends tenures as the records say.
 func (c *Core) after(now time.Time) {
 	mine := c.leader.Tenures()
-	for b, t := range c.tenures {
+	for b := range c.blocks {
+		t := c.tenures[b]
+		if t == nil {
+			continue
+		}
 		inc := c.leader.Inc()
 		_, baton, known := c.leader.Holder(b)
 		switch {
@@ -157,8 +160,10 @@
 		i++
 	}
 	c.after(now)
-	for _, t := range c.tenures {
-		t.Tick(now)
+	for b := range c.blocks {
+		if t := c.tenures[b]; t != nil {
+			t.Tick(now)
+		}
 	}
 	if !now.Before(c.pulseDue) {
 		c.pulseDue = now.Add(tuning.PulseEvery)
@@ -186,7 +191,8 @@
 }
 
 func (c *Core) pulse(now time.Time) {
-	for name := range c.peers {
+	for _, k := range c.cfg.Known {
+		name := k.Member
 		c.env.Pulse(name, c.pulseMessage(now), func(now time.Time, r *peerpb.PulseMessage, err error) {
 			if err == nil {
 				c.heardPeer(now, name, r)
@@ -264,17 +270,37 @@
 		}
 	}
 	for b := range c.blocks {
-		found := false
-		c.leader.Each(fleet.Hires(b), func(it wire.Item) {
-			found = found || strings.Contains(string(it.Value), `"`+host+`"`)
-		})
-		if found {
+		if owned, _ := c.owns(b, host); owned {
 			return b
 		}
 	}
 	return 0
 }
 
+// owns tells whether a block's hire records name a machine, and whether some
+// record still waits for its machines' names.
+func (c *Core) owns(block int, host string) (owned, waiting bool) {
+	c.leader.Each(fleet.Hires(block), func(it wire.Item) {
+		o, w := fleet.Owns(it, host)
+		owned, waiting = owned || o, waiting || w
+	})
+	return owned, waiting
+}
+
+// foreign tells whether a machine is, or may turn out to be, of another block
+// than the given one.
+func (c *Core) foreign(block int, host string) bool {
+	for b := range c.blocks {
+		if b == block {
+			continue
+		}
+		if owned, waiting := c.owns(b, host); owned || waiting {
+			return true
+		}
+	}
+	return false
+}
+
 // redirect sends a worker to its block's holder.
 func (c *Core) redirect(block int, reply func(status int, body any)) {
 	holder, _, live := c.leader.Holder(block)
--- /dev/null
+++ b/internal/node/standin_worker_test.go
@@ -0,0 +1,337 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/wire"
+)
+
+// workerHost is a stand-in for a machine's worker, by the protocol.
+type workerHost struct {
+	w        *world
+	host     wire.Host
+	cap      quota.Room
+	dead     bool
+	hung     bool
+	sick     bool
+	cut      bool     // its network is cut
+	late     []func() // messages held back by the cut or the hang
+	stint    uint64
+	tally    uint64
+	baton    uint64
+	leased   time.Time // when the last answered report was sent, or the session began
+	recall   time.Time
+	pieces   []*simPiece
+	images   map[string]bool
+	node     int
+	inFlight int // number of the report under way; 0: none
+	reports  int
+	changed  bool
+	lastSent time.Time
+}
+
+type simPiece struct {
+	job      *simJob
+	n        int
+	try      uint64
+	stage    string
+	cause    string
+	stored   bool
+	until    time.Time // the end of what it is doing
+	lost     time.Time // when a gang's task found its mates gone; zero: not
+	begun    bool
+	stopFrom time.Time
+}
+
+func (p *simPiece) on() bool { return p.stage != wire.PieceExited }
+
+func (h *workerHost) find(job *simJob, n int) *simPiece {
+	for _, p := range h.pieces {
+		if p.job == job && p.n == n {
+			return p
+		}
+	}
+	return nil
+}
+
+func (h *workerHost) report() *wire.Report {
+	h.tally++
+	r := &wire.Report{Host: h.host.ID, Address: h.host.Address, Build: h.host.Build, Yard: h.host.Yard, Loaners: h.host.Loaners,
+		Stint: h.stint, Tally: h.tally, Baton: h.baton}
+	if !h.recall.IsZero() {
+		s := max(0, h.recall.Sub(h.w.clk.now).Seconds())
+		r.RecallS = &s
+	}
+	for _, p := range h.pieces {
+		r.Pieces = append(r.Pieces, wire.Piece{Piece: wire.PieceName(p.job.spec.ID, p.n), Try: p.try, Stage: p.stage, Cause: p.cause, Stored: p.stored})
+	}
+	return r
+}
+
+// tick is the worker's own time: leases, tasks and reports.
+func (h *workerHost) tick() {
+	if h.dead {
+		return
+	}
+	h.w.clk.in(100*time.Millisecond, h.tick)
+	// a hanging machine resumes within its lease or not at all with its tasks
+	now := h.w.clk.now
+	if now.Sub(h.leased) > config.Seconds(h.w.cfg.Facts.Workers.LeaseS) {
+		h.pieces = nil
+		h.stint++
+		h.leased = now
+		h.inFlight = 0
+		h.changed = true
+	}
+	if h.hung {
+		return
+	}
+	for _, p := range h.pieces {
+		h.advance(p)
+	}
+	gap := now.Sub(h.lastSent)
+	every := config.Seconds(h.w.cfg.Facts.Workers.ReportS)
+	if h.inFlight == 0 && (gap > every || h.changed && gap > 500*time.Millisecond) {
+		h.send()
+	}
+}
+
+func (h *workerHost) exit(p *simPiece, cause string, stored bool) {
+	p.stage, p.cause, p.stored = wire.PieceExited, cause, stored
+	h.changed = true
+}
+
+func (h *workerHost) advance(p *simPiece) {
+	now := h.w.clk.now
+	if !p.on() {
+		return
+	}
+	gang := p.job.spec.Shape == wire.ShapeGang
+	switch p.stage {
+	case wire.PieceFetching:
+		if now.Before(p.until) {
+			return
+		}
+		h.images[p.job.spec.Bundle] = true
+		h.changed = true
+		if h.sick || p.job.bad {
+			h.exit(p, wire.CauseError, false)
+			return
+		}
+		if p.job.done[p.n] {
+			h.exit(p, wire.CauseDone, false)
+			return
+		}
+		p.stage = wire.PieceRunning
+		p.until = now.Add(p.job.run)
+		if gang {
+			p.stage = wire.PieceWaiting
+			p.until = now.Add(config.Seconds(h.w.cfg.Facts.Workers.GangWaitS))
+		}
+	case wire.PieceWaiting:
+		if mates := h.w.mates(p); len(mates) == p.job.spec.Pieces {
+			for _, m := range mates {
+				if m.p.stage != wire.PieceWaiting {
+					return
+				}
+			}
+			for _, m := range mates {
+				m.p.stage, m.p.begun = wire.PieceRunning, true
+				m.p.until = now.Add(p.job.run)
+				m.h.changed = true
+			}
+		} else if now.After(p.until) {
+			h.exit(p, wire.CauseAlone, false)
+		}
+	case wire.PieceRunning, wire.PieceSaving:
+		if gang && len(h.w.mates(p)) < p.job.spec.Pieces {
+			if p.lost.IsZero() {
+				p.lost = now
+			}
+			if now.Sub(p.lost) > 2*time.Second {
+				h.exit(p, wire.CauseMatesGone, false)
+				return
+			}
+			if p.stage == wire.PieceRunning {
+				return
+			}
+		}
+		if now.Before(p.until) {
+			return
+		}
+		if p.stage == wire.PieceSaving {
+			h.exit(p, wire.CauseHalted, true)
+			return
+		}
+		if p.job.spec.Shape == wire.ShapeStanding {
+			return
+		}
+		if !gang {
+			p.job.done[p.n] = true
+			h.exit(p, wire.CauseDone, false)
+			return
+		}
+		for _, m := range h.w.mates(p) {
+			if m.p.stage != wire.PieceRunning {
+				return
+			}
+		}
+		for _, m := range h.w.mates(p) {
+			m.p.job.done[m.p.n] = true
+			m.h.exit(m.p, wire.CauseDone, false)
+		}
+	}
+}
+
+// send sends a report, to one node, one at a time.
+func (h *workerHost) send() {
+	now := h.w.clk.now
+	h.reports++
+	num := h.reports
+	h.inFlight, h.changed, h.lastSent = num, false, now
+	rep := h.report()
+	stint, sent := h.stint, now
+	nd := h.w.nodes[h.node]
+	next := func(wait time.Duration, to int) {
+		if h.inFlight != num {
+			return
+		}
+		h.inFlight = -1 // between nodes
+		h.w.clk.in(wait, func() {
+			if h.inFlight == -1 && !h.dead {
+				h.inFlight, h.node = 0, to
+				h.changed = true
+			}
+		})
+	}
+	after := func() { next(time.Second, (h.node+1)%len(h.w.nodes)) }
+	h.w.clk.in(4*time.Second, func() {
+		if h.inFlight == num && h.stint == stint {
+			after()
+		}
+	})
+	reply := func(status int, body any) {
+		h.w.deliver(h, nd, func() {
+			if h.inFlight != num || h.dead || h.stint != stint {
+				return
+			}
+			if h.hung {
+				return
+			}
+			switch status {
+			case 200:
+				h.inFlight = 0
+				o := body.(wire.Orders)
+				if o.Baton < h.baton {
+					return
+				}
+				if o.Baton > h.baton {
+					h.changed = true
+				}
+				h.baton, h.leased = o.Baton, sent
+				h.execute(o.Orders)
+			case 421:
+				to := slices.IndexFunc(h.w.nodes, func(n *simNode) bool { return n.name == body.(wire.Redirect).ReportsTo })
+				if to < 0 || to == h.node {
+					after()
+				} else {
+					next(100*time.Millisecond, to)
+				}
+			default:
+				after()
+			}
+		})
+	}
+	h.w.deliver(h, nd, func() {
+		if !nd.alive {
+			after()
+			return
+		}
+		nd.core.Report(h.w.clk.now, rep, reply)
+	})
+}
+
+// command is a direct command that reached the worker.
+func (h *workerHost) command(d wire.Do) (int, *wire.Report) {
+	if d.Baton < h.baton || d.Stint != h.stint {
+		return 409, h.report()
+	}
+	if d.Baton > h.baton {
+		h.baton, h.changed = d.Baton, true
+	}
+	h.execute(d.Orders)
+	return 200, h.report()
+}
+
+func (h *workerHost) execute(orders []wire.Order) {
+	now := h.w.clk.now
+	for _, o := range orders {
+		id, n, ok := wire.ParsePiece(o.Piece)
+		j := h.w.jobs[id]
+		if !ok || j == nil {
+			h.w.fail("order for a task nobody submitted: %v", o)
+			return
+		}
+		p := h.find(j, n)
+		switch o.Verb {
+		case wire.VerbRun:
+			h.run(j, n, o.Try, p)
+		case wire.VerbStop:
+			if p == nil || p.try != o.Try || !p.on() {
+				continue
+			}
+			h.changed = true
+			grace := 0.0
+			if o.WindDownS != nil {
+				grace = *o.WindDownS
+			}
+			switch {
+			case p.stage == wire.PieceRunning && j.spec.BookmarkS > 0 && grace >= j.spec.StowS:
+				p.stage, p.until = wire.PieceSaving, now.Add(config.Seconds(j.spec.StowS))
+			case p.stage == wire.PieceSaving && grace > 0:
+			default:
+				h.exit(p, wire.CauseHalted, false)
+			}
+		case wire.VerbReap:
+			if p != nil && p.try == o.Try && !p.on() {
+				h.pieces = slices.DeleteFunc(h.pieces, func(x *simPiece) bool { return x == p })
+				h.changed = true
+			}
+		}
+	}
+}
+
+func (h *workerHost) run(j *simJob, n int, try uint64, p *simPiece) {
+	if p != nil && p.try == try {
+		return
+	}
+	h.changed = true
+	refuse := func(why string) {
+		// refused starts are listed until they are reaped, beside what is there
+		h.pieces = append(h.pieces, &simPiece{job: j, n: n, try: try, stage: wire.PieceExited, cause: why})
+	}
+	if p != nil && p.on() {
+		refuse(wire.CauseInUse)
+		return
+	}
+	need := quota.Room{CPUs: j.spec.Vcpus, GPUs: j.spec.Gpus, MemGB: j.spec.MemGb}
+	free := h.cap
+	for _, o := range h.pieces {
+		if o.on() {
+			free = free.Sub(quota.Room{CPUs: o.job.spec.Vcpus, GPUs: o.job.spec.Gpus, MemGB: o.job.spec.MemGb})
+		}
+	}
+	if !free.Fits(need) {
+		refuse(wire.CauseNoRoom)
+		return
+	}
+	h.w.starting(h, j, n)
+	fetch := time.Duration(0)
+	if !h.images[j.spec.Bundle] {
+		fetch = 2 * time.Second
+	}
+	h.pieces = append(h.pieces, &simPiece{job: j, n: n, try: try, stage: wire.PieceFetching, until: h.w.clk.now.Add(fetch)})
+}
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -76,7 +77,8 @@
 	t.book = quota.NewBook(c.cfg.Facts.Teams, l.Block, c.blocks)
 	t.board = placement.NewBoard(c.cfg.Facts, l.Baton, t.book, t.reg, c.rng, t.log, t.finished)
 	t.fleet = fleet.New(now, l.Block, l.Baton, t.cond(), c.cfg.Facts, c.env.Cloud, t.call, t.log, t.reg, t.board, t.lost,
-		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) })
+		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) },
+		func(host string) bool { return c.foreign(l.Block, host) })
 	t.jobs = store.NewMirror(submission.OpenUnder(l.Block), t.call, t.log, t.jobChanged)
 	t.early = true
 	t.log.Info("tenure begins", "ended", l.Ended)
@@ -263,7 +265,8 @@
 }
 
 func (t *tenure) dropTallies(now time.Time, job string) {
-	for _, f := range t.tallies[job] {
+	for _, c := range slices.Sorted(maps.Keys(t.tallies[job])) {
+		f := t.tallies[job][c]
 		f.Set(nil)
 		t.orphans = append(t.orphans, f)
 	}
@@ -276,7 +279,8 @@
 // save writes completions down: the end of a job at once, the rest in batches.
 func (t *tenure) save(now time.Time) {
 	batch := !now.Before(t.tallyDue)
-	for id, j := range t.dirty {
+	for _, id := range slices.Sorted(maps.Keys(t.dirty)) {
+		j := t.dirty[id]
 		if j.Complete() {
 			if !t.finals[id] && !now.Before(t.finalDue[id]) {
 				t.finalize(now, j)
@@ -298,9 +302,9 @@
 	if batch {
 		t.tallyDue = now.Add(tuning.TallyEvery)
 	}
-	for _, fs := range t.tallies {
-		for _, f := range fs {
-			f.Tick(now)
+	for _, id := range slices.Sorted(maps.Keys(t.tallies)) {
+		for _, c := range slices.Sorted(maps.Keys(t.tallies[id])) {
+			t.tallies[id][c].Tick(now)
 		}
 	}
 	t.orphans = slices.DeleteFunc(t.orphans, func(f *store.Record) bool {
--- /dev/null
+++ b/internal/node/world_run_test.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/wire"
+)
+
+func facts(zones []string, teams []config.Team, reportS, leaseS float64) *config.Config {
+	return &config.Config{
+		Member: "x", Area: zones[0],
+		Facts: config.Facts{
+			Nodes: 3, Zones: zones, TimeBoundMS: 100, Teams: teams,
+			Objectives: []config.Objective{{Kind: "finished", Class: "sweep", WithinS: 60, Share: 0.8}},
+			Workers:    config.Workers{ReportS: reportS, LeaseS: leaseS, GangWaitS: 20, GangPeerS: 4, CancelS: 35},
+			State:      config.State{RPS: 200, WriteRPS: 20, ValueKB: 4, TxnOps: 8},
+			Cloud:      config.Cloud{RPS: 8, ListLagS: 3},
+			Limits:     config.Limits{CPU: 0.1, MemoryMB: 98, Sockets: 900},
+		},
+	}
+}
+
+// TestRandomDays plays random days of crashes, cuts, late messages, outages
+// and restarts, checks the protocol's rules after each step, and that every
+// accepted job ends once the troubles are over. Seeds are fixed.
+func TestRandomDays(t *testing.T) {
+	small := []config.Team{{Name: "red", GPUs: 4, GPUsMax: 10}, {Name: "blue", GPUs: 6, GPUsMax: 12}, {Name: "free"}}
+	one := []wire.Flavor{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Yards: []string{"a"}}}
+	two := []wire.Flavor{
+		{Name: "g4", Vcpus: 16, Gpus: 4, MemGb: 128, FetchGbPerS: 1, Price: 9, LowPrice: 4, BootS: 5, Yards: []string{"a", "b"}},
+		{Name: "c8", Vcpus: 8, Gpus: 0, MemGb: 32, FetchGbPerS: 1, Price: 2, LowPrice: 1, BootS: 4, Yards: []string{"b"}},
+	}
+	for _, day := range []struct {
+		name    string
+		zones   []string
+		teams   []config.Team
+		flavors []wire.Flavor
+		blocks  int
+		report  float64
+		lease   float64
+		seeds   int
+	}{
+		{"one zone, short leases", []string{"a"}, small, one, 1, 1.5, 10, 6},
+		{"one zone, long leases", []string{"a"}, small, one, 1, 3, 18, 4},
+		{"two zones, two types, wide gangs", []string{"a", "b"}, small, two, 1, 1.5, 10, 6},
+		{"three blocks", []string{"a", "b"}, small, two, 3, 1.5, 10, 4},
+	} {
+		for seed := range day.seeds * seedFactor() {
+			t.Run(fmt.Sprintf("%s/%d", day.name, seed), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, uint64(seed), facts(day.zones, day.teams, day.report, day.lease), day.blocks, day.flavors)
+				for _, f := range day.flavors {
+					for _, y := range f.Yards {
+						w.cloud.room[roomKey(f.Name, y, true)] = 5
+						w.cloud.room[roomKey(f.Name, y, false)] = 8
+					}
+				}
+				w.cloud.never = 0.02
+				w.chaos = true
+				play(w, day.zones, day.flavors)
+				if len(w.broken) > 0 {
+					t.Fatalf("seed %d: %s", seed, w.broken[0])
+				}
+			})
+		}
+	}
+}
+
+// play lets users submit for a while under troubles, then lets the troubles
+// pass and waits for every job's end.
+func play(w *world, zones []string, flavors []wire.Flavor) {
+	const rounds = 60
+	for i := range rounds {
+		w.runFor(time.Duration(1+w.rng.IntN(5)) * time.Second)
+		if len(w.broken) > 0 {
+			return
+		}
+		if w.rng.IntN(3) > 0 {
+			randomJob(w, i, zones, flavors)
+		}
+		if i > 3 && w.rng.IntN(2) == 0 {
+			w.trouble()
+		}
+	}
+	w.chaos = false
+	w.runFor(30 * time.Second) // the last troubles pass
+	for _, j := range w.order {
+		if j.bad || j.spec.Shape == wire.ShapeStanding {
+			w.cancel(j) // these end only so
+		}
+	}
+	for range 40 {
+		w.runFor(15 * time.Second)
+		left := ""
+		for _, j := range w.order {
+			if j.told != wire.JobDone && j.told != wire.JobWithdrawn {
+				left += fmt.Sprintf(" %s(%s %s x%d told %q)", j.spec.ID, j.spec.Shape, j.spec.Crew, j.spec.Pieces, j.told)
+			}
+		}
+		if left == "" || len(w.broken) > 0 {
+			return
+		}
+		w.t.Log("left:", left)
+	}
+	w.fail("some accepted jobs never ended")
+}
+
+func randomJob(w *world, i int, zones []string, flavors []wire.Flavor) {
+	team := w.cfg.Facts.Teams[w.rng.IntN(len(w.cfg.Facts.Teams))].Name
+	s := wire.Submission{ID: fmt.Sprintf("job-%06d", i), Crew: team, Lane: "sweep", Shape: wire.ShapeBatch,
+		Rank: []string{"low", "normal", "high", "critical"}[w.rng.IntN(4)], Pieces: 1 + w.rng.IntN(8),
+		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: fmt.Sprintf("img-%d", w.rng.IntN(4)), ImageGb: 2, AnyBuild: true,
+		Loaners: w.rng.IntN(3) > 0, GuessS: 10}
+	if w.rng.IntN(3) == 0 {
+		s.BookmarkS, s.StowS = 2, 1
+	}
+	if w.rng.IntN(3) == 0 {
+		s.Lane, s.Shape, s.Pieces = "train", wire.ShapeGang, 1+w.rng.IntN(5)
+		s.Gpus = float64(1 + w.rng.IntN(2))
+	}
+	if w.rng.IntN(12) == 0 {
+		s.Lane, s.Shape, s.Pieces = "serve", wire.ShapeStanding, 1+w.rng.IntN(2)
+	}
+	if len(flavors) > 1 && w.rng.IntN(4) == 0 {
+		s.AnyBuild, s.Builds = false, []string{flavors[w.rng.IntN(len(flavors))].Name}
+		if s.Builds[0] == "c8" {
+			s.Gpus = 0
+		}
+	}
+	switch w.rng.IntN(6) {
+	case 0:
+		s.Together = true
+	case 1:
+		s.Apart = s.Shape == wire.ShapeBatch || len(zones) > 1 && s.AnyBuild && s.Gpus > 0
+	case 2:
+		s.Yard = zones[w.rng.IntN(len(zones))]
+		if !s.AnyBuild && s.Builds[0] == "c8" {
+			s.Yard = "b"
+		}
+	}
+	j := w.add(s, time.Duration(2+w.rng.IntN(20))*time.Second)
+	j.bad = w.rng.IntN(25) == 0
+	if w.rng.IntN(6) == 0 {
+		w.clk.in(time.Duration(w.rng.IntN(20))*time.Second, func() { w.cancel(j) })
+	}
+}
+
+// seedFactor lets a longer search than CI's be asked for.
+func seedFactor() int {
+	if n, err := strconv.Atoi(os.Getenv("WORLD_SEEDS")); err == nil {
+		return n
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/node/world_test.go
@@ -0,0 +1,588 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/fleet"
+	"juniperchute/internal/peer/peerpb"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/store"
+	"juniperchute/internal/submission"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// world is a whole deployment in simulated time: real Cores, and stand-ins
+// for everything around them.
+type world struct {
+	t       *testing.T
+	clk     *clock
+	rng     *rand.Rand
+	cfg     *config.Config
+	blocks  int
+	state   *stateService
+	cloud   *cloud
+	nodes   []*simNode
+	workers map[string]*workerHost
+	jobs    map[string]*simJob
+	order   []*simJob
+	broken  []string
+	chaos   bool
+}
+
+// begin is the time of day at which simulated days begin.
+var begin = time.Unix(1_700_000_000, 0)
+
+type simJob struct {
+	spec      wire.Submission
+	run       time.Duration
+	bad       bool
+	done      []bool
+	told      string // newest state its user was told
+	accepted  bool
+	asked     bool // its user has asked to cancel it
+	cancelled time.Time
+	rejected  int
+}
+
+func (j *simJob) complete() bool { return !slices.Contains(j.done, false) }
+
+// simNode is one controller's place: its process comes and goes.
+type simNode struct {
+	w     *world
+	name  string
+	core  *Core
+	alive bool
+	gen   int
+
+	cutState, cutWorkers, cutPeers, cutCloud bool
+	refused                                  bool // the state service answers 503 to it alone
+	held                                     []func()
+}
+
+func (w *world) logger(name string) *slog.Logger {
+	var out io.Writer = io.Discard
+	if os.Getenv("WORLD_LOG") != "" {
+		out = os.Stderr
+	}
+	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug,
+		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			if a.Key == slog.TimeKey {
+				a.Value = slog.DurationValue(w.clk.now.Sub(begin))
+			}
+			return a
+		}})).With("member", name)
+}
+
+func newWorld(t *testing.T, seed uint64, cfg *config.Config, blocks int, flavors []wire.Flavor) *world {
+	w := &world{t: t, clk: &clock{now: begin}, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, blocks: blocks,
+		workers: map[string]*workerHost{}, jobs: map[string]*simJob{}}
+	w.state = newStateService(w.clk, w.rng)
+	w.cloud = newCloud(w.clk, w.rng, flavors)
+	w.cloud.booted = w.booted
+	w.cloud.ended = func(h *cloudHost) {
+		if wh := w.workers[h.ID]; wh != nil {
+			wh.dead, wh.pieces = true, nil
+			delete(w.workers, h.ID)
+		}
+	}
+	for i := range 3 {
+		n := &simNode{w: w, name: fmt.Sprintf("node-%d", i)}
+		w.nodes = append(w.nodes, n)
+	}
+	for _, n := range w.nodes {
+		n.start()
+	}
+	return w
+}
+
+func (w *world) booted(h *cloudHost) {
+	f := w.cloud.flavors[slices.IndexFunc(w.cloud.flavors, func(f wire.Flavor) bool { return f.Name == h.Build })]
+	wh := &workerHost{w: w, host: h.Host, cap: quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}, stint: 1,
+		leased: w.clk.now, images: map[string]bool{}, node: w.rng.IntN(len(w.nodes)), changed: true, sick: w.rng.Float64() < 0.05}
+	w.workers[h.ID] = wh
+	wh.tick()
+}
+
+func (n *simNode) start() {
+	n.gen++
+	n.alive = true
+	gen := n.gen
+	cfg := *n.w.cfg
+	cfg.Member = n.name
+	cfg.Known = nil
+	for _, o := range n.w.nodes {
+		if o != n {
+			cfg.Known = append(cfg.Known, config.Known{Member: o.name, Address: "127.0.0.1:1"})
+		}
+	}
+	rng := rand.New(rand.NewPCG(n.w.rng.Uint64(), 1))
+	n.core = NewCore(&cfg, n.w.blocks, &simEnv{n: n, gen: gen}, rng, func() time.Time { return n.w.clk.now }, n.w.logger(n.name))
+	var tick func()
+	tick = func() {
+		if n.alive && n.gen == gen {
+			n.core.Tick(n.w.clk.now)
+			n.w.clk.in(tuning.TickEvery, tick)
+		}
+	}
+	n.w.clk.in(time.Duration(n.w.rng.IntN(100))*time.Millisecond, tick)
+}
+
+func (n *simNode) crash(back time.Duration) {
+	if !n.alive {
+		return
+	}
+	n.alive = false
+	n.gen++
+	n.w.clk.in(back, n.start)
+}
+
+func (w *world) lag() time.Duration { return time.Duration(200+w.rng.IntN(4000)) * time.Microsecond }
+
+// deliver carries a message between a worker and a node, either way. A cut
+// holds it back or loses it.
+func (w *world) deliver(h *workerHost, n *simNode, f func()) {
+	if h.cut || n.cutWorkers || h.hung {
+		if w.rng.IntN(2) == 0 {
+			h.late = append(h.late, f)
+		}
+		return
+	}
+	w.clk.in(w.lag(), func() {
+		if h.hung {
+			h.late = append(h.late, f)
+			return
+		}
+		f()
+	})
+}
+
+// release lets held messages go.
+func (w *world) release(h *workerHost) {
+	late := h.late
+	h.late = nil
+	for _, f := range late {
+		w.clk.in(w.lag(), f)
+	}
+}
+
+// simEnv carries out the effects of one process.
+type simEnv struct {
+	n   *simNode
+	gen int
+}
+
+func (e *simEnv) live() bool { return e.n.alive && e.n.gen == e.gen }
+
+func (e *simEnv) State(c store.Call, then func(now time.Time, r store.Result)) {
+	w := e.n.w
+	sent := w.clk.now
+	over := false
+	finish := func(r store.Result) {
+		if over || !e.live() {
+			return
+		}
+		over = true
+		r.Sent = sent
+		then(w.clk.now, r)
+	}
+	limit := tuning.StateTimeout
+	if c.Op == store.OpChanges {
+		limit += time.Duration(c.WaitMs) * time.Millisecond
+	}
+	w.clk.in(limit, func() { finish(store.Result{}) })
+	arrive := func() {
+		if e.n.refused && c.Op != store.OpChanges {
+			w.clk.in(w.lag(), func() { finish(store.Result{Status: 503}) })
+			return
+		}
+		w.state.call(c, func(r store.Result) {
+			if e.n.cutState {
+				return
+			}
+			w.clk.in(w.lag(), func() {
+				if !e.n.cutState {
+					finish(r)
+				}
+			})
+		})
+	}
+	roll := w.rng.IntN(1000)
+	switch {
+	case e.n.cutState:
+		if w.rng.IntN(2) == 0 {
+			e.n.held = append(e.n.held, arrive) // comes late, even from a process that has ended
+		}
+	case w.chaos && roll < 4 && c.Op == store.OpMulti:
+		w.clk.in(time.Duration(w.rng.IntN(30000))*time.Millisecond, arrive)
+	case w.chaos && roll < 8: // executed, and the answer lost
+		w.clk.in(w.lag(), func() { w.state.call(c, func(store.Result) {}) })
+	default:
+		w.clk.in(w.lag(), arrive)
+	}
+}
+
+func (e *simEnv) Cloud(c fleet.Call, then func(now time.Time, r fleet.Result)) {
+	w := e.n.w
+	over := false
+	finish := func(r fleet.Result) {
+		if !over && e.live() {
+			over = true
+			then(w.clk.now, r)
+		}
+	}
+	w.clk.in(tuning.CloudTimeout, func() { finish(fleet.Result{}) })
+	arrive := func() {
+		r := w.cloud.call(c)
+		w.clk.in(w.lag(), func() { finish(r) })
+	}
+	switch roll := w.rng.IntN(100); {
+	case e.n.cutCloud || w.chaos && roll < 2: // executed late
+		if w.rng.IntN(2) == 0 {
+			w.clk.in(time.Duration(5+w.rng.IntN(60))*time.Second, arrive)
+		}
+	default:
+		w.clk.in(100*time.Millisecond, arrive)
+	}
+}
+
+func (e *simEnv) Do(addr string, d wire.Do, then func(now time.Time, status int, rep *wire.Report)) {
+	w := e.n.w
+	over := false
+	finish := func(status int, rep *wire.Report) {
+		if !over && e.live() {
+			over = true
+			then(w.clk.now, status, rep)
+		}
+	}
+	w.clk.in(tuning.DoTimeout, func() { finish(0, nil) })
+	h := w.workers[addr[len("addr-"):]]
+	if h == nil {
+		return
+	}
+	w.deliver(h, e.n, func() {
+		if h.dead {
+			return
+		}
+		status, rep := h.command(d)
+		w.deliver(h, e.n, func() { finish(status, rep) })
+	})
+}
+
+func (e *simEnv) peer(member string, then func(o *simNode), fail func()) {
+	w := e.n.w
+	i := slices.IndexFunc(w.nodes, func(o *simNode) bool { return o.name == member })
+	w.clk.in(w.lag(), func() {
+		if i < 0 || e.n.cutPeers || w.nodes[i].cutPeers || !w.nodes[i].alive {
+			w.clk.in(tuning.ProgressTimeout, fail)
+			return
+		}
+		then(w.nodes[i])
+	})
+}
+
+var errCut = errors.New("cut")
+
+func (e *simEnv) Pulse(member string, m *peerpb.PulseMessage, then func(now time.Time, r *peerpb.PulseMessage, err error)) {
+	now := func() time.Time { return e.n.w.clk.now }
+	e.peer(member, func(o *simNode) {
+		r := o.core.Pulse(now(), m)
+		if e.live() {
+			then(now(), r, nil)
+		}
+	}, func() {
+		if e.live() {
+			then(now(), nil, errCut)
+		}
+	})
+}
+
+func (e *simEnv) Progress(member string, m *peerpb.ProgressRequest, then func(now time.Time, r *peerpb.ProgressReply, err error)) {
+	now := func() time.Time { return e.n.w.clk.now }
+	e.peer(member, func(o *simNode) {
+		r := o.core.Progress(m)
+		if e.live() {
+			then(now(), r, nil)
+		}
+	}, func() {
+		if e.live() {
+			then(now(), nil, errCut)
+		}
+	})
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("at %v: ", w.clk.now.Sub(begin))+fmt.Sprintf(format, args...))
+}
+
+type mate struct {
+	h *workerHost
+	p *simPiece
+}
+
+// mates lists the tasks of a gang's attempt that are there.
+func (w *world) mates(p *simPiece) []mate {
+	var out []mate
+	for _, id := range sortedKeys(w.workers) {
+		h := w.workers[id]
+		for _, o := range h.pieces {
+			if o.job == p.job && o.try == p.try && o.on() {
+				out = append(out, mate{h, o})
+			}
+		}
+	}
+	return out
+}
+
+// starting checks the rules that a start may break.
+func (w *world) starting(h *workerHost, j *simJob, n int) {
+	name := wire.PieceName(j.spec.ID, n)
+	yards := map[string]int{}
+	for _, id := range sortedKeys(w.workers) {
+		o := w.workers[id]
+		for _, p := range o.pieces {
+			if p.job != j || !p.on() {
+				continue
+			}
+			yards[o.host.Yard]++
+			if p.n == n {
+				w.fail("ran_twice: %s starts on %s while on %s", name, h.host.ID, o.host.ID)
+			}
+		}
+	}
+	s := j.spec
+	if !s.AnyBuild && !slices.Contains(s.Builds, h.host.Build) || s.Yard != "" && s.Yard != h.host.Yard || h.host.Loaners && !s.Loaners {
+		w.fail("wrong_place: %s on %s", name, h.host.ID)
+	}
+	for y, c := range yards {
+		if s.Together && c > 0 && y != h.host.Yard {
+			w.fail("wrong_place: %s apart from its mates", name)
+		}
+	}
+	if s.Apart && yards[h.host.Yard]+1 > (s.Pieces+1)/2 {
+		w.fail("wrong_place: %s crowds a zone", name)
+	}
+	if j.told == wire.JobWithdrawn && w.clk.now.Sub(j.cancelled) > config.Seconds(w.cfg.Facts.Workers.CancelS) {
+		w.fail("ran_cancelled: %s starts", name)
+	}
+}
+
+// check checks the rules that hold at every moment.
+func (w *world) check() {
+	used := map[string]quota.Room{}
+	for _, h := range w.workers {
+		for _, p := range h.pieces {
+			if !p.on() {
+				continue
+			}
+			s := p.job.spec
+			used[s.Crew] = used[s.Crew].Add(quota.Room{CPUs: s.Vcpus, GPUs: s.Gpus})
+			if p.job.told == wire.JobWithdrawn && w.clk.now.Sub(p.job.cancelled) > config.Seconds(w.cfg.Facts.Workers.CancelS) {
+				w.fail("ran_cancelled: %s/%d still on %s", s.ID, p.n, h.host.ID)
+			}
+		}
+	}
+	for _, t := range w.cfg.Facts.Teams {
+		u := used[t.Name]
+		if t.CPUsMax > 0 && u.CPUs > t.CPUsMax+1e-6 || t.GPUsMax > 0 && u.GPUs > t.GPUsMax+1e-6 {
+			w.fail("quota: %s uses %v", t.Name, u)
+		}
+	}
+}
+
+// ask sends a user's request to some node; no answer comes from a dead one.
+func (w *world) ask(f func(n *simNode, reply func(submission.Response)), then func(submission.Response)) {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	w.clk.in(w.lag(), func() {
+		if !n.alive {
+			return
+		}
+		gen := n.gen
+		f(n, func(r submission.Response) {
+			if n.alive && n.gen == gen {
+				w.clk.in(w.lag(), func() { then(r) })
+			}
+		})
+	})
+}
+
+func (w *world) tell(j *simJob, stage string, begun string) {
+	final := func(s string) bool { return s == wire.JobDone || s == wire.JobWithdrawn }
+	switch {
+	case final(begun) && stage != begun:
+		w.fail("went_back: %s was told %s, now %s", j.spec.ID, begun, stage)
+	case stage == wire.JobDone && !j.complete():
+		w.fail("not_done: %s", j.spec.ID)
+	case stage == wire.JobWithdrawn && !j.asked:
+		w.fail("went_back: %s was never cancelled", j.spec.ID)
+	}
+	if final(j.told) {
+		return
+	}
+	if stage == wire.JobWithdrawn {
+		j.cancelled = w.clk.now
+	}
+	j.accepted, j.told = true, stage
+}
+
+func (w *world) submit(j *simJob) {
+	if j.accepted {
+		return
+	}
+	w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Submit(w.clk.now, j.spec, reply) }, func(r submission.Response) {
+		switch r.Status {
+		case 200, 201:
+			w.tell(j, r.Body.(wire.Accepted).Stage, "")
+		case 400, 422:
+			w.fail("forgotten: %s answered %d %v", j.spec.ID, r.Status, r.Body)
+		}
+	})
+	w.clk.in(time.Duration(1000+w.rng.IntN(2000))*time.Millisecond, func() { w.submit(j) })
+}
+
+func (w *world) poll(j *simJob) {
+	told, accepted := j.told, j.accepted
+	w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Query(w.clk.now, j.spec.ID, reply) }, func(r submission.Response) {
+		switch {
+		case r.Status == 404 && accepted:
+			w.fail("forgotten: %s answered 404", j.spec.ID)
+		case r.Status == 200:
+			w.tell(j, r.Body.(wire.JobState).Stage, told)
+		}
+	})
+	w.clk.in(time.Duration(3000+w.rng.IntN(3000))*time.Millisecond, func() { w.poll(j) })
+}
+
+func (w *world) cancel(j *simJob) {
+	j.asked = true
+	if j.told == wire.JobWithdrawn || j.told == wire.JobDone {
+		return
+	}
+	told := j.told
+	w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Cancel(w.clk.now, j.spec.ID, reply) }, func(r submission.Response) {
+		if r.Status == 200 {
+			w.tell(j, r.Body.(wire.Accepted).Stage, told)
+		}
+	})
+	w.clk.in(2*time.Second, func() { w.cancel(j) })
+}
+
+// add makes a user submit a job.
+func (w *world) add(spec wire.Submission, run time.Duration) *simJob {
+	j := &simJob{spec: spec, run: run, done: make([]bool, spec.Pieces)}
+	w.jobs[spec.ID] = j
+	w.order = append(w.order, j)
+	w.submit(j)
+	w.clk.in(time.Second, func() { w.poll(j) })
+	return j
+}
+
+// runFor plays a time, checking the rules after each step.
+func (w *world) runFor(d time.Duration) {
+	end := w.clk.now.Add(d)
+	for !w.clk.q[0].at.After(end) && len(w.broken) == 0 {
+		w.clk.step()
+		w.check()
+	}
+	w.clk.now = end
+}
+
+func (w *world) someWorker() *workerHost {
+	var ids []string
+	for id := range w.workers {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	sort.Strings(ids)
+	return w.workers[ids[w.rng.IntN(len(ids))]]
+}
+
+// trouble makes one random trouble, which passes by itself.
+func (w *world) trouble() {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	span := time.Duration(1+w.rng.IntN(25)) * time.Second
+	back := time.Duration(100+w.rng.IntN(5000)) * time.Millisecond
+	switch w.rng.IntN(16) {
+	case 0, 1:
+		n.crash(back)
+	case 2:
+		for _, o := range w.nodes {
+			o.crash(time.Duration(100+w.rng.IntN(4000)) * time.Millisecond)
+		}
+	case 3:
+		n.cutState = true
+		w.clk.in(span, func() {
+			n.cutState = false
+			for _, f := range n.held {
+				w.clk.in(w.lag(), f)
+			}
+			n.held = nil
+		})
+	case 4:
+		n.refused = true
+		w.clk.in(span, func() { n.refused = false })
+	case 5:
+		n.cutWorkers = true
+		w.clk.in(span, func() {
+			n.cutWorkers = false
+			for _, id := range sortedKeys(w.workers) {
+				w.release(w.workers[id])
+			}
+		})
+	case 6:
+		n.cutPeers = true
+		w.clk.in(span, func() { n.cutPeers = false })
+	case 7:
+		w.state.setDown(true)
+		w.clk.in(span, func() { w.state.setDown(false) })
+	case 8:
+		w.cloud.down = true
+		w.clk.in(span, func() { w.cloud.down = false })
+	case 9:
+		n.cutCloud = true
+		w.clk.in(span, func() { n.cutCloud = false })
+	case 10, 11:
+		if h := w.someWorker(); h != nil {
+			h.cut = true
+			w.clk.in(span, func() { h.cut = false; w.release(h) })
+		}
+	case 12, 13:
+		if h := w.someWorker(); h != nil {
+			h.hung = true
+			w.clk.in(span, func() { h.hung = false; w.release(h) })
+		}
+	case 14:
+		if h := w.someWorker(); h != nil && h.host.Loaners {
+			if w.rng.IntN(2) == 0 {
+				h.recall = w.clk.now.Add(8 * time.Second)
+				h.changed = true
+			}
+			w.clk.in(8*time.Second, func() { w.cloud.remove(h.host.ID) })
+		}
+	case 15:
+		if h := w.someWorker(); h != nil {
+			w.cloud.remove(h.host.ID)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -140,7 +140,7 @@
 	if i := slices.Index(b.order, j); i >= 0 {
 		b.order = slices.Delete(b.order, i, i+1)
 	}
-	for _, t := range j.tasks {
+	for _, t := range j.sorted() {
 		b.unqueue(t)
 		switch t.phase {
 		case Idle:
@@ -241,7 +241,7 @@
 		return
 	}
 	t.Job.broken = true
-	for _, o := range t.Job.tasks {
+	for _, o := range t.Job.sorted() {
 		if o.phase == Sent || o.phase == Live {
 			b.stop(now, o, t.Job.grace(), why)
 		}
@@ -282,7 +282,7 @@
 // the next one.
 func (b *Board) breakGang(now time.Time, j *Job, why string) {
 	j.broken = false
-	for _, o := range j.tasks {
+	for _, o := range j.sorted() {
 		switch o.phase {
 		case Idle:
 			b.unqueue(o)
@@ -362,7 +362,7 @@
 func (b *Board) takeBack(now time.Time, t *Task) {
 	j := t.Job
 	if j.Gang() {
-		for _, o := range j.tasks {
+		for _, o := range j.sorted() {
 			b.unqueue(o)
 			if o.phase == Idle {
 				delete(j.tasks, o.N)
@@ -515,7 +515,7 @@
 
 // finishGang completes a gang: if one of its tasks is done, every one is.
 func (b *Board) finishGang(now time.Time, j *Job) {
-	for _, t := range j.tasks {
+	for _, t := range j.sorted() {
 		if t.phase >= Sent && t.phase <= Stopping {
 			continue // its own exit is still to be reported
 		}
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -3,6 +3,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"juniperchute/internal/quota"
@@ -119,6 +121,15 @@
 // held is how many tasks are neither done nor taken up.
 func (j *Job) held() int { return j.Spec.Pieces - j.done.count - len(j.tasks) }
 
+// sorted lists the tasks that are queued or on a machine, by number.
+func (j *Job) sorted() []*Task {
+	out := make([]*Task, 0, len(j.tasks))
+	for _, n := range slices.Sorted(maps.Keys(j.tasks)) {
+		out = append(out, j.tasks[n])
+	}
+	return out
+}
+
 // take finds a held task's number.
 func (j *Job) take(now time.Time) (int, bool) {
 	for i, c := range j.returned {
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -63,11 +65,11 @@
 // Stamp returns a key's version, 0 when it does not exist.
 func (m *Mirror) Stamp(key string) uint64 { return m.items[key].Stamp }
 
-// Each calls f for every key under a prefix, in no order.
+// Each calls f for every key under a prefix, in key order.
 func (m *Mirror) Each(under string, f func(it wire.Item)) {
-	for k, it := range m.items {
+	for _, k := range slices.Sorted(maps.Keys(m.items)) {
 		if strings.HasPrefix(k, under) {
-			f(it)
+			f(m.items[k])
 		}
 	}
 }
@@ -124,8 +126,8 @@
 			m.list(now, last)
 			return
 		}
-		for k, it := range m.items {
-			if !m.seen[k] {
+		for _, k := range slices.Sorted(maps.Keys(m.items)) {
+			if it := m.items[k]; !m.seen[k] {
 				delete(m.items, k)
 				m.change(now, k, it, true)
 			}
