--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -242,6 +242,19 @@
 	s.hold, s.deadline = 0, time.Time{}
 }
 
+// Resign gives a block back whose tenure this process has ended although the
+// records still give it the block: the leader then assigns it anew.
+func (s *Slice) Resign(now time.Time, l Tenure) {
+	if s.busy || now.Before(s.retry) || s.state != memberIn {
+		return
+	}
+	s.log.Info("resigning", "block", l.Block, "baton", l.Baton)
+	s.txn(now, wire.Multi{
+		When:   []wire.Cond{store.Is(blockKey(l.Block), l.Stamp)},
+		Writes: []wire.Write{store.Put(blockKey(l.Block), BlockRec{Baton: l.Baton}, 0)},
+	})
+}
+
 // Tick starts what is due.
 func (s *Slice) Tick(now time.Time) {
 	s.mirror.Tick(now)
@@ -372,7 +385,7 @@
 		// a member whose record was replaced by a later process of its name
 		// has ended; one that is merely absent may only be cut off
 		_, back := s.members[r.val.Holder]
-		rec := BlockRec{Holder: to.Member, Inc: to.Inc, Baton: s.baton.val.Last + 1, Ended: r.stamp == 0 || back}
+		rec := BlockRec{Holder: to.Member, Inc: to.Inc, Baton: s.baton.val.Last + 1, Ended: r.stamp == 0 || back || r.val.Holder == ""}
 		when := []wire.Cond{
 			store.Is(keyLeader, s.leader.stamp), store.Is(blockKey(b), r.stamp),
 			store.Is(keyBaton, s.baton.stamp), store.Is(underMem+to.Member, toStamp),
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -137,9 +137,16 @@
 		case known && baton > t.Baton:
 			t.end(now, "the block was given away")
 		}
-		if t.state == tenureOver && !slices.ContainsFunc(mine, func(l leader.Tenure) bool { return l.Block == b && l.Baton == t.Baton }) {
-			delete(c.tenures, b)
+		if t.state != tenureOver {
+			continue
+		}
+		if slices.ContainsFunc(mine, func(l leader.Tenure) bool { return l.Block == b && l.Baton == t.Baton }) {
+			// Ended on somebody's word while the records still name us: left
+			// alone, the block would have no holder for good.
+			c.leader.Resign(now, t.Tenure)
+			continue
 		}
+		delete(c.tenures, b)
 	}
 	for _, l := range mine {
 		if c.tenures[l.Block] == nil && c.leader.Entitled(now) {
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -459,7 +459,11 @@
 // Report answers a worker's report.
 func (t *tenure) Report(now time.Time, rep *wire.Report, reply func(status int, body any)) {
 	if rep.Baton > t.Baton {
-		t.end(now, "a report shows a higher Baton")
+		// A machine that this block does not have may belong to another one
+		// whose record of it has not arrived here yet.
+		if m := t.reg.Get(rep.Host); m != nil && m.Used {
+			t.end(now, "a report shows a higher Baton")
+		}
 		t.c.redirect(t.Block, reply)
 		return
 	}
--- a/internal/node/world_run_test.go
+++ b/internal/node/world_run_test.go
@@ -107,6 +107,11 @@
 		}
 		w.t.Log("left:", left)
 	}
+	for _, j := range w.order {
+		if j.told != wire.JobDone && j.told != wire.JobWithdrawn {
+			w.t.Logf("%+v", j.spec)
+		}
+	}
 	w.fail("some accepted jobs never ended")
 }
 
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -513,19 +513,21 @@
 	}
 }
 
-// finishGang completes a gang: if one of its tasks is done, every one is.
+// finishGang completes a gang: if one of its tasks is done, every one is. Those
+// whose own exit has not been reported stay on their machines until it is, but
+// never start again, even when they are lost instead.
 func (b *Board) finishGang(now time.Time, j *Job) {
 	for _, t := range j.sorted() {
-		if t.phase >= Sent && t.phase <= Stopping {
-			continue // its own exit is still to be reported
+		if t.phase == Idle {
+			b.unqueue(t)
+			delete(j.tasks, t.N)
 		}
-		b.unqueue(t)
-		delete(j.tasks, t.N)
 	}
 	for n := range j.Spec.Pieces {
-		if j.tasks[n] == nil && j.done.add(n) && !j.closed {
-			b.finished(now, j)
-		}
+		j.done.add(n)
+	}
+	if !j.closed {
+		b.finished(now, j)
 	}
 }
 
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -75,10 +75,10 @@
 		}
 	}
 	hires := make([]int, len(offers))
-	open := func(j *Job) *bin {
+	open := func(j *Job, yard string) *bin {
 		best := -1
 		for i, o := range offers {
-			if o.Left-hires[i] <= 0 || !j.allows(o.Build, o.Yard, o.Loaners) || !o.Cap.Fits(j.need) {
+			if o.Left-hires[i] <= 0 || yard != "" && o.Yard != yard || !j.allows(o.Build, o.Yard, o.Loaners) || !o.Cap.Fits(j.need) {
 				continue
 			}
 			if best < 0 || o.Price/float64(o.Cap.Count(j.need, 1<<20)) < offers[best].Price/float64(offers[best].Cap.Count(j.need, 1<<20)) {
@@ -90,9 +90,7 @@
 		}
 		hires[best]++
 		o := offers[best]
-		bn := &bin{build: o.Build, yard: o.Yard, loaners: o.Loaners, cap: o.Cap, free: o.Cap}
-		bins = append(bins, bn)
-		return bn
+		return &bin{build: o.Build, yard: o.Yard, loaners: o.Loaners, cap: o.Cap, free: o.Cap}
 	}
 	budget := map[string]quota.Room{}
 	admit := func(j *Job, r quota.Room) bool {
@@ -112,32 +110,84 @@
 		if n == 0 || !admit(j, j.need.Times(float64(n))) {
 			continue
 		}
+		b.wholeDemand(j, n, &bins, open, func(yard string) bool {
+			return slices.ContainsFunc(offers, func(o Offer) bool {
+				return o.Yard == yard && o.Left > 0 && j.allows(o.Build, o.Yard, o.Loaners) && o.Cap.Fits(j.need)
+			})
+		})
+	}
+	b.arrayDemand(now, bins, open, admit)
+	return hires
+}
+
+// wholeDemand packs a job whose tasks are placed whole, and hires for those
+// that fit nowhere. A job that has to be in one zone is packed into the zone
+// that lacks the fewest; zones that would get too many tasks are passed over.
+func (b *Board) wholeDemand(j *Job, n int, bins *[]*bin, open func(*Job, string) *bin, offered func(yard string) bool) {
+	pack := func(yard string, commit bool) (lacks int) {
+		inYard := j.yards(true)
+		room := map[*bin]quota.Room{}
 		for range n {
 			var best *bin
-			for _, bn := range bins {
-				if bn.free.Fits(j.need) && j.allows(bn.build, bn.yard, bn.loaners) && (bn.m == nil || j.failedOn[bn.m.Host] == 0) &&
-					(best == nil || cheaper(j, bn, best)) {
+			for _, bn := range *bins {
+				free, ok := room[bn]
+				if !ok {
+					free = bn.free
+				}
+				if free.Fits(j.need) && j.allows(bn.build, bn.yard, bn.loaners) && (yard == "" || bn.yard == yard) && j.zoneOK(bn.yard, inYard) &&
+					(bn.m == nil || j.failedOn[bn.m.Host] == 0) && (best == nil || cheaper(bn, best)) {
 					best = bn
 				}
 			}
-			if best == nil {
-				best = open(j)
+			if best == nil && commit {
+				want := yard
+				for _, y := range b.facts.Zones {
+					if want == "" && j.constrained() && j.zoneOK(y, inYard) {
+						want = y
+					}
+				}
+				if best = open(j, want); best != nil {
+					*bins = append(*bins, best)
+				}
 			}
 			if best == nil {
-				break
+				lacks++
+				continue
+			}
+			inYard[best.yard]++
+			if _, ok := room[best]; !ok {
+				room[best] = best.free
 			}
-			best.free = best.free.Sub(j.need)
-			if best.m != nil {
-				best.m.Wanted = true
+			room[best] = room[best].Sub(j.need)
+		}
+		if commit {
+			for bn, free := range room {
+				bn.free = free
+				if bn.m != nil {
+					bn.m.Wanted = true
+				}
 			}
 		}
+		return lacks
 	}
-	b.arrayDemand(now, bins, open, admit)
-	return hires
+	yard := ""
+	if j.Spec.Together {
+		least := n + 1
+		for _, y := range b.facts.Zones {
+			if j.Spec.Yard != "" && j.Spec.Yard != y || !j.zoneOK(y, j.yards(true)) {
+				continue
+			}
+			// a zone that lacks room is of use only if more can be had there
+			if l := pack(y, false); l < least && (l == 0 || offered(y)) {
+				yard, least = y, l
+			}
+		}
+	}
+	pack(yard, true)
 }
 
 // cheaper prefers the bin of the cheaper kind, then one already in use.
-func cheaper(j *Job, a, c *bin) bool {
+func cheaper(a, c *bin) bool {
 	if a.loaners != c.loaners {
 		return a.loaners
 	}
@@ -147,7 +197,7 @@
 
 // arrayDemand pours the arrays' waiting work, as machine time within the
 // class's horizon, into what the gangs leave.
-func (b *Board) arrayDemand(now time.Time, bins []*bin, open func(*Job) *bin, admit func(*Job, quota.Room) bool) {
+func (b *Board) arrayDemand(now time.Time, bins []*bin, open func(*Job, string) *bin, admit func(*Job, quota.Room) bool) {
 	type load struct {
 		j    *Job
 		n    int
@@ -219,7 +269,7 @@
 			if !admit(j, j.need) {
 				break
 			}
-			bn := open(j)
+			bn := open(j, "")
 			if bn == nil {
 				break
 			}
