--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -135,7 +135,7 @@
 					free = bn.free
 				}
 				if free.Fits(j.need) && j.allows(bn.build, bn.yard, bn.loaners) && (yard == "" || bn.yard == yard) && j.zoneOK(bn.yard, inYard) &&
-					(bn.m == nil || j.failedOn[bn.m.Host] == 0) && (best == nil || cheaper(bn, best)) {
+					(bn.m == nil || !j.avoids(bn.m)) && (best == nil || cheaper(bn, best)) {
 					best = bn
 				}
 			}
@@ -233,7 +233,7 @@
 		dur := b.Expect(j)
 		room := func(bn *bin) float64 {
 			// machine time this bin can give to the job within its horizon
-			if !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) {
+			if !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) || bn.m != nil && j.avoids(bn.m) {
 				return 0
 			}
 			t := h - spent[bn]
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -24,6 +24,12 @@
 	return s.AnyBuild || slices.Contains(s.Builds, build)
 }
 
+// avoids tells whether the job has failed on a machine, and not so widely that
+// the job itself must be at fault.
+func (j *Job) avoids(m *worker.Machine) bool {
+	return j.failedOn[m.Host] > 0 && len(j.failedOn) < tuning.BadJobMachines
+}
+
 // yards counts a job's tasks by zone: those on machines, and with queued also
 // those that have been drawn.
 func (j *Job) yards(queued bool) map[string]int {
@@ -113,7 +119,7 @@
 		}
 		m := b.pick(j, func(m *worker.Machine) (int, bool) {
 			if !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || !j.zoneOK(m.Yard, spread) ||
-				!m.FreeForMain().Fits(j.need) || j.failedOn[m.Host] > 0 && len(j.failedOn) < tuning.BadJobMachines {
+				!m.FreeForMain().Fits(j.need) || j.avoids(m) {
 				return 0, false
 			}
 			return b.tier(j, m), true
@@ -182,7 +188,7 @@
 	j := t.Job
 	m := b.pick(j, func(m *worker.Machine) (int, bool) {
 		if m == t.main || !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || !m.Cap.Fits(j.need) ||
-			len(b.queue(m).low) >= tuning.LowDepth || j.failedOn[m.Host] > 0 {
+			len(b.queue(m).low) >= tuning.LowDepth || j.avoids(m) {
 			return 0, false
 		}
 		return 0, true
@@ -227,7 +233,7 @@
 				continue
 			}
 			other := b.pick(j, func(o *worker.Machine) (int, bool) {
-				ok := o != m && o.Usable(now) && j.allows(o.Build, o.Yard, o.Loaners) && j.failedOn[o.Host] == 0 &&
+				ok := o != m && o.Usable(now) && j.allows(o.Build, o.Yard, o.Loaners) && !j.avoids(o) &&
 					o.Free().Sub(o.Promised).Fits(j.need)
 				return 0, ok
 			})
@@ -310,7 +316,7 @@
 	}
 	var cands []cand
 	for _, m := range b.reg.All() {
-		if !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || yard != "" && m.Yard != yard || j.failedOn[m.Host] > 0 {
+		if !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || yard != "" && m.Yard != yard || j.avoids(m) {
 			continue
 		}
 		c := cand{place: place{m: m}, room: m.FreeForMain()}
