--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -483,6 +483,9 @@
 		if p.Stage == wire.PieceRunning && t.runFrom.IsZero() {
 			t.runFrom = now
 		}
+		if t.stage != p.Stage {
+			b.log.Debug("task stage", "task", p.Piece, "try", p.Try, "host", m.Host, "stage", p.Stage)
+		}
 		t.stage = p.Stage
 		if t.phase == Sent {
 			b.setPhase(now, t, Live, p.Stage)
