Prefer machines that have or fetch the image over ones merely in use

Ruled out as the whole cause: the choice of machine, as mostly a single one has room at a time. Kept for being the better order.

--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -144,23 +144,33 @@
 	}
 }
 
-// tier ranks machines that fit: cheap ones for whoever may use them, then
-// ones already in use, so that whole machines stay free, then ones that have
-// the image.
+// tier ranks machines that fit: cheap ones for whoever may use them, then ones
+// that have the image or are about to, then ones already in use, so that whole
+// machines stay free for gangs.
 func (b *Board) tier(j *Job, m *worker.Machine) int {
 	s := 0
 	if j.Spec.Loaners && !m.Loaners {
 		s += 4
 	}
-	if m.Busy == 0 && len(b.queue(m).high) == 0 {
+	if !b.hasImage(m, j.Spec.Bundle) {
 		s += 2
 	}
-	if _, ok := m.Images[j.Spec.Bundle]; !ok {
+	if m.Busy == 0 && len(b.queue(m).high) == 0 {
 		s++
 	}
 	return s
 }
 
+// hasImage tells whether a machine has an image, or some task there will have
+// it fetched.
+func (b *Board) hasImage(m *worker.Machine, bundle string) bool {
+	if _, ok := m.Images[bundle]; ok {
+		return true
+	}
+	has := func(t *Task) bool { return t.Job.Spec.Bundle == bundle }
+	return slices.ContainsFunc(b.on[m], has) || slices.ContainsFunc(b.queue(m).high, has)
+}
+
 // pick chooses at random among the machines of the lowest tier.
 func (b *Board) pick(j *Job, fit func(m *worker.Machine) (int, bool)) *worker.Machine {
 	var best *worker.Machine
