--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -75,8 +75,9 @@
 		for k < len(b.order) && b.order[k].rank == b.order[i].rank {
 			k++
 		}
+		jobs := b.byTurn(b.order[i:k])
 		for _, guaranteed := range []bool{true, false} {
-			for _, j := range b.order[i:k] {
+			for _, j := range jobs {
 				b.drawJob(now, j, guaranteed)
 			}
 		}
@@ -89,6 +90,34 @@
 	}
 }
 
+// byTurn orders jobs of one rank: gangs by age, then arrays by age with their
+// remaining work added, so that when there is too much the many small jobs are
+// in time and not only the oldest.
+func (b *Board) byTurn(jobs []*Job) []*Job {
+	out := slices.Clone(jobs)
+	for _, j := range out {
+		j.turn = float64(j.At.UnixMilli()) / 1000
+		if j.Gang() {
+			j.turn -= tuning.GangsAhead.Seconds()
+		} else {
+			j.turn += tuning.TurnWork * float64(j.held()) * b.Expect(j) * j.share(b.reg)
+		}
+	}
+	slices.SortStableFunc(out, func(a, c *Job) int { return cmp.Compare(a.turn, c.turn) })
+	return out
+}
+
+// share is the part of a machine that one of the job's tasks takes, 1 if there
+// is no machine to tell.
+func (j *Job) share(reg *worker.Registry) float64 {
+	for _, m := range reg.All() {
+		if m.Cap.Fits(j.need) && j.allows(m.Build, m.Yard, m.Loaners) {
+			return 1 / float64(max(1, m.Cap.Count(j.need, wire.MaxPieces)))
+		}
+	}
+	return 1
+}
+
 func (b *Board) waits(j *Job, why string) {
 	if j.why != why {
 		j.why = why
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -92,7 +92,8 @@
 	errors     int
 	wellOn     map[string]bool // machines on which a task of it completed
 	finalizing bool
-	why        string // why it waits, as last logged
+	turn       float64 // its place in the order, a time of day in seconds
+	why        string  // why it waits, as last logged
 }
 
 type comeback struct {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -114,6 +114,12 @@
 	// before its spare starts: a main whose machine reports in time would
 	// stop the spare at once.
 	SpareReports = 1.5
+	// TurnWork is how many seconds later an array's turn comes for each second
+	// of a whole machine's work that it still has waiting.
+	TurnWork = 1.0
+	// GangsAhead puts gangs of a rank ahead of its arrays: a gang that waits
+	// holds no machine up, an array fills whatever is left.
+	GangsAhead = 24 * time.Hour
 	// SaveGrace is added to the time a task needs to save.
 	SaveGrace = 1 * time.Second
 	// RecallReports is how early, in report intervals, tasks on a recalled
