--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -311,7 +311,9 @@
 		s.page = nil
 		s.list(now, "")
 	}
-	if len(s.flavors) > 0 && !now.Before(s.demandDue) {
+	// Machines that this tenure has not heard yet look like none: hiring then
+	// would replace the whole fleet at each takeover.
+	if len(s.flavors) > 0 && !now.Before(s.demandDue) && (s.board.IsOpen() || now.Sub(s.born) > tuning.FenceDemand) {
 		s.demandDue = now.Add(tuning.DemandEvery)
 		s.demand(now)
 	}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -437,6 +437,9 @@
 	b.dropLow(t)
 }
 
+// IsOpen tells whether every machine the block may have is heard or gone.
+func (b *Board) IsOpen() bool { return b.open }
+
 // Open lifts the hold on tasks whose whereabouts were not known.
 func (b *Board) Open(now time.Time) { b.open = true }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -171,6 +171,9 @@
 	ListEvery = 5 * time.Second
 	// DemandEvery is how often the demand is compared with the machines.
 	DemandEvery = 1 * time.Second
+	// FenceDemand is how long after a takeover nothing is hired while machines
+	// are still unheard: most answer within a second, the rest may be gone.
+	FenceDemand = 10 * time.Second
 	// HirePage is the most machines asked for in one hire.
 	HirePage = 20
 	// CapacityRetry is the pause after the cloud had none of a kind.
