Draw to the fuller machines first; empty thinly used machines and return them

While no array waits, the dearest machine with the least on it is emptied if its tasks can save and fit elsewhere beside their images.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -434,6 +434,9 @@
 		if m.Faulty {
 			return "faulty"
 		}
+		if m.Closing {
+			return "its work went elsewhere"
+		}
 		if !m.Wanted && m.Promised == (quota.Room{}) && now.Sub(m.IdleFrom) > s.Set.IdleReturn && m.OpenDo == 0 {
 			return "idle"
 		}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -110,7 +110,7 @@
 	out := &peerpb.BlockStatus{Block: int32(t.Block), State: t.state.String(), Counters: map[string]int64{
 		"mains_started": int64(n.MainsStarted), "spares_started": int64(n.SparesStarted), "spares_finished": int64(n.SparesFinished),
 		"spares_yielded": int64(n.SparesYielded), "spares_dropped": int64(n.SparesDropped), "redrawn": int64(n.Redrawn),
-		"preempted": int64(n.Preempted), "failed": int64(n.Failed), "gangs_placed": int64(n.GangsPlaced),
+		"preempted": int64(n.Preempted), "failed": int64(n.Failed), "gangs_placed": int64(n.GangsPlaced), "moved": int64(n.Moved),
 	}}
 	for k, v := range lat {
 		out.Counters[k] = v
--- a/internal/node/standin_worker_test.go
+++ b/internal/node/standin_worker_test.go
@@ -48,9 +48,11 @@
 
 func (p *simPiece) on() bool { return p.stage != wire.PieceExited }
 
-func (h *workerHost) find(job *simJob, n int) *simPiece {
+// find looks up an attempt; any attempt of the task that has not ended if try
+// is 0.
+func (h *workerHost) find(job *simJob, n int, try uint64) *simPiece {
 	for _, p := range h.pieces {
-		if p.job == job && p.n == n {
+		if p.job == job && p.n == n && (p.try == try || try == 0 && p.on()) {
 			return p
 		}
 	}
@@ -275,10 +277,10 @@
 			h.w.fail("order for a task nobody submitted: %v", o)
 			return
 		}
-		p := h.find(j, n)
+		p := h.find(j, n, o.Try)
 		switch o.Verb {
 		case wire.VerbRun:
-			h.run(j, n, o.Try, p)
+			h.run(j, n, o.Try)
 		case wire.VerbStop:
 			if p == nil || p.try != o.Try || !p.on() {
 				continue
@@ -304,8 +306,8 @@
 	}
 }
 
-func (h *workerHost) run(j *simJob, n int, try uint64, p *simPiece) {
-	if p != nil && p.try == try {
+func (h *workerHost) run(j *simJob, n int, try uint64) {
+	if h.find(j, n, try) != nil {
 		return
 	}
 	h.changed = true
@@ -313,7 +315,7 @@
 		// refused starts are listed until they are reaped, beside what is there
 		h.pieces = append(h.pieces, &simPiece{job: j, n: n, try: try, stage: wire.PieceExited, cause: why})
 	}
-	if p != nil && p.on() {
+	if h.find(j, n, 0) != nil {
 		refuse(wire.CauseInUse)
 		return
 	}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -20,7 +20,7 @@
 
 // Counters tell what became of the copies.
 type Counters struct {
-	MainsStarted, SparesStarted, SparesFinished, SparesYielded, SparesDropped, Redrawn, Preempted, Failed, GangsPlaced int
+	MainsStarted, SparesStarted, SparesFinished, SparesYielded, SparesDropped, Redrawn, Preempted, Failed, GangsPlaced, Moved int
 }
 
 type queues struct {
@@ -44,6 +44,7 @@
 	open     bool                        // every machine the block may have is heard or surely gone
 	strays   map[*worker.Machine][]wire.Piece
 	pace     map[string]float64 // by class: run time over the owner's estimate
+	closeDue time.Time
 	finished func(now time.Time, j *Job)
 }
 
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -60,10 +60,15 @@
 // many more of each offer would be needed for the rest. Machines that the
 // packing uses are marked as wanted.
 func (b *Board) Demand(now time.Time, offers []Offer, coming []int) []int {
+	if b.waiting(now) {
+		b.reopen()
+	} else {
+		b.Close(now)
+	}
 	var bins []*bin
 	for _, m := range b.reg.All() {
 		m.Wanted = m.Busy > 0
-		if m.Faulty || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting {
+		if m.Faulty || m.Closing || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting {
 			continue
 		}
 		bn := &bin{m: m, build: m.Build, yard: m.Yard, loaners: m.Loaners, cap: m.Cap, free: m.FreeForMain()}
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -173,18 +173,16 @@
 	}
 }
 
-// tier ranks machines that fit: cheap ones for whoever may use them, then ones
-// that have the image or are about to, then ones already in use, so that whole
-// machines stay free for gangs.
+// tier ranks machines that fit: cheap ones for whoever may use them, then the
+// fuller ones, in steps, so that others empty and can be returned, then ones
+// that have the image or are about to.
 func (b *Board) tier(j *Job, m *worker.Machine) int {
 	s := 0
 	if j.Spec.Loaners && !m.Loaners {
-		s += 4
+		s += 4 * tuning.FillSteps
 	}
+	s += 2 * int(tuning.FillSteps*m.FreeForMain().Share(m.Cap))
 	if !b.hasImage(m, j.Spec.Bundle) {
-		s += 2
-	}
-	if m.Busy == 0 && len(b.queue(m).high) == 0 {
 		s++
 	}
 	return s
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -120,6 +120,12 @@
 	// GangsAhead puts gangs of a rank ahead of its arrays: a gang that waits
 	// holds no machine up, an array fills whatever is left.
 	GangsAhead = 24 * time.Hour
+	// CloseEvery is the least time between two machines being emptied to be
+	// returned: what the first one's tasks do to the rest shows only then.
+	CloseEvery = 3 * time.Second
+	// FillSteps is in how many steps a machine's fill is told apart when a task
+	// is drawn: finer ones would leave nothing to chance.
+	FillSteps = 4
 	// SaveGrace is added to the time a task needs to save.
 	SaveGrace = 1 * time.Second
 	// RecallReports is how early, in report intervals, tasks on a recalled
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -64,6 +64,7 @@
 	Used     bool // its hire record says that it may have tasks
 	Faulty   bool
 	Wanted   bool // a demand pass found a use for it
+	Closing  bool // nothing more is drawn to it, so that it can be returned
 	IdleFrom time.Time
 
 	// The account of what may be on it, kept by placement.
@@ -79,7 +80,7 @@
 
 // Usable tells whether new work may be drawn to the machine.
 func (m *Machine) Usable(now time.Time) bool {
-	return m.State == Up && m.Recall.IsZero() && !m.Faulty && m.Used && !m.Stranger
+	return m.State == Up && m.Recall.IsZero() && !m.Faulty && !m.Closing && m.Used && !m.Stranger
 }
 
 // Free is the room not taken.
