--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -153,7 +153,7 @@
 // a whole machine's work that would be given up for it.
 const (
 	ScorePreempt  = 30.0 // a stop and a reported exit come first
-	ScoreNoImage  = 20.0 // the image has to be fetched
+	ScoreNoImage  = 60.0 // the image has to be fetched
 	ScoreOrdinary = 10.0 // a cheap machine would do
 )
 
