--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -75,7 +75,7 @@
 	}
 	t.reg = worker.NewRegistry(c.cfg.Facts.Workers, t.log)
 	t.book = quota.NewBook(c.cfg.Facts.Teams, l.Block, c.blocks)
-	t.board = placement.NewBoard(c.cfg.Facts, l.Baton, t.book, t.reg, c.rng, c.wall, t.log, t.finished)
+	t.board = placement.NewBoard(c.cfg.Facts, l.Baton, t.book, t.reg, c.rng, t.log, t.finished)
 	t.fleet = fleet.New(now, l.Block, l.Baton, t.cond(), c.cfg.Facts, c.env.Cloud, t.call, t.log, t.reg, t.board, t.lost,
 		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) },
 		func(host string) bool { return c.foreign(l.Block, host) })
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -45,19 +45,16 @@
 	strays   map[*worker.Machine][]wire.Piece
 	pace     map[string]float64 // by class: run time over the owner's estimate
 	closeDue time.Time
-	seen     map[string]*arrivals // by class
-	wall     func() time.Time
 	finished func(now time.Time, j *Job)
 }
 
 // NewBoard makes an empty board; finished is told of each task's completion.
-func NewBoard(facts config.Facts, baton uint64, book *quota.Book, reg *worker.Registry, rng *rand.Rand, wall func() time.Time,
+func NewBoard(facts config.Facts, baton uint64, book *quota.Book, reg *worker.Registry, rng *rand.Rand,
 	log *slog.Logger, finished func(now time.Time, j *Job)) *Board {
 	return &Board{
 		Set: Settings{DropThreshold: tuning.DropThreshold}, facts: facts, baton: baton, book: book, reg: reg, rng: rng, log: log,
 		jobs: map[string]*Job{}, q: map[*worker.Machine]*queues{}, on: map[*worker.Machine][]*Task{},
 		strays: map[*worker.Machine][]wire.Piece{}, pace: map[string]float64{}, finished: finished,
-		seen: map[string]*arrivals{}, wall: wall,
 	}
 }
 
@@ -86,7 +83,6 @@
 		failedOn: map[string]int{}, wellOn: map[string]bool{},
 	}
 	b.jobs[spec.ID] = j
-	b.arrived(j)
 	i, _ := slices.BinarySearchFunc(b.order, j, func(a, x *Job) int {
 		if a.rank != x.rank {
 			return x.rank - a.rank
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -127,80 +125,10 @@
 			})
 		})
 	}
-	b.reserve(now, &bins, open)
 	b.arrayDemand(now, bins, open, admit)
 	return hires
 }
 
-// arrivals is what is known of a class whose gangs are to start soon after
-// they arrive.
-type arrivals struct {
-	last  *Job
-	times []time.Time
-}
-
-// arrived takes note of a new gang.
-func (b *Board) arrived(j *Job) {
-	if !j.Gang() || !slices.ContainsFunc(b.facts.Objectives, func(o config.Objective) bool { return o.Kind == "wait" && o.Class == j.Spec.Lane }) {
-		return
-	}
-	a := b.seen[j.Spec.Lane]
-	if a == nil {
-		a = &arrivals{}
-		b.seen[j.Spec.Lane] = a
-	}
-	a.last = j
-	a.times = append(a.times, j.At)
-	if len(a.times) > tuning.ArrivalsKept {
-		a.times = a.times[1:]
-	}
-}
-
-// reserve keeps room for the gangs that will arrive while a machine boots:
-// idle room, or room of work that would give way to them. Without it they
-// would wait for a boot, longer than their aim allows.
-func (b *Board) reserve(now time.Time, bins *[]*bin, open func(*Job, string) *bin) {
-	wall := b.wall()
-	taken := map[*bin]quota.Room{}
-	for _, lane := range slices.Sorted(maps.Keys(b.seen)) {
-		a := b.seen[lane]
-		recent := 0
-		for _, t := range a.times {
-			if wall.Sub(t) < tuning.ArrivalsSpan {
-				recent++
-			}
-		}
-		j := a.last
-		n := int(math.Ceil(float64(recent*j.Spec.Pieces) * tuning.ReserveAhead.Seconds() / tuning.ArrivalsSpan.Seconds()))
-		for range n {
-			var best *bin
-			for _, bn := range *bins {
-				room := bn.free
-				if bn.m != nil {
-					for _, t := range b.on[bn.m] {
-						if t.Job.rank < j.rank {
-							room = room.Add(t.Job.need)
-						}
-					}
-				}
-				if room.Sub(taken[bn]).Fits(j.need) && j.allows(bn.build, bn.yard, bn.loaners) && (best == nil || cheaper(bn, best)) {
-					best = bn
-				}
-			}
-			if best == nil {
-				if best = open(j, ""); best == nil {
-					break
-				}
-				*bins = append(*bins, best)
-			}
-			taken[best] = taken[best].Add(j.need)
-			if best.m != nil {
-				best.m.Wanted = true
-			}
-		}
-	}
-}
-
 // wholeDemand packs a job whose tasks are placed whole, and hires for those
 // that fit nowhere. A job that has to be in one zone is packed into the zone
 // that lacks the fewest; zones that would get too many tasks are passed over.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -210,13 +210,6 @@
 	HorizonShare = 0.2
 	// LeastRun is the least run time assumed of a task.
 	LeastRun = 10 * time.Second
-	// ArrivalsKept and ArrivalsSpan are how many of a class's arrivals are
-	// remembered and for how long they count towards its rate.
-	ArrivalsKept = 100
-	ArrivalsSpan = 150 * time.Second
-	// ReserveAhead is for how long a time's arrivals room is kept: about what a
-	// hired machine takes to be of use.
-	ReserveAhead = 80 * time.Second
 	// HireRest is the waiting work, in tasks, not worth another machine.
 	HireRest = 0.5
 )
