--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -207,7 +207,7 @@
 	DefaultAim = 300 * time.Second
 	// HorizonShare is the part of a class's aim that its waiting work may
 	// take on the machines there are before more are hired.
-	HorizonShare = 0.2
+	HorizonShare = 0.1
 	// LeastRun is the least run time assumed of a task.
 	LeastRun = 10 * time.Second
 	// HireRest is the waiting work, in tasks, not worth another machine.
