Room goes first to tasks whose image is there, for 30 s at most

Cause: fetches take a tenth of exams' room; when a slot frees there is one machine to choose but several jobs.

--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -159,7 +159,7 @@
 	}
 	// The predecessor started nothing after its lease ended, and that was
 	// before the block's record changed: younger jobs are on no machine.
-	t.board.AddJob(rec.Spec, time.UnixMilli(rec.At), it.Stamp, it.Stamp < t.Stamp)
+	t.board.AddJob(now, rec.Spec, time.UnixMilli(rec.At), it.Stamp, it.Stamp < t.Stamp)
 }
 
 // Tallies: which tasks of an open job have completed, in chunks that fit one
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -70,14 +70,14 @@
 func (b *Board) Jobs() []*Job { return b.order }
 
 // AddJob takes up an open job.
-func (b *Board) AddJob(spec wire.Submission, at time.Time, stamp uint64, early bool) *Job {
+func (b *Board) AddJob(now time.Time, spec wire.Submission, at time.Time, stamp uint64, early bool) *Job {
 	if j := b.jobs[spec.ID]; j != nil {
 		j.Stamp = stamp
 		return j
 	}
 	rank, _ := wire.Rank(spec.Rank)
 	j := &Job{
-		Spec: spec, At: at, Stamp: stamp, Early: early, rank: rank,
+		Spec: spec, At: at, opened: now, Stamp: stamp, Early: early, rank: rank,
 		need:  quota.Room{CPUs: spec.Vcpus, GPUs: spec.Gpus, MemGB: spec.MemGb},
 		tasks: map[int]*Task{}, done: newBitset(spec.Pieces), durable: newBitset(spec.Pieces),
 		failedOn: map[string]int{}, wellOn: map[string]bool{},
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -77,8 +77,12 @@
 		}
 		jobs := b.byTurn(b.order[i:k])
 		for _, guaranteed := range []bool{true, false} {
-			for _, j := range jobs {
-				b.drawJob(now, j, guaranteed)
+			// room goes to a task whose image is there before one of an
+			// earlier turn that would have it fetched
+			for _, image := range []bool{true, false} {
+				for _, j := range jobs {
+					b.drawJob(now, j, guaranteed, image)
+				}
 			}
 		}
 		i = k
@@ -125,7 +129,7 @@
 	}
 }
 
-func (b *Board) drawJob(now time.Time, j *Job, guaranteed bool) {
+func (b *Board) drawJob(now time.Time, j *Job, guaranteed, image bool) {
 	if now.Before(j.notBefore) || j.held() == 0 && !j.Gang() {
 		return
 	}
@@ -138,6 +142,7 @@
 		return
 	}
 	spread := j.yards(true)
+	patient := image && now.Sub(j.opened) < tuning.ImagePatience
 	for j.held() > 0 {
 		if guaranteed && !b.book.Guaranteed(j.Spec.Crew, j.need) {
 			return
@@ -148,7 +153,8 @@
 		}
 		m := b.pick(j, func(m *worker.Machine) (int, bool) {
 			if !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || !j.zoneOK(m.Yard, spread) ||
-				!m.FreeForMain().Fits(j.need) || j.avoids(m) {
+				!m.FreeForMain().Fits(j.need) || j.avoids(m) ||
+				patient && !b.hasImage(m, j.Spec.Bundle) {
 				return 0, false
 			}
 			return b.tier(j, m), true
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -126,6 +126,9 @@
 	// FillSteps is in how many steps a machine's fill is told apart when a task
 	// is drawn: finer ones would leave nothing to chance.
 	FillSteps = 4
+	// ImagePatience is how long a waiting array lets later ones go first whose
+	// image a machine has already.
+	ImagePatience = 30 * time.Second
 	// SaveGrace is added to the time a task needs to save.
 	SaveGrace = 1 * time.Second
 	// RecallReports is how early, in report intervals, tasks on a recalled
