--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -29,24 +29,23 @@
 
 // Board is the placement state of one block in one tenure.
 type Board struct {
-	Set        Settings
-	Count      Counters
-	facts      config.Facts
-	baton      uint64
-	book       *quota.Book
-	reg        *worker.Registry
-	rng        *rand.Rand
-	log        *slog.Logger
-	jobs       map[string]*Job
-	order      []*Job // open jobs by rank, then age
-	q          map[*worker.Machine]*queues
-	on         map[*worker.Machine][]*Task // tasks handed out to each machine
-	open       bool                        // every machine the block may have is heard or surely gone
-	strays     map[*worker.Machine][]wire.Piece
-	pace       map[string]float64 // by class: run time over the owner's estimate
-	closeDue   time.Time
-	shortSince time.Time // since when arrays lack machines
-	finished   func(now time.Time, j *Job)
+	Set      Settings
+	Count    Counters
+	facts    config.Facts
+	baton    uint64
+	book     *quota.Book
+	reg      *worker.Registry
+	rng      *rand.Rand
+	log      *slog.Logger
+	jobs     map[string]*Job
+	order    []*Job // open jobs by rank, then age
+	q        map[*worker.Machine]*queues
+	on       map[*worker.Machine][]*Task // tasks handed out to each machine
+	open     bool                        // every machine the block may have is heard or surely gone
+	strays   map[*worker.Machine][]wire.Piece
+	pace     map[string]float64 // by class: run time over the owner's estimate
+	closeDue time.Time
+	finished func(now time.Time, j *Job)
 }
 
 // NewBoard makes an empty board; finished is told of each task's completion.
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -235,11 +235,6 @@
 			committed[m] += max(left, tuning.LeastRun.Seconds()) * t.Job.need.Share(m.Cap)
 		}
 	}
-	// A large job that the machines there are will soon have worked off is no
-	// reason to hire: a machine boots longer than that.
-	up := slices.ContainsFunc(bins, func(bn *bin) bool { return bn.m != nil && bn.m.State == worker.Up })
-	hurry := !up || !b.shortSince.IsZero() && now.Sub(b.shortSince) >= tuning.HirePatience
-	short := false
 	spent := map[*bin]float64{}
 	for _, l := range loads {
 		j := l.j
@@ -277,8 +272,7 @@
 				}
 			}
 		}
-		short = short || work > tuning.HireRest
-		for hurry && work > tuning.HireRest {
+		for work > tuning.HireRest {
 			if !admit(j, j.need) {
 				break
 			}
@@ -294,10 +288,4 @@
 			}
 		}
 	}
-	switch {
-	case !short:
-		b.shortSince = time.Time{}
-	case b.shortSince.IsZero():
-		b.shortSince = now
-	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -213,9 +213,6 @@
 	HorizonShare = 0.1
 	// LeastRun is the least run time assumed of a task.
 	LeastRun = 10 * time.Second
-	// HirePatience is how long arrays must have lacked machines before more are
-	// hired for them.
-	HirePatience = 16 * time.Second
 	// HireRest is the waiting work, in tasks, not worth another machine.
 	HireRest = 0.5
 )
