--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -60,6 +60,7 @@
 	orphans  []*store.Record // tallies of jobs that are over
 	found    []wire.Item     // tallies read before their jobs
 	tallyDue time.Time
+	countDue time.Time
 	dirty    map[string]*placement.Job
 	finals   map[string]bool // jobs whose end is being written
 	finalDue map[string]time.Time
@@ -382,6 +383,13 @@
 	t.save(now)
 	t.fleet.Tick(now)
 	t.settle(now)
+	if !now.Before(t.countDue) {
+		t.countDue = now.Add(tuning.CountEvery)
+		n := t.board.Count
+		t.log.Info("copies so far", "mains", n.MainsStarted, "spares", n.SparesStarted, "spares_finished", n.SparesFinished,
+			"spares_yielded", n.SparesYielded, "spares_dropped", n.SparesDropped, "redrawn", n.Redrawn, "gangs", n.GangsPlaced,
+			"preempted", n.Preempted, "moved", n.Moved, "failed", n.Failed)
+	}
 }
 
 // fence asks the machines not heard yet for their account, under the new
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -226,6 +226,8 @@
 	// TallyBits is how many bits of a tally go into one byte of a value's
 	// limit: base64 and the rest of the record take their part.
 	TallyBits = 3
+	// CountEvery is how often the counters of copies are logged.
+	CountEvery = 60 * time.Second
 	// EventBuffer is how many events may wait for the owner goroutine.
 	EventBuffer = 256
 	// PulseEvery is how often the controllers exchange what they know.
