--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -159,13 +159,6 @@
 			}
 			return b.tier(j, m), true
 		})
-		if m == nil && !image {
-			m = b.pick(j, func(m *worker.Machine) (int, bool) {
-				n := len(b.queue(m).high)
-				return n, m.Usable(now) && n < tuning.QueueDepth && j.allows(m.Build, m.Yard, m.Loaners) && j.zoneOK(m.Yard, spread) &&
-					m.Cap.Fits(j.need) && !j.avoids(m)
-			})
-		}
 		if m == nil {
 			b.waits(j, "no room")
 			return
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -105,8 +105,6 @@
 	// DropThreshold is the design document's count of stops after which a
 	// spare is dropped.
 	DropThreshold = 10
-	// QueueDepth is how many mains may queue at a worker beyond its room.
-	QueueDepth = 3
 	// LowDepth is how many spares may queue at one worker.
 	LowDepth = 8
 	// RedrawReports is the report round, in report intervals, after which a
