--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,85 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const settings = `
+member = "n0"
+area = "a"
+api_addr = "10.0.0.1:8080"
+peer_bind = "10.0.0.1:8081"
+unheard_of = { x = 1 }
+[[known]]
+member = "n1"
+area = "a"
+address = "10.0.0.2:8081"
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+nodes = 2
+zones = ["a"]
+time_bound_ms = 100.0
+[[facts.teams]]
+name = "red"
+gpus = 4.0
+gpus_max = 8.0
+[[facts.objectives]]
+kind = "wait"
+class = "x"
+within_s = 15.0
+share = 0.75
+[facts.workers]
+report_s = 1.5
+lease_s = 10.0
+gang_wait_s = 45.0
+gang_peer_s = 6.0
+cancel_s = 35.0
+[facts.state]
+rps = 200.0
+write_rps = 20.0
+value_kb = 4.0
+txn_ops = 8
+[facts.cloud]
+rps = 8.0
+list_lag_s = 3.0
+[facts.machine_limits]
+cpu = 0.12
+memory_mb = 98.0
+sockets = 900
+`
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct{ name, old, new, bad string }{
+		{"as handed over", "", "", ""},
+		{"no member", `member = "n0"`, "", "member"},
+		{"no address", `api_addr = "10.0.0.1:8080"`, "", "api_addr"},
+		{"a name as address", "10.2.0.1:2379", "state:2379", "external.state"},
+		{"a peer named as this node", `member = "n1"`, `member = "n0"`, "known[0].member"},
+		{"no zones", `zones = ["a"]`, "", "facts.zones"},
+		{"no lease", "lease_s = 10.0", "", "facts.workers.lease_s"},
+		{"negative lease", "lease_s = 10.0", "lease_s = -1.0", "facts.workers.lease_s"},
+		{"wrong type", "rps = 200.0", `rps = "many"`, "line "},
+		{"not TOML", "[external]", "[external", "line "},
+		{"negative limit", "gpus_max = 8.0", "gpus_max = -8.0", "facts.teams[0]"},
+		{"whole numbers as amounts", "lease_s = 10.0", "lease_s = 10", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text := settings
+			if c.old != "" {
+				text = strings.Replace(text, c.old, c.new, 1)
+			}
+			cfg, err := Parse([]byte(text))
+			switch {
+			case c.bad == "" && err != nil:
+				t.Fatal(err)
+			case c.bad == "" && (cfg.Member != "n0" || cfg.Facts.Workers.LeaseS != 10 || cfg.Facts.Teams[0].GPUsMax != 8):
+				t.Fatalf("read wrongly: %+v", cfg)
+			case c.bad != "" && (err == nil || !strings.Contains(err.Error(), c.bad) || strings.Contains(err.Error(), "\n")):
+				t.Fatalf("got %v, want one line naming %q", err, c.bad)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/worker/worker_test.go
@@ -0,0 +1,82 @@
+package worker
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/wire"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func registry() *Registry {
+	return NewRegistry(config.Workers{ReportS: 1.5, LeaseS: 10}, quiet)
+}
+
+func TestAbsorb(t *testing.T) {
+	type msg struct {
+		stint, tally uint64
+		want         Verdict
+	}
+	for _, c := range []struct {
+		name string
+		msgs []msg
+	}{
+		{"in order", []msg{{1, 1, Fresh}, {1, 2, Fresh}, {1, 5, Fresh}}},
+		{"a repeat", []msg{{1, 3, Fresh}, {1, 3, Stale}}},
+		{"held back by a cut", []msg{{1, 7, Fresh}, {1, 4, Stale}, {1, 8, Fresh}}},
+		{"a new session", []msg{{1, 7, Fresh}, {2, 8, Renewed}, {2, 9, Fresh}}},
+		{"from an earlier session", []msg{{2, 9, Fresh}, {1, 100, Stale}}},
+		{"first heard in a late session", []msg{{4, 90, Fresh}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := registry()
+			m := r.Add(time.Unix(0, 0), "i-1", Booting)
+			for i, s := range c.msgs {
+				rep := &wire.Report{Host: "i-1", Stint: s.stint, Tally: s.tally}
+				if got := r.Absorb(time.Unix(int64(i), 0), m, rep, true); got != s.want {
+					t.Errorf("message %d: %v, want %v", i, got, s.want)
+				}
+			}
+		})
+	}
+}
+
+// What a machine that stops reporting goes through, and when its lease is
+// surely over: not before the worker's own clock says so, however it drifts.
+func TestQuiet(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name     string
+		state    State
+		answered time.Duration // after start; negative: never
+		at       time.Duration
+		want     State
+	}{
+		{"reports", Up, 0, time.Second, Up},
+		{"misses two", Up, 0, 4 * time.Second, Silent},
+		{"silent within its lease", Silent, 0, 10 * time.Second, Silent},
+		{"silent past its lease", Silent, 0, 10*time.Second + 400*time.Millisecond, Lapsed},
+		{"answered later", Silent, 5 * time.Second, 12 * time.Second, Silent},
+		{"unheard within the bound", Unheard, -1, 29 * time.Second, Unheard},
+		{"unheard past the bound", Unheard, -1, 31 * time.Second, Lapsed},
+		{"unheard but renewed by us", Unheard, 25 * time.Second, 31 * time.Second, Unheard},
+		{"booting has no lease to lose", Booting, -1, time.Hour, Booting},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := registry()
+			m := r.Add(start, "i-1", c.state)
+			m.Heard = start
+			if c.answered >= 0 {
+				m.Answered = start.Add(c.answered)
+			}
+			r.Quiet(start.Add(c.at), start.Add(30*time.Second))
+			if m.State != c.want {
+				t.Errorf("%v, want %v", m.State, c.want)
+			}
+		})
+	}
+}
