Placement tests; three failures they found

A spare that had just made way for its own main at the head started again before the main's next report; a main about to start was redrawn; a lost machine broke up a gang whose every task was done. Each is now a case in the tables.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -264,7 +264,9 @@
 		b.unqueue(t)
 		delete(j.tasks, t.N)
 		j.giveBack(t.N, now.Add(wait))
-		b.breakGang(now, j, why)
+		if !j.Complete() {
+			b.breakGang(now, j, why)
+		}
 	case spare && t.main != nil && stopped:
 		// a spare that gave way: its main keeps its place, the spare waits
 		// again until it has been stopped too often
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -275,6 +275,9 @@
 			if j.Gang() || t.phase != Idle || now.Sub(t.mainSince) < round {
 				continue
 			}
+			if m.Usable(now) && m.Free().Fits(j.need) {
+				continue // not stuck: it starts with the next report
+			}
 			other := b.pick(j, func(o *worker.Machine) (int, bool) {
 				ok := o != m && o.Usable(now) && j.allows(o.Build, o.Yard, o.Loaners) && !j.avoids(o) &&
 					o.Free().Sub(o.Promised).Fits(j.need)
@@ -525,6 +528,8 @@
 	for _, t := range slices.Clone(q.low) {
 		j := t.Job
 		if t.low != m || t.phase != Idle || t.main == nil || now.Sub(t.mainSince) < stuck || !room.Fits(j.need) ||
+			// a main that can start at its next report would stop it at once
+			t.main.Usable(now) && t.main.Free().Fits(j.need) ||
 			!b.book.Admits(j.Spec.Crew, j.need, true) || !j.zoneOK(m.Yard, j.yards(false)) {
 			continue
 		}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,409 @@
+package placement
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
+)
+
+// bench is a board with machines that report what they are told to.
+type bench struct {
+	t    *testing.T
+	now  time.Time
+	b    *Board
+	reg  *worker.Registry
+	done []string
+	next int
+}
+
+func newBench(t *testing.T, machines int) *bench {
+	f := config.Facts{Zones: []string{"a"}, Workers: config.Workers{ReportS: 1.5, LeaseS: 10},
+		Teams: []config.Team{{Name: "red", GPUs: 2, GPUsMax: 4}, {Name: "blue", GPUs: 2, GPUsMax: 8}}}
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	x := &bench{t: t, now: time.Unix(1000, 0)}
+	x.reg = worker.NewRegistry(f.Workers, quiet)
+	x.b = NewBoard(f, 7, quota.NewBook(f.Teams, 0, 1), x.reg, rand.New(rand.NewPCG(1, 1)), quiet,
+		func(_ time.Time, j *Job) { x.done = append(x.done, j.Spec.ID) })
+	x.b.Open(x.now)
+	for i := range machines {
+		m := x.reg.Add(x.now, fmt.Sprintf("i-%d", i), worker.Booting)
+		m.Cap = quota.Room{CPUs: 12, GPUs: 2, MemGB: 96}
+		m.Used, m.Build, m.Yard = true, "g2", "a"
+		x.report(m)
+	}
+	return x
+}
+
+// report lets a machine report its tasks, all running, and what else is given;
+// it returns the orders of the answer.
+func (x *bench) report(m *worker.Machine, extra ...wire.Piece) []wire.Order {
+	x.t.Helper()
+	rep := &wire.Report{Host: m.Host, Build: "g2", Yard: "a", Stint: 1, Tally: m.Tally + 1}
+	for _, t := range x.b.on[m] {
+		p := wire.Piece{Piece: t.Name(), Try: t.try, Stage: wire.PieceRunning}
+		for _, e := range extra {
+			if e.Piece == p.Piece {
+				e.Try = t.try
+				p = e
+			}
+		}
+		if p.Stage != "" && t.ordered {
+			rep.Pieces = append(rep.Pieces, p)
+		}
+	}
+	v := x.reg.Absorb(x.now, m, rep, true)
+	x.b.Reported(x.now, m, v, true)
+	x.b.Draw(x.now)
+	return x.b.Orders(x.now, m, true)
+}
+
+func (x *bench) job(team, shape, rank string, pieces int, gpus float64) *Job {
+	x.next++
+	return x.b.AddJob(x.now, wire.Submission{ID: fmt.Sprintf("job-%d", x.next), Crew: team, Lane: "l", Shape: shape, Rank: rank, Pieces: pieces,
+		Vcpus: 5, Gpus: gpus, MemGb: 30, Bundle: "img", AnyBuild: true, GuessS: 60}, x.now, uint64(x.next), false)
+}
+
+func (x *bench) verbs(orders []wire.Order) string {
+	s := ""
+	for _, o := range orders {
+		s += o.Verb + " " + o.Piece + ";"
+	}
+	return s
+}
+
+func TestArrayGoesOut(t *testing.T) {
+	x := newBench(t, 2)
+	j := x.job("blue", wire.ShapeBatch, "normal", 6, 1)
+	x.b.Draw(x.now)
+	// mains only into room that is not promised, spares at the other worker
+	for n := range 4 {
+		task := j.tasks[n]
+		if task == nil || task.main == nil || task.low == nil || task.low == task.main || task.phase != Idle {
+			t.Fatalf("task %d: %+v", n, task)
+		}
+	}
+	if len(j.tasks) != 4 || j.held() != 2 {
+		t.Fatalf("%d drawn, %d held", len(j.tasks), j.held())
+	}
+	for _, m := range x.reg.All() {
+		if got := len(x.report(m)); got != 2 {
+			t.Errorf("%d orders to %s, want its two mains", got, m.Host)
+		}
+		x.report(m)
+	}
+	for n := range 4 {
+		if task := j.tasks[n]; task.phase != Live || task.low != nil || task.try>>tuning.TryBits != 7 {
+			t.Errorf("task %d: phase %v, spare %v, try %d", n, task.phase, task.low, task.try)
+		}
+	}
+}
+
+// The pair of copies: see DESIGN 2 to 4. A spare runs while its main is stuck;
+// the main at its head stops it and waits for its reported exit; a spare that
+// was stopped too often is dropped; either's end removes the other.
+func TestPair(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		stops int // before this one
+		after func(x *bench, task *Task, home, away *worker.Machine)
+		check func(x *bench, task *Task, home, away *worker.Machine) string
+	}{
+		{"the spare finishes first", 0, func(x *bench, task *Task, _, away *worker.Machine) {
+			x.report(away, wire.Piece{Piece: task.Name(), Stage: wire.PieceExited, Cause: wire.CauseDone})
+		}, func(x *bench, task *Task, home, _ *worker.Machine) string {
+			if len(x.done) != 1 || len(x.b.queue(home).high) != 0 || task.main != nil {
+				return "the main is still there"
+			}
+			return ""
+		}},
+		{"the main reaches its head", 0, func(x *bench, _ *Task, home, _ *worker.Machine) {
+			home.Taken = quota.Room{} // what was in its way has gone
+			x.report(home)
+		}, func(x *bench, task *Task, home, away *worker.Machine) string {
+			if task.phase != Stopping || task.at != away {
+				return "its spare was not stopped"
+			}
+			if o := x.verbs(x.report(home)); o != "" {
+				return "started before the spare's exit was reported: " + o
+			}
+			x.report(away, wire.Piece{Piece: task.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
+			if task.stops != 1 || task.low != away {
+				return "the spare does not wait again"
+			}
+			if o := x.verbs(x.report(home)); o != "run "+task.Name()+";" {
+				return "the main did not start: " + o
+			}
+			return ""
+		}},
+		{"stopped too often", tuning.DropThreshold - 1, func(x *bench, task *Task, home, away *worker.Machine) {
+			home.Taken = quota.Room{}
+			x.report(home)
+			x.report(away, wire.Piece{Piece: task.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
+		}, func(x *bench, task *Task, home, away *worker.Machine) string {
+			if task.low != nil || task.main != home {
+				return "the spare was not dropped, or the main was"
+			}
+			return ""
+		}},
+		{"another's main needs the room", 0, func(x *bench, task *Task, _, away *worker.Machine) {
+			j := x.job("red", wire.ShapeBatch, "high", 1, 2)
+			o := &Task{Job: j}
+			j.tasks[0] = o
+			x.b.queueMain(x.now, o, away)
+			x.report(away)
+		}, func(x *bench, task *Task, _, away *worker.Machine) string {
+			if task.phase != Stopping || task.stops != 1 {
+				return "the spare does not give way"
+			}
+			return ""
+		}},
+		{"the spare's machine is lost", 0, func(x *bench, task *Task, _, away *worker.Machine) {
+			x.b.Lost(x.now, away, "test")
+		}, func(x *bench, task *Task, home, _ *worker.Machine) string {
+			if task.Job.located != 0 || task.Job.held()+len(task.Job.tasks) != 1 {
+				return "the task is lost or counted twice"
+			}
+			return ""
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newBench(t, 2)
+			home, away := x.reg.All()[0], x.reg.All()[1]
+			j := x.job("blue", wire.ShapeBatch, "low", 1, 1)
+			task := &Task{Job: j, stops: c.stops}
+			j.tasks[0] = task
+			x.b.queueMain(x.now, task, home)
+			x.b.queueLow(task, away)
+			home.Taken = home.Cap // stuck behind something
+			if o := x.verbs(x.report(away)); o != "" {
+				t.Fatalf("the spare starts while its main has only just been queued: %s", o)
+			}
+			away.Recall = x.now.Add(time.Hour) // keeps the main from being redrawn there
+			x.now = x.now.Add(3 * time.Second)
+			away.Recall = time.Time{}
+			x.b.heads(x.now, away)
+			if task.phase != Sent || !task.spare {
+				t.Fatalf("the spare does not start: %v", task.phase)
+			}
+			x.b.Orders(x.now, away, true)
+			x.reg.Absorb(x.now, away, &wire.Report{Host: away.Host, Build: "g2", Yard: "a", Stint: 1, Tally: away.Tally + 1,
+				Pieces: []wire.Piece{{Piece: task.Name(), Try: task.try, Stage: wire.PieceRunning}}}, true)
+			x.b.Reported(x.now, away, worker.Fresh, true)
+			c.after(x, task, home, away)
+			if bad := c.check(x, task, home, away); bad != "" {
+				t.Error(bad)
+			}
+		})
+	}
+}
+
+// What may be stopped for a gang, by the protocol's rules on preemption.
+func TestPreemption(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		team, rank           string // of what runs, on both of two machines
+		gangTeam, gangRank   string
+		gives                bool
+		finish, stored, save bool
+	}{
+		{name: "lower rank gives way", team: "blue", rank: "low", gangTeam: "blue", gangRank: "normal", gives: true},
+		{name: "the same rank does not", team: "blue", rank: "normal", gangTeam: "blue", gangRank: "normal"},
+		{name: "higher rank does not", team: "blue", rank: "high", gangTeam: "blue", gangRank: "normal"},
+		{name: "beyond its guarantee gives way to a guarantee", team: "blue", rank: "high", gangTeam: "red", gangRank: "low", gives: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newBench(t, 2)
+			x.job(c.team, wire.ShapeBatch, c.rank, 4, 1)
+			x.b.Draw(x.now)
+			for range 2 {
+				for _, m := range x.reg.All() {
+					x.report(m)
+				}
+			}
+			g := x.job(c.gangTeam, wire.ShapeGang, c.gangRank, 1, 2)
+			x.b.Draw(x.now)
+			if got := len(g.tasks) == 1; got != c.gives {
+				t.Fatalf("placed: %t, want %t (%s)", got, c.gives, g.why)
+			}
+			if !c.gives {
+				return
+			}
+			m := g.tasks[0].main
+			if o := x.verbs(x.report(m)); g.located != 0 || len(x.b.on[m]) != 2 {
+				t.Fatalf("started beside what it stops: %s", o)
+			}
+			var gone []wire.Piece
+			for _, v := range x.b.on[m] {
+				gone = append(gone, wire.Piece{Piece: v.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
+			}
+			if o := x.verbs(x.report(m, gone...)); g.located != 1 {
+				t.Errorf("did not start once the room was free: %s", o)
+			}
+		})
+	}
+}
+
+// A gang of several tasks starts as a whole under one attempt, ends as a whole,
+// and does not start again while anything of it is left.
+func TestGang(t *testing.T) {
+	x := newBench(t, 3)
+	g := x.job("blue", wire.ShapeGang, "high", 3, 2)
+	x.b.Draw(x.now)
+	if g.located != 3 || g.tasks[0].try != g.tasks[2].try {
+		t.Fatalf("%d tasks handed out", g.located)
+	}
+	if kicks := x.b.Kicks(x.now); len(kicks) != 3 {
+		t.Fatalf("%d machines told at once, want all", len(kicks))
+	}
+	for _, m := range x.reg.All() {
+		x.report(m)
+		x.report(m)
+	}
+	first := g.try
+	x.b.Lost(x.now, g.tasks[1].at, "test")
+	x.b.Draw(x.now)
+	if g.located != 2 || !g.broken {
+		t.Fatalf("%d left, broken %t", g.located, g.broken)
+	}
+	for _, m := range x.reg.All() {
+		for _, v := range x.b.on[m] {
+			if v.phase != Stopping {
+				t.Errorf("%s is %v", v.Name(), v.phase)
+			}
+		}
+		if len(x.b.on[m]) > 0 {
+			x.report(m, wire.Piece{Piece: x.b.on[m][0].Name(), Stage: wire.PieceExited, Cause: wire.CauseMatesGone})
+		}
+	}
+	x.b.Draw(x.now)
+	if g.located != 3 || g.try == first {
+		t.Fatalf("second attempt: %d tasks, try %d", g.located, g.try)
+	}
+	for _, m := range x.reg.All() {
+		x.report(m)
+	}
+	// one is done, so all are; a machine lost now must not bring one back
+	x.report(g.tasks[0].at, wire.Piece{Piece: g.tasks[0].Name(), Stage: wire.PieceExited, Cause: wire.CauseDone})
+	if !g.Complete() {
+		t.Fatal("one task is done, the gang is not")
+	}
+	x.b.Lost(x.now, g.tasks[1].at, "test")
+	x.b.Draw(x.now)
+	if len(x.b.Kicks(x.now)) != 0 || g.held() > 0 {
+		t.Error("a finished gang starts again")
+	}
+}
+
+// An order that was never reported: only a report after the one whose answer
+// carried it shows that it was not executed.
+func TestUnreportedOrder(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		direct  bool // the order went out by direct command
+		settled bool // which was answered
+		checkin bool // the task is missing in a report, not in another answer
+		gone    bool
+	}{
+		{"a later report", false, false, true, true},
+		{"only another command's answer", false, false, false, false},
+		{"an unanswered direct command", true, false, true, false},
+		{"an answered direct command", true, true, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newBench(t, 1)
+			m := x.reg.All()[0]
+			j := x.job("blue", wire.ShapeBatch, "low", 1, 1)
+			x.b.Draw(x.now)
+			orders := x.b.Orders(x.now, m, !c.direct)
+			if c.settled {
+				x.b.Answered(m, orders)
+			}
+			x.b.CloseJob(x.now, j.Spec.ID)
+			rep := &wire.Report{Host: m.Host, Build: "g2", Yard: "a", Stint: 1, Tally: m.Tally + 1}
+			x.b.Reported(x.now, m, x.reg.Absorb(x.now, m, rep, c.checkin), c.checkin)
+			if got := m.Busy == 0; got != c.gone {
+				t.Errorf("gone: %t, want %t", got, c.gone)
+			}
+		})
+	}
+}
+
+// A completion stays in its machine's reports until it is kept elsewhere.
+func TestReapOnlyDurable(t *testing.T) {
+	x := newBench(t, 1)
+	m := x.reg.All()[0]
+	j := x.job("blue", wire.ShapeBatch, "low", 2, 1)
+	x.b.Draw(x.now)
+	x.report(m)
+	end := wire.Piece{Piece: j.tasks[0].Name(), Stage: wire.PieceExited, Cause: wire.CauseDone}
+	for _, o := range x.report(m, end) {
+		if o.Verb == wire.VerbReap {
+			t.Error("reaped before the outcome is durable")
+		}
+	}
+	j.Durable(0)
+	if o := x.b.Orders(x.now, m, true); x.verbs(o) != "reap job-1/0;" {
+		t.Errorf("orders %s, want the reap", x.verbs(o))
+	}
+}
+
+// Who is to blame for failures: a machine that fails several jobs, or a job
+// that fails everywhere.
+func TestBlame(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		jobs     int   // that fail
+		machines []int // on which, one after the other
+		faulty   bool  // the first machine
+		waits    bool  // the first job is kept back
+	}{
+		{"one failure", 1, []int{0}, false, false},
+		{"two jobs on one machine", 2, []int{0}, true, false},
+		{"one job on three machines", 1, []int{0, 1, 2}, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newBench(t, 3)
+			var jobs []*Job
+			for range c.jobs {
+				jobs = append(jobs, x.job("blue", wire.ShapeBatch, "low", 3, 1))
+			}
+			for _, i := range c.machines {
+				for _, j := range jobs {
+					x.b.failed(x.now, x.reg.All()[i], &Task{Job: j})
+				}
+			}
+			if x.reg.All()[0].Faulty != c.faulty {
+				t.Errorf("faulty: %t", x.reg.All()[0].Faulty)
+			}
+			if got := jobs[0].notBefore.After(x.now); got != c.waits {
+				t.Errorf("kept back: %t", got)
+			}
+		})
+	}
+}
+
+// In overload small jobs go before an older large one, but not for ever.
+func TestTurn(t *testing.T) {
+	x := newBench(t, 1)
+	large := x.job("blue", wire.ShapeBatch, "low", 20, 1)
+	x.now = x.now.Add(time.Minute)
+	small := x.job("blue", wire.ShapeBatch, "low", 1, 1)
+	gang := x.job("blue", wire.ShapeGang, "low", 1, 1)
+	if got := x.b.byTurn(x.b.order); got[0] != gang || got[1] != small || got[2] != large {
+		t.Error("order is not gang, small, large")
+	}
+	x.now = x.now.Add(time.Hour)
+	late := x.job("blue", wire.ShapeBatch, "low", 1, 1)
+	if got := x.b.byTurn(x.b.order); got[2] != large || got[3] != late {
+		t.Error("the large job never gets its turn")
+	}
+}
