--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,218 @@
+package fleet
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/placement"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/store"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
+)
+
+// yard is a fleet whose calls are caught.
+type yard struct {
+	t     *testing.T
+	now   time.Time
+	s     *Slice
+	reg   *worker.Registry
+	board *placement.Board
+	cloud []Call
+	reply []func(time.Time, Result)
+	kv    []store.Call
+	kvs   []func(time.Time, store.Result)
+	gone  []string
+}
+
+func newYard(t *testing.T) *yard {
+	y := &yard{t: t, now: time.Unix(1000, 0)}
+	facts := config.Facts{Zones: []string{"a"}, Teams: []config.Team{{Name: "red"}}, Cloud: config.Cloud{RPS: 100, ListLagS: 3},
+		Workers: config.Workers{ReportS: 1.5, LeaseS: 10}}
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	y.reg = worker.NewRegistry(facts.Workers, quiet)
+	y.board = placement.NewBoard(facts, 7, quota.NewBook(facts.Teams, 0, 1), y.reg, rand.New(rand.NewPCG(1, 1)), quiet, func(time.Time, *placement.Job) {})
+	y.board.Open(y.now)
+	y.s = New(y.now, 0, 7, store.Is("c/b/0", 3), facts,
+		func(c Call, then func(time.Time, Result)) { y.cloud, y.reply = append(y.cloud, c), append(y.reply, then) },
+		func(c store.Call, then func(time.Time, store.Result)) { y.kv, y.kvs = append(y.kv, c), append(y.kvs, then) },
+		quiet, y.reg, y.board, func(time.Time) {}, func(_ time.Time, m *worker.Machine) { y.gone = append(y.gone, m.Host) },
+		func(string) bool { return false })
+	y.s.Flavor(wire.Flavor{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, Price: 5, LowPrice: 2, BootS: 25, Yards: []string{"a"}}, "")
+	return y
+}
+
+// durable lets the state service take every write.
+func (y *yard) durable() {
+	for len(y.kvs) > 0 {
+		then := y.kvs[0]
+		y.kv, y.kvs = y.kv[1:], y.kvs[1:]
+		then(y.now, store.Result{Status: 200, Epoch: 9})
+	}
+}
+
+// take answers the oldest call of a kind, and returns it.
+func (y *yard) take(op Op, r Result) Call {
+	y.t.Helper()
+	for i, c := range y.cloud {
+		if c.Op == op {
+			then := y.reply[i]
+			y.cloud, y.reply = append(y.cloud[:i:i], y.cloud[i+1:]...), append(y.reply[:i:i], y.reply[i+1:]...)
+			then(y.now, r)
+			return c
+		}
+	}
+	y.t.Fatalf("no call of kind %d", op)
+	return Call{}
+}
+
+func (y *yard) asked(op Op) bool {
+	for _, c := range y.cloud {
+		if c.Op == op {
+			return true
+		}
+	}
+	return false
+}
+
+func (y *yard) pass(d time.Duration) {
+	y.now = y.now.Add(d)
+	y.s.Tick(y.now)
+}
+
+// A hire's name is durable before the cloud hears it, stays the same until the
+// answer is certain, and is never used for another hire.
+func TestHire(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answers []Result
+		again   bool // the same name is asked for once more
+		hosts   int
+	}{
+		{"granted", []Result{{Status: 200, Hosts: []string{"i-1"}}}, false, 1},
+		{"no answer, then granted", []Result{{}, {Status: 200, Hosts: []string{"i-1"}}}, false, 1},
+		{"outage, then granted", []Result{{Status: 503, Error: "trouble"}, {Status: 200, Hosts: []string{"i-1"}}}, false, 1},
+		{"rate limit", []Result{{Status: 429}}, true, 0},
+		{"none to be had", []Result{{Status: 503, Error: NoCapacity}}, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			y := newYard(t)
+			y.board.AddJob(y.now, wire.Submission{ID: "job-1", Crew: "red", Lane: "l", Shape: wire.ShapeGang, Rank: "low", Pieces: 1,
+				Vcpus: 10, Gpus: 2, MemGb: 77, AnyBuild: true, Loaners: true}, y.now, 1, false)
+			y.pass(0)
+			if y.asked(OpHire) {
+				t.Fatal("asked the cloud before the name was durable")
+			}
+			y.durable()
+			name := ""
+			for _, a := range c.answers {
+				y.pass(2 * time.Second)
+				h := y.take(OpHire, a).Hire
+				if name != "" && h.Hire != name {
+					t.Errorf("asked for %s after %s", h.Hire, name)
+				}
+				if name = h.Hire; !h.Loaners {
+					t.Error("asked for an ordinary machine where a cheap one would do")
+				}
+			}
+			y.durable()
+			y.pass(2 * time.Second)
+			again := false
+			for _, call := range y.cloud {
+				again = again || call.Op == OpHire && call.Hire.Hire == name
+			}
+			if again != c.again || len(y.reg.All()) != c.hosts {
+				t.Errorf("asked again: %t, machines %d", again, len(y.reg.All()))
+			}
+		})
+	}
+}
+
+// What a successor makes of hire records: a name without an answer is asked for
+// again, only machines that were used are waited for.
+func TestLoad(t *testing.T) {
+	y := newYard(t)
+	for name, rec := range map[string]HireRec{
+		"b0-3-1": {Build: "g2", Yard: "a", Number: 2, Hosts: []string{"i-1", "i-2"}, Used: map[string]string{"i-1": "10.1.0.1:9000"}},
+		"b0-3-2": {Build: "g2", Yard: "a", Number: 1},
+	} {
+		raw, _ := json.Marshal(rec)
+		y.s.Load(y.now, wire.Item{Path: "c/h/0/" + name, Value: raw, Stamp: 4})
+	}
+	if m := y.reg.Get("i-1"); m.State != worker.Unheard || m.Address != "10.1.0.1:9000" || m.Cap.GPUs != 2 {
+		t.Errorf("used machine: %+v", m)
+	}
+	if m := y.reg.Get("i-2"); m.State != worker.Booting || m.Used {
+		t.Errorf("unused machine: %+v", m)
+	}
+	y.pass(0)
+	if h := y.take(OpHire, Result{Status: 200, Hosts: []string{"i-3"}}); h.Hire.Hire != "b0-3-2" {
+		t.Errorf("asked for %s", h.Hire.Hire)
+	}
+	if y.reg.Get("i-3") == nil {
+		t.Error("the answer's machine is not known")
+	}
+}
+
+// Which machines go back, and that one with work never does.
+func TestReturns(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		state worker.State
+		set   func(m *worker.Machine, now time.Time)
+		wait  time.Duration
+		goes  bool
+	}{
+		{"idle", worker.Up, nil, tuning.IdleReturn + time.Second, true},
+		{"not idle for long", worker.Up, nil, tuning.IdleReturn / 2, false},
+		{"working", worker.Up, func(m *worker.Machine, _ time.Time) { m.Busy = 1 }, time.Hour, false},
+		{"working and faulty", worker.Up, func(m *worker.Machine, _ time.Time) { m.Busy, m.Faulty = 1, true }, time.Hour, false},
+		{"faulty", worker.Up, func(m *worker.Machine, _ time.Time) { m.Faulty = true }, time.Second, true},
+		{"promised", worker.Up, func(m *worker.Machine, _ time.Time) { m.Promised = quota.Room{CPUs: 1} }, time.Minute, false},
+		{"an unanswered command", worker.Up, func(m *worker.Machine, _ time.Time) { m.OpenDo = 1 }, time.Minute, false},
+		{"booting", worker.Booting, nil, 60 * time.Second, false},
+		{"stuck boot", worker.Booting, nil, 80 * time.Second, true},
+		{"silent", worker.Silent, nil, 9 * time.Second, false},
+		{"taken", worker.Silent, func(m *worker.Machine, now time.Time) { m.Recall = now }, 3 * time.Second, true},
+		{"silent past its lease", worker.Lapsed, nil, tuning.LapsedReturn + time.Second, true},
+		{"never heard after a takeover", worker.Unheard, nil, 11 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			y := newYard(t)
+			m := y.reg.Add(y.now, "i-1", c.state)
+			m.Build, m.Used, m.Recorded, m.IdleFrom = "g2", true, true, y.now
+			if c.set != nil {
+				c.set(m, y.now)
+			}
+			y.now = y.now.Add(c.wait)
+			y.s.returns(y.now)
+			if got := m.State == worker.Deleting; got != c.goes {
+				t.Errorf("returned: %t, want %t", got, c.goes)
+			}
+		})
+	}
+}
+
+// A machine that nobody expected is adopted once no hire under way may explain
+// it, and not because a list lags behind a deletion.
+func TestFound(t *testing.T) {
+	y := newYard(t)
+	list := Result{Status: 200, Page: wire.HostPage{Hosts: []wire.Host{{ID: "i-9", Build: "g2", Yard: "a", Stage: wire.HostRunning}}}}
+	for i := range tuning.StrangerLists + 1 {
+		y.pass(tuning.ListEvery + time.Second)
+		if known := y.reg.Get("i-9") != nil; known != (i >= tuning.StrangerLists) {
+			t.Fatalf("after %d lists: known %t", i, known)
+		}
+		y.take(OpList, list)
+	}
+	m := y.reg.Get("i-9")
+	if m == nil || !m.Recorded || len(y.kv) == 0 || y.kv[len(y.kv)-1].Multi.Writes == nil {
+		t.Fatalf("not adopted: %+v", m)
+	}
+}
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,148 @@
+package leader
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"juniperchute/internal/store"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// elect is a slice whose calls are caught.
+type elect struct {
+	s    *Slice
+	now  time.Time
+	sent []store.Call
+	then []func(time.Time, store.Result)
+}
+
+func newElect() *elect {
+	e := &elect{now: time.Unix(1000, 0)}
+	e.s = New("n0", 1, func() time.Time { return e.now }, func(c store.Call, then func(time.Time, store.Result)) {
+		e.sent, e.then = append(e.sent, c), append(e.then, then)
+	}, slog.New(slog.NewTextHandler(io.Discard, nil)), func(time.Time, string, wire.Item, bool) {})
+	return e
+}
+
+// answer answers the oldest call of a kind.
+func (e *elect) answer(t *testing.T, op store.Op, r store.Result) store.Call {
+	t.Helper()
+	for i, c := range e.sent {
+		if c.Op == op {
+			then := e.then[i]
+			e.sent, e.then = append(e.sent[:i:i], e.sent[i+1:]...), append(e.then[:i:i], e.then[i+1:]...)
+			r.Sent = e.now
+			then(e.now, r)
+			return c
+		}
+	}
+	t.Fatalf("no call of kind %d among %v", op, e.sent)
+	return store.Call{}
+}
+
+func put(key string, v any, stamp uint64) wire.Item {
+	raw, _ := json.Marshal(v)
+	return wire.Item{Path: key, Value: raw, Stamp: stamp}
+}
+
+// join makes the node a member beside what the records already hold.
+func (e *elect) join(t *testing.T, items ...wire.Item) {
+	e.s.Tick(e.now)
+	e.answer(t, store.OpList, store.Result{Status: 200, Epoch: 50, Items: items})
+	e.answer(t, store.OpGrant, store.Result{Status: 200, Hold: 7})
+	e.answer(t, store.OpMulti, store.Result{Status: 200, Epoch: 60})
+	var changes []wire.Change
+	for _, it := range []wire.Item{put("c/m/n0", MemberRec{Member: "n0", Inc: 7}, 60)} {
+		changes = append(changes, wire.Change{Write: it.Path, Value: it.Value, Stamp: it.Stamp})
+	}
+	e.answer(t, store.OpChanges, store.Result{Status: 200, Epoch: 60, Events: changes})
+	e.now = e.now.Add(time.Millisecond)
+	e.s.Tick(e.now)
+}
+
+// What a member does about the records it finds.
+func TestCampaign(t *testing.T) {
+	other := put("c/m/n1", MemberRec{Member: "n1", Inc: 5}, 20)
+	for _, c := range []struct {
+		name  string
+		items []wire.Item
+		want  string // the key it writes first, "" for none
+		baton uint64 // of the block, if it assigns it
+		ended bool
+	}{
+		{"nobody leads", []wire.Item{other}, "c/leader", 0, false},
+		{"another leads", []wire.Item{other, put("c/leader", Rec{"n1", 5}, 30)}, "", 0, false},
+		{"the leader's process was replaced", []wire.Item{other, put("c/leader", Rec{"n1", 4}, 30)}, "c/leader", 0, false},
+		{"the leader is gone", []wire.Item{put("c/leader", Rec{"n1", 5}, 30)}, "c/leader", 0, false},
+		{"it leads, no block is held", []wire.Item{put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31)}, "c/baton", 4, true},
+		{"it leads, the block is held", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/b/0", BlockRec{Holder: "n1", Inc: 5, Baton: 3}, 32)}, "", 0, false},
+		{"it leads, the holder vanished", []wire.Item{put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 5, Baton: 3}, 32)}, "c/baton", 4, false},
+		{"it leads, the holder was restarted", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 4, Baton: 3}, 32)}, "c/baton", 4, true},
+		{"it leads, the holder resigned", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Baton: 3}, 32)}, "c/baton", 4, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newElect()
+			e.join(t, c.items...)
+			var got store.Call
+			for _, s := range e.sent {
+				if s.Op == store.OpMulti {
+					got = s
+				}
+			}
+			key := ""
+			if len(got.Multi.Writes) > 0 {
+				key = got.Multi.Writes[0].Write
+			}
+			if key != c.want {
+				t.Fatalf("writes %q, want %q", key, c.want)
+			}
+			if c.baton == 0 {
+				return
+			}
+			var rec BlockRec
+			if err := json.Unmarshal(got.Multi.Writes[1].Value, &rec); err != nil || rec.Baton != c.baton || rec.Ended != c.ended {
+				t.Errorf("block record %+v, want baton %d, ended %t", rec, c.baton, c.ended)
+			}
+			if len(got.Multi.When) != 4 {
+				t.Errorf("assigned on conditions %v, want leader, block, baton and member", got.Multi.When)
+			}
+		})
+	}
+}
+
+// How long a lease may be acted on: from when its renewal was sent, and never
+// past a 404.
+func TestEntitled(t *testing.T) {
+	e := newElect()
+	e.join(t)
+	start := e.now
+	at := func(d time.Duration) bool { return e.s.Entitled(start.Add(d)) }
+	if !at(0) || !at(tuning.MemberLease/2) {
+		t.Error("not entitled with a fresh lease")
+	}
+	if at(tuning.MemberLease) || at(tuning.MemberLease-tuning.LeaseGuard) {
+		t.Error("entitled when the lease may have ended")
+	}
+	e.now = start.Add(tuning.MemberTouch)
+	e.s.Tick(e.now)
+	e.answer(t, store.OpTouch, store.Result{Status: 503})
+	if at(tuning.MemberLease) {
+		t.Error("a refused renewal counts as one")
+	}
+	e.now = start.Add(2 * tuning.MemberTouch)
+	e.s.Tick(e.now)
+	e.answer(t, store.OpTouch, store.Result{Status: 200})
+	if !at(tuning.MemberLease) {
+		t.Error("a renewal does not count")
+	}
+	e.now = start.Add(4 * tuning.MemberTouch)
+	e.s.Tick(e.now)
+	e.answer(t, store.OpTouch, store.Result{Status: 404})
+	if e.s.Entitled(e.now) || e.s.Inc() != 0 || len(e.s.Tenures()) != 0 {
+		t.Error("acts for a lease that has ended")
+	}
+}
--- /dev/null
+++ b/internal/submission/submission_test.go
@@ -0,0 +1,199 @@
+package submission
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/store"
+	"juniperchute/internal/wire"
+)
+
+var now = time.Unix(1000, 0)
+
+// desk is the slice with a state service that answers from a script.
+type desk struct {
+	s     *Slice
+	calls []store.Call
+	then  []func(time.Time, store.Result)
+}
+
+func newDesk(flavors map[string]wire.Flavor) *desk {
+	d := &desk{}
+	facts := config.Facts{Zones: []string{"a", "b"}, Teams: []config.Team{{Name: "red", GPUsMax: 8}, {Name: "free"}}}
+	d.s = New(facts, 1, func() time.Time { return now }, func(c store.Call, then func(time.Time, store.Result)) {
+		d.calls, d.then = append(d.calls, c), append(d.then, then)
+	}, slog.New(slog.NewTextHandler(io.Discard, nil)), func() map[string]wire.Flavor { return flavors },
+		func(now time.Time, _ int, _ string, then func(time.Time, Progress)) {
+			then(now, Progress{Known: true, Done: 3, Running: 2})
+		})
+	return d
+}
+
+func (d *desk) answer(r store.Result) {
+	then := d.then[0]
+	d.calls, d.then = d.calls[1:], d.then[1:]
+	then(now, r)
+}
+
+func rec(stage string) store.Result {
+	raw, _ := json.Marshal(JobRec{Stage: stage})
+	return store.Result{Status: 200, Item: wire.Item{Path: "j/job-1", Value: raw, Stamp: 5}}
+}
+
+var (
+	none     = store.Result{}
+	ok       = store.Result{Status: 200}
+	missing  = store.Result{Status: 404}
+	conflict = store.Result{Status: 409}
+	outage   = store.Result{Status: 503}
+	limited  = store.Result{Status: 429}
+	types    = map[string]wire.Flavor{"g8": {Name: "g8", Vcpus: 96, Gpus: 8, MemGb: 768, Yards: []string{"a", "b"}}, "c1": {Name: "c1", Vcpus: 4, MemGb: 8, Yards: []string{"a"}}}
+)
+
+func job(change func(s *wire.Submission)) wire.Submission {
+	s := wire.Submission{ID: "job-1", Crew: "red", Lane: "l", Shape: wire.ShapeGang, Rank: "low", Pieces: 2, Vcpus: 8, Gpus: 1, MemGb: 10, AnyBuild: true}
+	if change != nil {
+		change(&s)
+	}
+	return s
+}
+
+func TestSubmit(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		change  func(s *wire.Submission)
+		flavors map[string]wire.Flavor
+		answers []store.Result
+		status  int
+		stage   string
+	}{
+		{"new", nil, types, []store.Result{ok}, 201, wire.JobPending},
+		{"known", nil, types, []store.Result{conflict, rec(wire.JobPending)}, 200, wire.JobPending},
+		{"known and done", nil, types, []store.Result{conflict, rec(wire.JobDone)}, 200, wire.JobDone},
+		{"no answer, and it was written", nil, types, []store.Result{none, conflict, rec(wire.JobPending)}, 200, wire.JobPending},
+		{"no answer twice", nil, types, []store.Result{none, none}, 503, ""},
+		{"outage", nil, types, []store.Result{outage}, 503, ""},
+		{"rate limit", nil, types, []store.Result{limited}, 429, ""},
+		{"unknown team", func(s *wire.Submission) { s.Crew = "green" }, types, []store.Result{missing}, 422, ""},
+		{"unknown team, but accepted once", func(s *wire.Submission) { s.Crew = "green" }, types, []store.Result{rec(wire.JobPending)}, 200, wire.JobPending},
+		{"gang beyond the limit", func(s *wire.Submission) { s.Pieces = 9 }, types, []store.Result{missing}, 422, ""},
+		{"array beyond the limit in all", func(s *wire.Submission) { s.Pieces, s.Shape = 9, wire.ShapeBatch }, types, []store.Result{ok}, 201, wire.JobPending},
+		{"too large a task", func(s *wire.Submission) { s.MemGb = 800 }, types, []store.Result{missing}, 422, ""},
+		{"unknown types only", func(s *wire.Submission) { s.AnyBuild, s.Builds = false, []string{"x"} }, types, []store.Result{missing}, 422, ""},
+		{"no type allowed", func(s *wire.Submission) { s.AnyBuild = false }, types, []store.Result{missing}, 422, ""},
+		{"unknown zone", func(s *wire.Submission) { s.Yard = "z" }, types, []store.Result{missing}, 422, ""},
+		{"a gang together and apart", func(s *wire.Submission) { s.Together, s.Apart = true, true }, types, []store.Result{missing}, 422, ""},
+		{"one task together and apart", func(s *wire.Submission) { s.Together, s.Apart, s.Pieces = true, true, 1 }, types, []store.Result{ok}, 201, wire.JobPending},
+		{"types not known yet", nil, nil, []store.Result{missing}, 503, ""},
+		{"types not known yet, but accepted once", nil, nil, []store.Result{rec(wire.JobPending)}, 200, wire.JobPending},
+		{"can never run, and the state service is down", func(s *wire.Submission) { s.Crew = "green" }, types, []store.Result{outage}, 503, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDesk(c.flavors)
+			var got *Response
+			d.s.Submit(now, job(c.change), func(r Response) { got = &r })
+			for _, a := range c.answers {
+				if got != nil {
+					t.Fatalf("answered %d before the state service had", got.Status)
+				}
+				d.answer(a)
+			}
+			if got == nil || got.Status != c.status {
+				t.Fatalf("got %+v, want %d", got, c.status)
+			}
+			if a, is := got.Body.(wire.Accepted); c.stage != "" && (!is || a.Stage != c.stage) {
+				t.Errorf("body %+v, want stage %s", got.Body, c.stage)
+			}
+			if retry := got.RetryAfter > 0; retry != (c.status == 429 || c.status == 503) {
+				t.Errorf("Retry-After %d with %d", got.RetryAfter, got.Status)
+			}
+			if d.s.inHand != 0 {
+				t.Errorf("%d still in hand", d.s.inHand)
+			}
+		})
+	}
+}
+
+func TestCancel(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answers []store.Result
+		status  int
+		stage   string
+	}{
+		{"open", []store.Result{rec(wire.JobPending), ok}, 200, wire.JobWithdrawn},
+		{"done", []store.Result{rec(wire.JobDone)}, 200, wire.JobDone},
+		{"done meanwhile", []store.Result{rec(wire.JobPending), conflict, rec(wire.JobDone)}, 200, wire.JobDone},
+		{"no answer, and it was written", []store.Result{rec(wire.JobPending), none, rec(wire.JobWithdrawn)}, 200, wire.JobWithdrawn},
+		{"unknown", []store.Result{missing}, 404, ""},
+		{"outage", []store.Result{outage}, 503, ""},
+		{"outage in between", []store.Result{rec(wire.JobPending), outage}, 503, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDesk(types)
+			var got *Response
+			d.s.Cancel(now, "job-1", func(r Response) { got = &r })
+			for _, a := range c.answers {
+				d.answer(a)
+			}
+			if got == nil || got.Status != c.status {
+				t.Fatalf("got %+v, want %d", got, c.status)
+			}
+			if a, is := got.Body.(wire.Accepted); c.stage != "" && (!is || a.Stage != c.stage) {
+				t.Errorf("body %+v, want stage %s", got.Body, c.stage)
+			}
+			if c.stage == "" {
+				return
+			}
+			// final answers come from memory, and stay
+			d.s.Query(now, "job-1", func(r Response) { got = &r })
+			if s, is := got.Body.(wire.JobState); !is || s.Stage != c.stage || len(d.calls) != 0 {
+				t.Errorf("asked again: %+v", got)
+			}
+		})
+	}
+}
+
+// A query must not be answered from a read that began before it: in between,
+// another node may have told the same user something newer.
+func TestQueriesShareTheNextRead(t *testing.T) {
+	d := newDesk(types)
+	var got []int
+	ask := func() { d.s.Query(now, "job-1", func(r Response) { got = append(got, r.Status) }) }
+	ask()
+	ask()
+	ask()
+	if len(d.calls) != 1 {
+		t.Fatalf("%d reads under way, want 1", len(d.calls))
+	}
+	d.answer(missing) // the job was submitted after this read
+	if len(got) != 1 || got[0] != 404 || len(d.calls) != 1 {
+		t.Fatalf("answers %v, reads %d", got, len(d.calls))
+	}
+	d.answer(rec(wire.JobPending))
+	if len(got) != 3 || got[1] != 200 || got[2] != 200 || len(d.calls) != 0 {
+		t.Fatalf("answers %v, reads %d", got, len(d.calls))
+	}
+}
+
+func TestFullStage(t *testing.T) {
+	d := newDesk(types)
+	n, busy := 0, 0
+	for range 500 {
+		s := job(nil)
+		n++
+		s.ID = wire.PieceName("job", n)
+		d.s.Submit(now, s, func(r Response) {
+			if r.Status == 429 && r.RetryAfter > 0 {
+				busy++
+			}
+		})
+	}
+	if busy == 0 || busy+len(d.calls) != 500 {
+		t.Errorf("%d told to come back, %d under way", busy, len(d.calls))
+	}
+}
