--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -40,8 +40,12 @@
 	y.board = placement.NewBoard(facts, 7, quota.NewBook(facts.Teams, 0, 1), y.reg, rand.New(rand.NewPCG(1, 1)), quiet, func(time.Time, *placement.Job) {})
 	y.board.Open(y.now)
 	y.s = New(y.now, 0, 7, store.Is("c/b/0", 3), facts,
-		func(c Call, then func(time.Time, Result)) { y.cloud, y.reply = append(y.cloud, c), append(y.reply, then) },
-		func(c store.Call, then func(time.Time, store.Result)) { y.kv, y.kvs = append(y.kv, c), append(y.kvs, then) },
+		func(c Call, then func(time.Time, Result)) {
+			y.cloud, y.reply = append(y.cloud, c), append(y.reply, then)
+		},
+		func(c store.Call, then func(time.Time, store.Result)) {
+			y.kv, y.kvs = append(y.kv, c), append(y.kvs, then)
+		},
 		quiet, y.reg, y.board, func(time.Time) {}, func(_ time.Time, m *worker.Machine) { y.gone = append(y.gone, m.Host) },
 		func(string) bool { return false })
 	y.s.Flavor(wire.Flavor{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, Price: 5, LowPrice: 2, BootS: 25, Yards: []string{"a"}}, "")
