A holder that alone hears no worker gives its block back

Ruled out: waiting for workers to find another node, since those send them back. Now it asks its peers to try some workers and gives the block to one that hears them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,6 +79,7 @@
 // Slice is a block's part in the cloud during one tenure.
 type Slice struct {
 	Set     Settings
+	Deaf    bool // no worker is heard: silence says nothing about a machine
 	block   int
 	baton   uint64
 	tenure  wire.Cond
@@ -416,6 +417,9 @@
 }
 
 func (s *Slice) reason(now time.Time, m *worker.Machine) string {
+	if s.Deaf {
+		return ""
+	}
 	age := now.Sub(m.Since)
 	lease := config.Seconds(s.facts.Workers.LeaseS)
 	switch m.State {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -47,6 +47,9 @@
 	// Ended: the previous holder's process had surely ended when this tenure
 	// began, so nothing renews its workers any more.
 	Ended bool
+	// Deaf: the block was given back by this member because it alone does not
+	// hear the workers.
+	Deaf string `json:",omitempty"`
 }
 
 type batonRec struct{ Last uint64 }
@@ -244,14 +247,18 @@
 
 // Resign gives a block back whose tenure this process has ended although the
 // records still give it the block: the leader then assigns it anew.
-func (s *Slice) Resign(now time.Time, l Tenure) {
-	if s.busy || now.Before(s.retry) || s.state != memberIn {
+func (s *Slice) Resign(now time.Time, l Tenure, deaf bool) {
+	if s.busy || now.Before(s.retry) || !s.Entitled(now) {
 		return
 	}
-	s.log.Info("resigning", "block", l.Block, "baton", l.Baton)
+	s.log.Info("resigning", "block", l.Block, "baton", l.Baton, "deaf", deaf)
+	rec := BlockRec{Baton: l.Baton}
+	if deaf {
+		rec.Deaf = s.self
+	}
 	s.txn(now, wire.Multi{
 		When:   []wire.Cond{store.Is(blockKey(l.Block), l.Stamp)},
-		Writes: []wire.Write{store.Put(blockKey(l.Block), BlockRec{Baton: l.Baton}, 0)},
+		Writes: []wire.Write{store.Put(blockKey(l.Block), rec, 0)},
 	})
 }
 
@@ -378,7 +385,7 @@
 		if r.stamp != 0 && s.live(r.val.Holder, r.val.Inc) {
 			continue
 		}
-		to, toStamp, ok := s.choose()
+		to, toStamp, ok := s.choose(r.val.Deaf)
 		if !ok {
 			return
 		}
@@ -399,8 +406,9 @@
 }
 
 // choose picks the member to give a block to: the one with the fewest blocks,
-// then one that does not lead, then the one that has been in longest.
-func (s *Slice) choose() (MemberRec, uint64, bool) {
+// then one that does not lead, then the one that has been in longest. A member
+// that does not hear the workers comes last.
+func (s *Slice) choose(deaf string) (MemberRec, uint64, bool) {
 	held := map[string]int{}
 	for _, r := range s.recs {
 		if s.live(r.val.Holder, r.val.Inc) {
@@ -409,6 +417,9 @@
 	}
 	var best item[MemberRec]
 	less := func(a, b MemberRec) bool {
+		if ad, bd := a.Member == deaf, b.Member == deaf; ad != bd {
+			return bd
+		}
 		if held[a.Member] != held[b.Member] {
 			return held[a.Member] < held[b.Member]
 		}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -83,6 +83,7 @@
 		{"it leads, the holder vanished", []wire.Item{put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 5, Baton: 3}, 32)}, "c/baton", 4, false},
 		{"it leads, the holder was restarted", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 4, Baton: 3}, 32)}, "c/baton", 4, true},
 		{"it leads, the holder resigned", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Baton: 3}, 32)}, "c/baton", 4, true},
+		{"it leads, and gave the block back because it hears no worker", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Baton: 3, Deaf: "n1"}, 32)}, "c/baton", 4, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := newElect()
@@ -107,6 +108,12 @@
 			if err := json.Unmarshal(got.Multi.Writes[1].Value, &rec); err != nil || rec.Baton != c.baton || rec.Ended != c.ended {
 				t.Errorf("block record %+v, want baton %d, ended %t", rec, c.baton, c.ended)
 			}
+			if last := c.items[len(c.items)-1]; string(last.Value) != "" {
+				var was BlockRec
+				if json.Unmarshal(last.Value, &was) == nil && was.Deaf != "" && rec.Holder == was.Deaf {
+					t.Errorf("given to %s, which does not hear the workers", rec.Holder)
+				}
+			}
 			if len(got.Multi.When) != 4 {
 				t.Errorf("assigned on conditions %v, want leader, block, baton and member", got.Multi.When)
 			}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -28,6 +28,27 @@
 	return out, err
 }
 
+// HandleProbe is part of peer.Handler. It needs no state of the owner's.
+func (r *Runtime) HandleProbe(ctx context.Context, m *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, tuning.ProbeTimeout)
+	defer cancel()
+	answered := make(chan bool, tuning.ProbeWorkers)
+	addrs := m.Addresses[:min(len(m.Addresses), tuning.ProbeWorkers)]
+	for _, addr := range addrs {
+		go func() {
+			defer enter(r.doSlots)()
+			answered <- show(ctx, r.workers, addr)
+		}()
+	}
+	out := &peerpb.ProbeReply{}
+	for range addrs {
+		if <-answered {
+			out.Answered++
+		}
+	}
+	return out, nil
+}
+
 // HandleStatus is part of peer.Handler.
 func (r *Runtime) HandleStatus(ctx context.Context) (out *peerpb.StatusReply, err error) {
 	lat := r.lat.values()
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -32,6 +32,7 @@
 	Do(addr string, d wire.Do, then func(now time.Time, status int, rep *wire.Report))
 	Pulse(member string, m *peerpb.PulseMessage, then func(now time.Time, r *peerpb.PulseMessage, err error))
 	Progress(member string, m *peerpb.ProgressRequest, then func(now time.Time, r *peerpb.ProgressReply, err error))
+	Probe(member string, m *peerpb.ProbeRequest, then func(now time.Time, r *peerpb.ProbeReply, err error))
 }
 
 // Core is all state of one controller.
@@ -143,7 +144,7 @@
 		if slices.ContainsFunc(mine, func(l leader.Tenure) bool { return l.Block == b && l.Baton == t.Baton }) {
 			// Ended on somebody's word while the records still name us: left
 			// alone, the block would have no holder for good.
-			c.leader.Resign(now, t.Tenure)
+			c.leader.Resign(now, t.Tenure, t.deaf)
 			continue
 		}
 		delete(c.tenures, b)
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -154,6 +154,21 @@
 	})
 }
 
+// show tells whether a worker answers.
+func show(ctx context.Context, client *http.Client, addr string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/show", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, tuning.WorkerAnswerBytes))
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
 // direct sends a command straight to a worker.
 func direct(ctx context.Context, client *http.Client, addr string, d wire.Do) (int, *wire.Report) {
 	raw, err := json.Marshal(d)
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -229,6 +229,17 @@
 	}()
 }
 
+// Probe is part of Env.
+func (r *Runtime) Probe(member string, m *peerpb.ProbeRequest, then func(now time.Time, res *peerpb.ProbeReply, err error)) {
+	go func() {
+		defer enter(r.peerSlots)()
+		ctx, cancel := context.WithTimeout(r.ctx, tuning.ProbeTimeout+tuning.ProgressTimeout)
+		defer cancel()
+		res, err := r.peers.Peer(member).Probe(ctx, m)
+		r.post(func(now time.Time) { then(now, res, err) })
+	}()
+}
+
 // countedListener closes connections beyond a limit, so that sockets are left
 // for what the controller itself has to reach.
 type countedListener struct {
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -14,6 +14,7 @@
 	"juniperchute/internal/config"
 	"juniperchute/internal/fleet"
 	"juniperchute/internal/leader"
+	"juniperchute/internal/peer/peerpb"
 	"juniperchute/internal/placement"
 	"juniperchute/internal/quota"
 	"juniperchute/internal/store"
@@ -61,6 +62,8 @@
 	found    []wire.Item     // tallies read before their jobs
 	tallyDue time.Time
 	countDue time.Time
+	deaf     bool // no worker is heard any more
+	probeDue time.Time
 	dirty    map[string]*placement.Job
 	finals   map[string]bool // jobs whose end is being written
 	finalDue map[string]time.Time
@@ -380,7 +383,9 @@
 		return
 	}
 	t.fence(now)
+	t.listen(now)
 	t.save(now)
+	t.fleet.Deaf = t.deaf
 	t.fleet.Tick(now)
 	t.settle(now)
 	if !now.Before(t.countDue) {
@@ -416,6 +421,38 @@
 	}
 }
 
+// listen notices when this node hears none of its workers any more. If a peer
+// still reaches them, only this node is cut off: it gives the block back, so
+// that a holder they can reach renews their leases in time. Keeping it would
+// lose every task, and return every machine as silent.
+func (t *tenure) listen(now time.Time) {
+	var last time.Time
+	var addrs []string
+	for _, m := range t.reg.All() {
+		if m.State != worker.Up && m.State != worker.Silent || now.Sub(m.Checked) > config.Seconds(t.c.cfg.Facts.Workers.LeaseS) {
+			continue
+		}
+		if m.Checked.After(last) {
+			last = m.Checked
+		}
+		addrs = append(addrs, m.Address)
+	}
+	t.deaf = len(addrs) >= tuning.DeafMachines && now.Sub(last) > config.Seconds(t.c.cfg.Facts.Workers.ReportS*tuning.DeafReports)+tuning.SilentGrace
+	if !t.deaf || now.Before(t.probeDue) {
+		return
+	}
+	t.probeDue = now.Add(tuning.ProbeTimeout + tuning.ProgressTimeout)
+	t.log.Info("no worker is heard any more", "machines", len(addrs), "for", now.Sub(last))
+	for _, k := range t.c.cfg.Known {
+		t.c.env.Probe(k.Member, &peerpb.ProbeRequest{Addresses: addrs[:min(len(addrs), tuning.ProbeWorkers)]}, func(now time.Time, r *peerpb.ProbeReply, err error) {
+			if err == nil && r.Answered > 0 && t.deaf && t.state != tenureOver {
+				t.end(now, "only this node does not hear the workers")
+				t.c.after(now)
+			}
+		})
+	}
+}
+
 // direct sends a direct command.
 func (t *tenure) direct(now time.Time, m *worker.Machine, orders []wire.Order) {
 	stint := m.Stint
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -321,6 +321,25 @@
 	})
 }
 
+func (e *simEnv) Probe(member string, m *peerpb.ProbeRequest, then func(now time.Time, r *peerpb.ProbeReply, err error)) {
+	w := e.n.w
+	e.peer(member, func(o *simNode) {
+		r := &peerpb.ProbeReply{}
+		for _, a := range m.Addresses {
+			if h := w.workers[a[len("addr-"):]]; h != nil && !h.cut && !h.hung && !o.cutWorkers {
+				r.Answered++
+			}
+		}
+		if e.live() {
+			then(w.clk.now, r, nil)
+		}
+	}, func() {
+		if e.live() {
+			then(w.clk.now, nil, errCut)
+		}
+	})
+}
+
 func (w *world) fail(format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("at %v: ", w.clk.now.Sub(begin))+fmt.Sprintf(format, args...))
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -69,6 +69,10 @@
 	return nil, errUnknown
 }
 
+func (unknown) Probe(context.Context, *peerpb.ProbeRequest, ...grpc.CallOption) (*peerpb.ProbeReply, error) {
+	return nil, errUnknown
+}
+
 // Peer is the client of one member.
 func (c *Clients) Peer(member string) peerpb.PeerClient {
 	if conn := c.conns[member]; conn != nil {
@@ -82,6 +86,7 @@
 type Handler interface {
 	HandlePulse(ctx context.Context, m *peerpb.PulseMessage) (*peerpb.PulseMessage, error)
 	HandleProgress(ctx context.Context, m *peerpb.ProgressRequest) (*peerpb.ProgressReply, error)
+	HandleProbe(ctx context.Context, m *peerpb.ProbeRequest) (*peerpb.ProbeReply, error)
 	HandleStatus(ctx context.Context) (*peerpb.StatusReply, error)
 	HandleSettings(ctx context.Context) (*peerpb.Settings, error)
 	HandleSet(ctx context.Context, name, value string) (*peerpb.Settings, error)
@@ -121,6 +126,10 @@
 	return wrap(s.h.HandleProgress(ctx, m))
 }
 
+func (s *service) Probe(ctx context.Context, m *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	return wrap(s.h.HandleProbe(ctx, m))
+}
+
 func (s *service) Status(ctx context.Context, _ *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
 	return wrap(s.h.HandleStatus(ctx))
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -94,6 +94,15 @@
 	DoTimeout = 3 * time.Second
 	// DoCalls is how many direct commands may be under way at once.
 	DoCalls = 16
+	// DeafMachines is how many machines must have reported lately, and
+	// DeafReports for how many report intervals none of them may have, for a
+	// holder to suspect that it is the one cut off: reports vary by a quarter.
+	DeafMachines = 3
+	DeafReports  = 1.25
+	// ProbeWorkers is how many workers a peer is then asked to try, and
+	// ProbeTimeout how long it tries.
+	ProbeWorkers = 3
+	ProbeTimeout = 700 * time.Millisecond
 	// FenceRetry is the pause before an unheard machine is asked again.
 	FenceRetry = 1 * time.Second
 	// TryBits is how many low bits of an attempt number count within a tenure.
