--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/time/rate"
 
 	"juniperchute/internal/config"
@@ -96,6 +97,7 @@
 	known   map[string]string // machine types as recorded for all nodes
 	files   []*store.Record   // of the machine types
 	limit   *rate.Limiter
+	back    *backoff.ExponentialBackOff // of calls that fail in a row
 	born    time.Time
 
 	hires     map[string]*hire
@@ -120,11 +122,15 @@
 func New(now time.Time, block int, baton uint64, tenure wire.Cond, facts config.Facts, cloud Caller, state store.Caller, log *slog.Logger,
 	reg *worker.Registry, board *placement.Board, lost func(time.Time), gone func(time.Time, *worker.Machine), foreign func(host string) bool) *Slice {
 	rps := facts.Cloud.RPS * tuning.CloudShare
+	back := backoff.NewExponentialBackOff()
+	back.InitialInterval, back.MaxInterval = tuning.CloudRetry, tuning.CloudRetryMost
+	back.RandomizationFactor = 0 // one holder asks: there is no crowd to part, and tests repeat
+	back.Reset()
 	return &Slice{
 		Set:   Settings{IdleReturn: tuning.IdleReturn},
 		block: block, baton: baton, tenure: tenure, facts: facts, cloud: cloud, state: state, log: log, reg: reg, board: board,
 		lost: lost, gone: gone, foreign: foreign, flavors: map[string]wire.Flavor{}, known: map[string]string{},
-		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))), born: now,
+		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))), back: back, born: now,
 		hires: map[string]*hire{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
 		listed: map[string]bool{}, missing: map[string]int{},
 	}
@@ -288,6 +294,19 @@
 	m.Recorded = true
 }
 
+// call passes a call on and keeps count of failures in a row.
+func (s *Slice) call(c Call, then func(now time.Time, r Result)) {
+	s.cloud(c, func(now time.Time, r Result) {
+		if r.Status == 200 || r.Error == NoCapacity {
+			s.back.Reset()
+		}
+		then(now, r)
+	})
+}
+
+// pause is when a failed call may be made again.
+func (s *Slice) pause(now time.Time) time.Time { return now.Add(s.back.NextBackOff()) }
+
 func (s *Slice) may(now time.Time) bool { return s.limit.AllowN(now, 1) }
 
 // Tick starts what is due.
@@ -322,9 +341,9 @@
 
 func (s *Slice) askFlavors(now time.Time) {
 	s.flavorsDue = now.Add(tuning.CloudTimeout + tuning.CloudRetry)
-	s.cloud(Call{Op: OpFlavors}, func(now time.Time, r Result) {
+	s.call(Call{Op: OpFlavors}, func(now time.Time, r Result) {
 		if r.Status != 200 {
-			s.flavorsDue = now.Add(tuning.CloudRetry)
+			s.flavorsDue = s.pause(now)
 			return
 		}
 		s.flavorsDue = now.Add(tuning.FlavorsEvery)
@@ -356,7 +375,7 @@
 // answer is certain: repeating it rents nothing twice.
 func (s *Slice) ask(now time.Time, h *hire) {
 	h.busy = true
-	s.cloud(Call{Op: OpHire, Hire: wire.Hire{Hire: h.name, Build: h.rec.Build, Yard: h.rec.Yard, Loaners: h.rec.Loaners, Number: h.rec.Number}},
+	s.call(Call{Op: OpHire, Hire: wire.Hire{Hire: h.name, Build: h.rec.Build, Yard: h.rec.Yard, Loaners: h.rec.Loaners, Number: h.rec.Number}},
 		func(now time.Time, r Result) {
 			h.busy = false
 			kind := kindOf(h.rec.Build, h.rec.Yard, h.rec.Loaners)
@@ -374,7 +393,7 @@
 				s.noneUntil[kind] = now.Add(tuning.CapacityRetry)
 				s.drop(now, h, "malformed")
 			default:
-				h.retry = now.Add(tuning.CloudRetry)
+				h.retry = s.pause(now)
 			}
 		})
 }
@@ -480,10 +499,10 @@
 	}
 	slices.Sort(hosts)
 	s.delBusy = true
-	s.cloud(Call{Op: OpDelete, Hosts: hosts}, func(now time.Time, r Result) {
+	s.call(Call{Op: OpDelete, Hosts: hosts}, func(now time.Time, r Result) {
 		s.delBusy = false
 		if r.Status != 200 {
-			s.delRetry = now.Add(tuning.CloudRetry)
+			s.delRetry = s.pause(now)
 			return
 		}
 		for _, host := range hosts {
@@ -518,10 +537,10 @@
 
 func (s *Slice) list(now time.Time, after string) {
 	s.listBusy = true
-	s.cloud(Call{Op: OpList, After: after}, func(now time.Time, r Result) {
+	s.call(Call{Op: OpList, After: after}, func(now time.Time, r Result) {
 		s.listBusy = false
 		if r.Status != 200 {
-			s.listDue = now.Add(tuning.CloudRetry)
+			s.listDue = s.pause(now)
 			return
 		}
 		s.page = append(s.page, r.Page.Hosts...)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -111,7 +111,7 @@
 	other func(now time.Time, key string, it wire.Item, gone bool)) *Slice {
 	s := &Slice{self: self, blocks: blocks, wall: wall, call: call, log: log, other: other,
 		members: map[string]item[MemberRec]{}, recs: map[int]item[BlockRec]{}}
-	s.mirror = store.NewMirror(Control, call, log, s.changed)
+	s.mirror = store.NewMirror(Control, call, s.changed)
 	return s
 }
 
--- a/internal/node/standin_state_test.go
+++ b/internal/node/standin_state_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -257,9 +256,3 @@
 	}
 	return store.Result{Status: 200, Epoch: s.epoch}
 }
-
-// decode reads a record for the checks.
-func (s *stateService) decode(key string, out any) bool {
-	it, ok := s.keys[key]
-	return ok && json.Unmarshal(it.Value, out) == nil
-}
--- a/internal/node/standin_worker_test.go
+++ b/internal/node/standin_worker_test.go
@@ -34,16 +34,15 @@
 }
 
 type simPiece struct {
-	job      *simJob
-	n        int
-	try      uint64
-	stage    string
-	cause    string
-	stored   bool
-	until    time.Time // the end of what it is doing
-	lost     time.Time // when a gang's task found its mates gone; zero: not
-	begun    bool
-	stopFrom time.Time
+	job    *simJob
+	n      int
+	try    uint64
+	stage  string
+	cause  string
+	stored bool
+	until  time.Time // the end of what it is doing
+	lost   time.Time // when a gang's task found its mates gone; zero: not
+	begun  bool
 }
 
 func (p *simPiece) on() bool { return p.stage != wire.PieceExited }
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -83,7 +83,7 @@
 	t.fleet = fleet.New(now, l.Block, l.Baton, t.cond(), c.cfg.Facts, c.env.Cloud, t.call, t.log, t.reg, t.board, t.lost,
 		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) },
 		func(host string) bool { return c.foreign(l.Block, host) })
-	t.jobs = store.NewMirror(submission.OpenUnder(l.Block), t.call, t.log, t.jobChanged)
+	t.jobs = store.NewMirror(submission.OpenUnder(l.Block), t.call, t.jobChanged)
 	t.early = true
 	t.log.Info("tenure begins", "ended", l.Ended)
 	for name, f := range c.flavors {
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -52,7 +52,6 @@
 	accepted  bool
 	asked     bool // its user has asked to cancel it
 	cancelled time.Time
-	rejected  int
 }
 
 func (j *simJob) complete() bool { return !slices.Contains(j.done, false) }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -33,7 +33,6 @@
 	loaners bool
 	cap     quota.Room
 	free    quota.Room // now, for gangs
-	time    float64    // seconds of the whole machine within the horizon
 }
 
 // Horizon is how long an array's work may wait and run in all for its class's
@@ -208,9 +207,8 @@
 // class's horizon, into what the gangs leave.
 func (b *Board) arrayDemand(now time.Time, bins []*bin, open func(*Job, string) *bin, admit func(*Job, quota.Room) bool) {
 	type load struct {
-		j    *Job
-		n    int
-		late float64
+		j *Job
+		n int
 	}
 	var loads []load
 	for _, j := range b.order {
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -558,9 +558,10 @@
 			}
 		}
 		if p.Stage == wire.PieceExited {
-			// a completion stays reported until it is kept elsewhere
+			// A completion stays reported until it is kept elsewhere, and an
+			// attempt until no unanswered direct command could start it again.
 			if j == nil || j.closed || p.Cause != wire.CauseDone || j.Standing() || j.durable.has(n) {
-				if b.mayReap(m, p) {
+				if m.OpenDo == 0 {
 					out = append(out, wire.Order{Verb: wire.VerbReap, Piece: p.Piece, Try: p.Try})
 				}
 			}
@@ -602,12 +603,6 @@
 	return out
 }
 
-// mayReap tells whether a worker may forget an attempt: not while an
-// unanswered direct command could start it again.
-func (b *Board) mayReap(m *worker.Machine, p *wire.Piece) bool {
-	return m.OpenDo == 0
-}
-
 // Answered settles a direct command: executed or surely not.
 func (b *Board) Answered(m *worker.Machine, orders []wire.Order) {
 	for _, t := range b.on[m] {
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -54,7 +54,6 @@
 	stage    string
 	grace    float64 // of the stop
 	stopDue  bool    // a stop is to go out directly
-	stopSent time.Time
 
 	// the copies in queues
 	main      *worker.Machine
@@ -85,16 +84,15 @@
 	durable  bitset
 	located  int // tasks on machines
 
-	try        uint64 // the gang's attempt
-	broken     bool   // the gang's attempt is over; its tasks have to go
-	seq        uint64
-	notBefore  time.Time
-	failedOn   map[string]int
-	errors     int
-	wellOn     map[string]bool // machines on which a task of it completed
-	finalizing bool
-	turn       float64 // its place in the order, a time of day in seconds
-	why        string  // why it waits, as last logged
+	try       uint64 // the gang's attempt
+	broken    bool   // the gang's attempt is over; its tasks have to go
+	seq       uint64
+	notBefore time.Time
+	failedOn  map[string]int
+	errors    int
+	wellOn    map[string]bool // machines on which a task of it completed
+	turn      float64         // its place in the order, a time of day in seconds
+	why       string          // why it waits, as last logged
 }
 
 type comeback struct {
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"log/slog"
 	"maps"
 	"slices"
 	"strings"
@@ -29,7 +28,6 @@
 type Mirror struct {
 	under  string
 	call   Caller
-	log    *slog.Logger
 	change func(now time.Time, key string, it wire.Item, gone bool)
 
 	state  mirrorState
@@ -45,9 +43,9 @@
 
 // NewMirror makes a mirror of the keys under a prefix; change is told of each
 // change, in order.
-func NewMirror(under string, call Caller, log *slog.Logger,
+func NewMirror(under string, call Caller,
 	change func(now time.Time, key string, it wire.Item, gone bool)) *Mirror {
-	return &Mirror{under: under, call: call, log: log, change: change, items: map[string]wire.Item{}}
+	return &Mirror{under: under, call: call, change: change, items: map[string]wire.Item{}}
 }
 
 // Synced tells whether all keys have been read at least once.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -114,7 +113,7 @@
 func TestMirror(t *testing.T) {
 	f := &fake{}
 	seen := ""
-	m := NewMirror("q/", f.call, slog.New(slog.NewTextHandler(io.Discard, nil)), func(_ time.Time, key string, it wire.Item, gone bool) {
+	m := NewMirror("q/", f.call, func(_ time.Time, key string, it wire.Item, gone bool) {
 		if gone {
 			seen += "-"
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -179,8 +179,11 @@
 	CloudPage = 500
 	// CloudShare is the part of the cloud's rate that one holder uses.
 	CloudShare = 0.6
-	// CloudRetry is the pause after a failed call.
-	CloudRetry = 1 * time.Second
+	// CloudRetry is the pause after a failed call; it grows to CloudRetryMost
+	// while calls fail in a row, which keeps an outage's end from being missed
+	// for long.
+	CloudRetry     = 1 * time.Second
+	CloudRetryMost = 3 * time.Second
 	// CloudCalls is how many calls may be under way at once.
 	CloudCalls = 4
 	// FlavorsEvery is how often prices are read.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -51,7 +51,6 @@
 	Born    time.Time // when this tenure learned of it, less its age if known
 	Stint   uint64
 	Tally   uint64
-	Checkin uint64    // tally of the last report, as opposed to answers to direct commands
 	Heard   time.Time // last report or answer
 	Checked time.Time // last report
 	// Answered is when the last report that was answered came in. The
@@ -170,7 +169,7 @@
 	}
 	m.Stint, m.Tally, m.Heard = rep.Stint, rep.Tally, now
 	if checkin {
-		m.Checkin, m.Checked = rep.Tally, now
+		m.Checked = now
 	}
 	if m.Answered.IsZero() {
 		// from here on the worker drops whatever an earlier tenure answers
@@ -199,16 +198,17 @@
 				r.Set(now, m, Silent, "no report")
 			}
 		case Silent, Deleting:
-			if m.Busy > 0 && now.After(m.LeaseEnd(r.expiry, unheardUntil)) {
-				if m.State == Silent {
-					r.Set(now, m, Lapsed, "lease surely over")
-				}
-				over = append(over, m)
-			} else if m.State == Silent && now.After(m.LeaseEnd(r.expiry, unheardUntil)) {
+			if !now.After(m.leaseEnd(r.expiry, unheardUntil)) {
+				continue
+			}
+			if m.State == Silent {
 				r.Set(now, m, Lapsed, "lease surely over")
 			}
+			if m.Busy > 0 {
+				over = append(over, m)
+			}
 		case Unheard:
-			if now.After(unheardUntil) && now.After(m.LeaseEnd(r.expiry, unheardUntil)) {
+			if now.After(unheardUntil) && now.After(m.leaseEnd(r.expiry, unheardUntil)) {
 				r.Set(now, m, Lapsed, "lease surely over, never heard")
 				over = append(over, m)
 			}
@@ -217,8 +217,8 @@
 	return over
 }
 
-// LeaseEnd is when the worker's lease is surely over if nothing more is heard.
-func (m *Machine) LeaseEnd(expiry time.Duration, unheardUntil time.Time) time.Time {
+// leaseEnd is when the worker's lease is surely over if nothing more is heard.
+func (m *Machine) leaseEnd(expiry time.Duration, unheardUntil time.Time) time.Time {
 	if m.Answered.IsZero() {
 		return unheardUntil
 	}
