Return a machine whose unanswered command is all that is left in doubt

Ruled out: taking its absence from reports as proof, since the command may be delivered minutes late. The machine gets nothing new, and once only such attempts are left it is returned, whose answer settles them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -451,6 +451,11 @@
 			return "no longer listed"
 		}
 	case worker.Up:
+		if m.OpenDo > 0 && s.board.InDoubt(m) {
+			// A direct command that was never answered may still start its
+			// task there, minutes from now: only this machine's end settles it.
+			return "a command was never answered"
+		}
 		if m.Busy > 0 || len(m.Pieces) > 0 && m.Stranger {
 			return ""
 		}
@@ -460,7 +465,7 @@
 		if m.Closing {
 			return "its work went elsewhere"
 		}
-		if !m.Wanted && m.Promised == (quota.Room{}) && now.Sub(m.IdleFrom) > s.Set.IdleReturn && m.OpenDo == 0 {
+		if !m.Wanted && m.Promised == (quota.Room{}) && now.Sub(m.IdleFrom) > s.Set.IdleReturn {
 			return "idle"
 		}
 	case worker.Silent:
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -614,6 +614,17 @@
 	}
 }
 
+// InDoubt tells whether all that may be on a machine are tasks to be stopped
+// that it has never reported.
+func (b *Board) InDoubt(m *worker.Machine) bool {
+	for _, t := range b.on[m] {
+		if t.phase != Stopping || t.reported {
+			return false
+		}
+	}
+	return true
+}
+
 // Kicks lists the machines that should be told at once rather than with the
 // answer to their next report.
 func (b *Board) Kicks(now time.Time) []*worker.Machine {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -333,6 +333,10 @@
 			if got := m.Busy == 0; got != c.gone {
 				t.Errorf("gone: %t, want %t", got, c.gone)
 			}
+			// what is not settled so is settled by the machine's return
+			if !x.b.InDoubt(m) {
+				t.Error("the machine is thought to have work")
+			}
 		})
 	}
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -79,7 +79,7 @@
 
 // Usable tells whether new work may be drawn to the machine.
 func (m *Machine) Usable(now time.Time) bool {
-	return m.State == Up && m.Recall.IsZero() && !m.Faulty && !m.Closing && m.Used && !m.Stranger
+	return m.State == Up && m.Recall.IsZero() && !m.Faulty && !m.Closing && m.OpenDo == 0 && m.Used && !m.Stranger
 }
 
 // Free is the room not taken.
