--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -408,7 +408,11 @@
 		if t.spare || o.closed {
 			continue // its room counts as free already, or is about to be
 		}
-		if o.rank < j.rank || guaranteed && o.Spec.Crew != j.Spec.Crew && b.book.Beyond(o.Spec.Crew) {
+		// A team that has only its guarantee keeps it against other teams' work
+		// beyond theirs, whatever its rank: otherwise the two would stop each
+		// other in turn, one by rank and one by its guarantee, for ever.
+		kept := o.Spec.Crew != j.Spec.Crew && !guaranteed && !b.book.Beyond(o.Spec.Crew)
+		if o.rank < j.rank && !kept || guaranteed && o.Spec.Crew != j.Spec.Crew && b.book.Beyond(o.Spec.Crew) {
 			may = append(may, t)
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -209,20 +209,26 @@
 // What may be stopped for a gang, by the protocol's rules on preemption.
 func TestPreemption(t *testing.T) {
 	for _, c := range []struct {
-		name                 string
-		team, rank           string // of what runs, on both of two machines
-		gangTeam, gangRank   string
-		gives                bool
-		finish, stored, save bool
+		name               string
+		team, rank         string // of what runs, on both of two machines
+		pieces             int    // of it; 0: as many as fit
+		gangTeam, gangRank string
+		gives              bool
 	}{
 		{name: "lower rank gives way", team: "blue", rank: "low", gangTeam: "blue", gangRank: "normal", gives: true},
 		{name: "the same rank does not", team: "blue", rank: "normal", gangTeam: "blue", gangRank: "normal"},
 		{name: "higher rank does not", team: "blue", rank: "high", gangTeam: "blue", gangRank: "normal"},
+		{name: "a guarantee is kept against a higher rank beyond its own", team: "red", rank: "low", pieces: 2, gangTeam: "blue", gangRank: "critical"},
 		{name: "beyond its guarantee gives way to a guarantee", team: "blue", rank: "high", gangTeam: "red", gangRank: "low", gives: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := newBench(t, 2)
-			x.job(c.team, wire.ShapeBatch, c.rank, 4, 1)
+			n := 4
+			if c.pieces > 0 {
+				n = c.pieces
+				x.job("blue", wire.ShapeBatch, "critical", 2, 1)
+			}
+			x.job(c.team, wire.ShapeBatch, c.rank, n, 1)
 			x.b.Draw(x.now)
 			for range 2 {
 				for _, m := range x.reg.All() {
