--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -51,6 +51,7 @@
 	flavorRaw map[string]string
 	settings  admin.Settings
 	peers     map[string]*peerView
+	claims    map[int]*peerpb.Holding // the highest Baton that peers know of each block
 	pulseDue  time.Time
 	timers    []timer
 }
@@ -69,7 +70,7 @@
 func NewCore(cfg *config.Config, blocks int, env Env, rng *rand.Rand, wall func() time.Time, log *slog.Logger) *Core {
 	c := &Core{cfg: cfg, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
 		tenures: map[int]*tenure{}, flavors: map[string]wire.Flavor{}, flavorRaw: map[string]string{},
-		settings: admin.Defaults(), peers: map[string]*peerView{}}
+		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}}
 	c.leader = leader.New(cfg.Member, blocks, wall, c.state, log, c.control)
 	c.users = submission.New(cfg.Facts, blocks, wall, c.state, log,
 		func() map[string]wire.Flavor { return c.flavors }, c.progress)
@@ -191,7 +192,7 @@
 func (c *Core) pulseMessage(now time.Time) *peerpb.PulseMessage {
 	m := &peerpb.PulseMessage{Member: c.cfg.Member, StateSilentMs: c.silent(now).Milliseconds()}
 	for b := range c.blocks {
-		if holder, baton, ok := c.leader.Holder(b); ok || baton > 0 {
+		if holder, baton, _ := c.holder(b); baton > 0 {
 			m.Holdings = append(m.Holdings, &peerpb.Holding{Block: int32(b), Baton: baton, Holder: holder})
 		}
 	}
@@ -214,6 +215,9 @@
 		p.heard, p.silent = now, time.Duration(m.StateSilentMs)*time.Millisecond
 	}
 	for _, h := range m.Holdings {
+		if old := c.claims[int(h.Block)]; old == nil || h.Baton > old.Baton {
+			c.claims[int(h.Block)] = h
+		}
 		if t := c.tenures[int(h.Block)]; t != nil && t.state != tenureOver && h.Baton > t.Baton {
 			t.end(now, "a peer knows a higher Baton")
 		}
@@ -309,9 +313,21 @@
 	return false
 }
 
+// holder names a block's holder: as the records say, or a peer that has seen
+// newer ones. A node cut off from the state service would otherwise send
+// workers to a holder that is none any more, and two such nodes to each other,
+// until their leases are over.
+func (c *Core) holder(block int) (member string, baton uint64, live bool) {
+	member, baton, live = c.leader.Holder(block)
+	if h := c.claims[block]; h != nil && h.Baton > baton {
+		return h.Holder, h.Baton, h.Holder != ""
+	}
+	return member, baton, live
+}
+
 // redirect sends a worker to its block's holder.
 func (c *Core) redirect(block int, reply func(status int, body any)) {
-	holder, _, live := c.leader.Holder(block)
+	holder, _, live := c.holder(block)
 	if !live || holder == c.cfg.Member {
 		holder = ""
 	}
@@ -324,7 +340,7 @@
 		then(now, t.progress(id))
 		return
 	}
-	holder, _, ok := c.leader.Holder(block)
+	holder, _, ok := c.holder(block)
 	if !ok || c.peers[holder] == nil {
 		then(now, submission.Progress{})
 		return
