--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -217,7 +217,7 @@
 	// before it is returned: it costs as much as one that works.
 	LapsedReturn = 10 * time.Second
 	// IdleReturn is how long a machine without work is kept.
-	IdleReturn = 12 * time.Second
+	IdleReturn = 6 * time.Second
 	// DefaultAim stands for a class's aim when the settings have none.
 	DefaultAim = 300 * time.Second
 	// HorizonShare is the part of a class's aim that its waiting work may
