--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -98,7 +98,7 @@
 		rpc.Stop()
 		r.peers.Close()
 	}()
-	r.log.Info("serving", "member", r.cfg.Member, "api", r.cfg.APIAddr, "peers", r.cfg.PeerBind)
+	r.log.Info("serving", "api", r.cfg.APIAddr, "peers", r.cfg.PeerBind)
 	tick := time.NewTicker(tuning.TickEvery)
 	defer tick.Stop()
 	r.core.Tick(time.Now())
