Draw only what has changed: a survey numbers what machines gain

Machines are surveyed when something about them changed; a job that found no room looks only at machines that gained something since, and gangs of a kind share a count of the places there could be. Jobs are sorted once a second, machines to be told at once are kept in a list, a spare tries a few machines.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -23,8 +23,16 @@
 	MainsStarted, SparesStarted, SparesFinished, SparesYielded, SparesDropped, Redrawn, Preempted, Failed, GangsPlaced, Moved int
 }
 
-type queues struct {
+// host is what the board keeps of one machine: its queues, the tasks handed
+// out to it, and what the last survey saw of its room.
+type host struct {
+	m         *worker.Machine
 	high, low []*Task
+	on        []*Task // handed out and not known gone
+	seen      view
+	grew      uint64 // the change, counted by the board, in which it last gained room or an image
+	touched   bool   // something about it changed since the last survey
+	kick      bool   // it is among those to be told at once
 }
 
 // Board is the placement state of one block in one tenure.
@@ -39,9 +47,13 @@
 	log      *slog.Logger
 	jobs     map[string]*Job
 	order    []*Job // open jobs by rank, then age
-	q        map[*worker.Machine]*queues
-	on       map[*worker.Machine][]*Task // tasks handed out to each machine
-	open     bool                        // every machine the block may have is heard or surely gone
+	hosts    map[*worker.Machine]*host
+	survey   survey
+	kicks    []*host
+	open     bool     // every machine the block may have is heard or surely gone
+	turns    [][]*Job // the open jobs of each rank by turn, as last sorted
+	turnsDue time.Time
+	drawDue  time.Time
 	strays   map[*worker.Machine][]wire.Piece
 	pace     map[string]float64 // by class: run time over the owner's estimate
 	closeDue time.Time
@@ -53,7 +65,7 @@
 	log *slog.Logger, finished func(now time.Time, j *Job)) *Board {
 	return &Board{
 		Set: Settings{DropThreshold: tuning.DropThreshold}, facts: facts, baton: baton, book: book, reg: reg, rng: rng, log: log,
-		jobs: map[string]*Job{}, q: map[*worker.Machine]*queues{}, on: map[*worker.Machine][]*Task{},
+		jobs: map[string]*Job{}, hosts: map[*worker.Machine]*host{}, survey: newSurvey(),
 		strays: map[*worker.Machine][]wire.Piece{}, pace: map[string]float64{}, finished: finished,
 	}
 }
@@ -96,6 +108,7 @@
 		return 1
 	})
 	b.order = slices.Insert(b.order, i, j)
+	b.reorder()
 	b.log.Debug("job open", "job", spec.ID, "class", spec.Lane, "team", spec.Crew, "shape", spec.Shape, "pieces", spec.Pieces)
 	return j
 }
@@ -140,6 +153,7 @@
 	j.closed = true
 	if i := slices.Index(b.order, j); i >= 0 {
 		b.order = slices.Delete(b.order, i, i+1)
+		b.reorder()
 	}
 	for _, t := range j.sorted() {
 		b.unqueue(t)
@@ -169,6 +183,11 @@
 	}
 	onBefore, onAfter := was >= Sent && was <= Stopping, p >= Sent && p <= Stopping
 	m := t.at
+	var h *host
+	if onBefore || onAfter {
+		h = b.host(m)
+		b.touch(h)
+	}
 	switch {
 	case !onBefore && onAfter:
 		m.Taken = m.Taken.Add(t.Job.need)
@@ -178,7 +197,7 @@
 		m.Busy++
 		b.book.Use(t.Job.Spec.Crew, t.Job.need, 1)
 		t.Job.located++
-		b.on[m] = append(b.on[m], t)
+		h.on = append(h.on, t)
 		t.sentAt, t.runFrom, t.stage = now, time.Time{}, ""
 	case onBefore && !onAfter:
 		m.Taken = m.Taken.Sub(t.Job.need)
@@ -192,11 +211,8 @@
 		}
 		b.book.Use(t.Job.Spec.Crew, t.Job.need, -1)
 		t.Job.located--
-		if i := slices.Index(b.on[m], t); i >= 0 {
-			b.on[m] = slices.Delete(b.on[m], i, i+1)
-		}
-		if len(b.on[m]) == 0 {
-			delete(b.on, m)
+		if i := slices.Index(h.on, t); i >= 0 {
+			h.on = slices.Delete(h.on, i, i+1)
 		}
 		t.at = nil
 	}
@@ -209,6 +225,9 @@
 	t.at, t.try, t.spare = m, try, spare
 	t.reported, t.ordered, t.openDo, t.tally, t.stint, t.stopDue, t.grace = false, false, 0, 0, 0, false, 0
 	b.setPhase(now, t, Sent, why)
+	if t.Job.Gang() {
+		b.kick(m) // its mates wait for it
+	}
 }
 
 // nextTry makes an attempt number that no earlier attempt of the job has: the
@@ -225,6 +244,7 @@
 	}
 	t.grace, t.stopDue = grace, true
 	b.setPhase(now, t, Stopping, why)
+	b.kick(t.at)
 }
 
 // grace is how long a job's running task is given to save.
@@ -331,8 +351,8 @@
 // Lost gives up everything on a machine: its lease is surely over, its
 // session is a new one, or its deletion was answered.
 func (b *Board) Lost(now time.Time, m *worker.Machine, why string) {
-	for len(b.on[m]) > 0 {
-		b.gone(now, b.on[m][0], 0, why)
+	for h := b.host(m); len(h.on) > 0; {
+		b.gone(now, h.on[0], 0, why)
 	}
 	delete(b.strays, m)
 	m.Stranger = false
@@ -342,21 +362,18 @@
 func (b *Board) Forget(now time.Time, m *worker.Machine) {
 	b.Lost(now, m, "machine gone")
 	b.clearQueues(now, m)
-	delete(b.q, m)
+	delete(b.hosts, m)
+	b.survey.forget(m)
 }
 
 // clearQueues sends a machine's queued copies back to be drawn elsewhere.
 func (b *Board) clearQueues(now time.Time, m *worker.Machine) {
-	q := b.q[m]
-	if q == nil {
-		return
-	}
-	for len(q.high) > 0 {
-		t := q.high[0]
-		b.takeBack(now, t)
+	h := b.host(m)
+	for len(h.high) > 0 {
+		b.takeBack(now, h.high[0])
 	}
-	for len(q.low) > 0 {
-		b.dropLow(q.low[0])
+	for len(h.low) > 0 {
+		b.dropLow(h.low[0])
 	}
 }
 
@@ -384,19 +401,30 @@
 	j.giveBack(t.N, now)
 }
 
-func (b *Board) queue(m *worker.Machine) *queues {
-	q := b.q[m]
-	if q == nil {
-		q = &queues{}
-		b.q[m] = q
+func (b *Board) host(m *worker.Machine) *host {
+	h := b.hosts[m]
+	if h == nil {
+		h = &host{m: m}
+		b.hosts[m] = h
+		b.touch(h)
+	}
+	return h
+}
+
+// kick notes that a machine may have to be told something before its next
+// report; Kicks looks whether it is so.
+func (b *Board) kick(m *worker.Machine) {
+	if h := b.host(m); !h.kick {
+		h.kick = true
+		b.kicks = append(b.kicks, h)
 	}
-	return q
 }
 
 func (b *Board) queueMain(now time.Time, t *Task, m *worker.Machine) {
 	t.main, t.mainSince = m, now
-	q := b.queue(m)
-	q.high = append(q.high, t)
+	h := b.host(m)
+	h.high = append(h.high, t)
+	b.touch(h)
 	m.Promised = m.Promised.Add(t.Job.need)
 	b.book.Promise(t.Job.Spec.Crew, t.Job.need, 1)
 }
@@ -406,12 +434,13 @@
 	if m == nil {
 		return
 	}
-	q := b.queue(m)
-	if i := slices.Index(q.high, t); i >= 0 {
-		q.high = slices.Delete(q.high, i, i+1)
+	h := b.host(m)
+	b.touch(h)
+	if i := slices.Index(h.high, t); i >= 0 {
+		h.high = slices.Delete(h.high, i, i+1)
 	}
 	m.Promised = m.Promised.Sub(t.Job.need)
-	if len(q.high) == 0 {
+	if len(h.high) == 0 {
 		m.Promised = quota.Room{}
 	}
 	b.book.Promise(t.Job.Spec.Crew, t.Job.need, -1)
@@ -420,17 +449,17 @@
 
 func (b *Board) queueLow(t *Task, m *worker.Machine) {
 	t.low = m
-	q := b.queue(m)
-	q.low = append(q.low, t)
+	h := b.host(m)
+	h.low = append(h.low, t)
 }
 
 func (b *Board) dropLow(t *Task) {
 	if t.low == nil {
 		return
 	}
-	q := b.queue(t.low)
-	if i := slices.Index(q.low, t); i >= 0 {
-		q.low = slices.Delete(q.low, i, i+1)
+	h := b.host(t.low)
+	if i := slices.Index(h.low, t); i >= 0 {
+		h.low = slices.Delete(h.low, i, i+1)
 	}
 	t.low = nil
 }
@@ -444,10 +473,15 @@
 func (b *Board) IsOpen() bool { return b.open }
 
 // Open lifts the hold on tasks whose whereabouts were not known.
-func (b *Board) Open(now time.Time) { b.open = true }
+func (b *Board) Open(now time.Time) {
+	b.open = true
+	b.survey.again()
+}
 
 // Reported brings the board up to date with a machine's newest account.
 func (b *Board) Reported(now time.Time, m *worker.Machine, v worker.Verdict, checkin bool) {
+	h := b.host(m)
+	b.touch(h)
 	if v == worker.Renewed {
 		b.Lost(now, m, "worker's session is a new one")
 		m.Images = map[string]time.Time{}
@@ -457,7 +491,7 @@
 		p := &m.Pieces[i]
 		shown[p.Piece] = p
 	}
-	for _, t := range slices.Clone(b.on[m]) {
+	for _, t := range slices.Clone(h.on) {
 		if t.at != m {
 			continue // an earlier one took its whole gang along
 		}
@@ -548,6 +582,7 @@
 	b.Count.Failed++
 	j.errors++
 	j.failedOn[m.Host]++
+	j.missed = [2]uint64{}
 	m.Blames[j.Spec.ID]++
 	well := false
 	for h := range j.wellOn {
--- a/internal/placement/close.go
+++ b/internal/placement/close.go
@@ -32,7 +32,7 @@
 	b.closeDue = now.Add(tuning.CloseEvery)
 	b.log.Info("closing a machine", "host", best.Host, "tasks", best.Busy)
 	best.Closing = true
-	for _, t := range slices.Clone(b.on[best]) {
+	for _, t := range slices.Clone(b.host(best).on) {
 		b.Count.Moved++
 		b.yield(now, t, "its machine is to be returned")
 	}
@@ -46,10 +46,11 @@
 
 // movable tells whether nothing is lost when a machine's tasks move.
 func (b *Board) movable(now time.Time, m *worker.Machine) bool {
-	if q := b.q[m]; q != nil && len(q.high) > 0 {
+	h := b.host(m)
+	if len(h.high) > 0 {
 		return false
 	}
-	for _, t := range b.on[m] {
+	for _, t := range h.on {
 		j := t.Job
 		if t.phase != Live || t.spare || j.closed || j.Gang() || j.Standing() || j.Spec.BookmarkS <= 0 || t.runFrom.IsZero() {
 			return false
@@ -62,7 +63,7 @@
 // take a machine's tasks now.
 func (b *Board) fitsElsewhere(now time.Time, m *worker.Machine) bool {
 	room := map[*worker.Machine]quota.Room{}
-	for _, t := range b.on[m] {
+	for _, t := range b.host(m).on {
 		j := t.Job
 		found := false
 		for _, o := range b.reg.All() {
@@ -91,6 +92,9 @@
 // reopen makes closing machines that are not empty yet usable again.
 func (b *Board) reopen() {
 	for _, m := range b.reg.All() {
-		m.Closing = false
+		if m.Closing {
+			m.Closing = false
+			b.touch(b.host(m))
+		}
 	}
 }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -228,7 +228,7 @@
 	slices.SortStableFunc(loads, func(a, c load) int { return cmp.Compare(c.j.rank, a.j.rank) })
 	committed := map[*worker.Machine]float64{}
 	for _, m := range b.reg.All() {
-		for _, t := range b.on[m] {
+		for _, t := range b.host(m).on {
 			left := b.Expect(t.Job) - now.Sub(t.sentAt).Seconds()
 			committed[m] += max(left, tuning.LeastRun.Seconds()) * t.Job.need.Share(m.Cap)
 		}
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -65,17 +65,19 @@
 func (b *Board) startable(j *Job) bool { return b.open || !j.Early }
 
 // Draw takes up held tasks in order and queues their copies, places gangs
-// whole, and redraws what is stuck.
+// whole, and redraws what is stuck. It does nothing while nothing has changed.
 func (b *Board) Draw(now time.Time) {
-	b.recalls(now)
-	b.redraw(now)
-	for i := 0; i < len(b.order); {
-		// jobs of one rank: first those within their team's guarantee
-		k := i
-		for k < len(b.order) && b.order[k].rank == b.order[i].rank {
-			k++
-		}
-		jobs := b.byTurn(b.order[i:k])
+	due := !now.Before(b.drawDue)
+	if due {
+		b.drawDue = now.Add(tuning.DrawEvery)
+		b.recalls(now)
+		b.redraw(now)
+	}
+	if gained := b.look(now); !gained && !due && !b.survey.changed {
+		return
+	}
+	b.survey.changed = false
+	for _, jobs := range b.byRank(now) {
 		for _, guaranteed := range []bool{true, false} {
 			// room goes to a task whose image is there before one of an
 			// earlier turn that would have it fetched
@@ -85,7 +87,6 @@
 				}
 			}
 		}
-		i = k
 	}
 	for _, j := range b.order {
 		if j.Gang() {
@@ -94,6 +95,31 @@
 	}
 }
 
+// reorder makes the next draw sort the jobs anew.
+func (b *Board) reorder() {
+	b.turnsDue = time.Time{}
+	b.survey.again()
+}
+
+// byRank lists the open jobs of each rank, first those within their team's
+// guarantee, in the order of their turns.
+func (b *Board) byRank(now time.Time) [][]*Job {
+	if now.Before(b.turnsDue) {
+		return b.turns
+	}
+	b.turnsDue = now.Add(tuning.TurnsEvery)
+	b.turns = nil
+	for i := 0; i < len(b.order); {
+		k := i
+		for k < len(b.order) && b.order[k].rank == b.order[i].rank {
+			k++
+		}
+		b.turns = append(b.turns, b.byTurn(b.order[i:k]))
+		i = k
+	}
+	return b.turns
+}
+
 // byTurn orders jobs of one rank: gangs by age, then arrays by age with their
 // remaining work added, so that when there is too much the many small jobs are
 // in time and not only the oldest.
@@ -138,11 +164,33 @@
 		return
 	}
 	if j.Gang() {
-		b.drawGang(now, j, guaranteed)
+		if !image { // where a gang's image is counts in its places' scores
+			b.drawGang(now, j, guaranteed)
+		}
 		return
 	}
-	spread := j.yards(true)
-	patient := image && now.Sub(j.opened) < tuning.ImagePatience
+	if guaranteed && !b.book.Guaranteed(j.Spec.Crew, j.need) {
+		return
+	}
+	var spread map[string]int
+	patient, missed := 0, uint64(0)
+	if image && now.Sub(j.opened) < tuning.ImagePatience {
+		patient = 1
+	}
+	if j.constrained() {
+		spread = j.yards(true)
+	} else {
+		missed = j.missed[patient]
+	}
+	fit := func(m *worker.Machine) bool {
+		return m.FreeForMain().Fits(j.need) && (spread == nil || j.zoneOK(m.Yard, spread)) && (patient == 0 || b.hasImage(m, j.Spec.Bundle))
+	}
+	var cands []*host
+	for _, h := range b.since(missed) {
+		if m := h.m; m.Usable(now) && fit(m) && j.allows(m.Build, m.Yard, m.Loaners) && !j.avoids(m) {
+			cands = append(cands, h)
+		}
+	}
 	for j.held() > 0 {
 		if guaranteed && !b.book.Guaranteed(j.Spec.Crew, j.need) {
 			return
@@ -151,16 +199,15 @@
 			b.waits(j, "team's limit")
 			return
 		}
-		m := b.pick(j, func(m *worker.Machine) (int, bool) {
-			if !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || !j.zoneOK(m.Yard, spread) ||
-				!m.FreeForMain().Fits(j.need) || j.avoids(m) ||
-				patient && !b.hasImage(m, j.Spec.Bundle) {
+		m := b.pick(cands, func(m *worker.Machine) (int, bool) {
+			if !fit(m) {
 				return 0, false
 			}
 			return b.tier(j, m), true
 		})
 		if m == nil {
 			b.waits(j, "no room")
+			j.missed[patient] = b.survey.next()
 			return
 		}
 		n, ok := j.take(now)
@@ -172,7 +219,9 @@
 		t := &Task{Job: j, N: n}
 		j.tasks[n] = t
 		b.queueMain(now, t, m)
-		spread[m.Yard]++
+		if spread != nil {
+			spread[m.Yard]++
+		}
 		if !j.Standing() {
 			b.drawSpare(now, t)
 		}
@@ -201,43 +250,44 @@
 		return true
 	}
 	has := func(t *Task) bool { return t.Job.Spec.Bundle == bundle }
-	return slices.ContainsFunc(b.on[m], has) || slices.ContainsFunc(b.queue(m).high, has)
+	h := b.host(m)
+	return slices.ContainsFunc(h.on, has) || slices.ContainsFunc(h.high, has)
 }
 
 // pick chooses at random among the machines of the lowest tier.
-func (b *Board) pick(j *Job, fit func(m *worker.Machine) (int, bool)) *worker.Machine {
+func (b *Board) pick(among []*host, fit func(m *worker.Machine) (int, bool)) *worker.Machine {
 	var best *worker.Machine
 	low, n := 0, 0
-	for _, m := range b.reg.All() {
-		tier, ok := fit(m)
+	for _, h := range among {
+		tier, ok := fit(h.m)
 		if !ok || best != nil && tier > low {
 			continue
 		}
 		if best == nil || tier < low {
-			best, low, n = m, tier, 1
+			best, low, n = h.m, tier, 1
 			continue
 		}
 		n++
 		if b.rng.IntN(n) == 0 {
-			best = m
+			best = h.m
 		}
 	}
 	return best
 }
 
 // drawSpare queues a task's spare low at another random worker whose whole
-// room it fits.
+// room it fits. A few tries find one in most cases; a spare that finds none is
+// no loss, as mains are drawn into room that is there.
 func (b *Board) drawSpare(now time.Time, t *Task) {
 	j := t.Job
-	m := b.pick(j, func(m *worker.Machine) (int, bool) {
-		if m == t.main || !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || !m.Cap.Fits(j.need) ||
-			len(b.queue(m).low) >= tuning.LowDepth || j.avoids(m) {
-			return 0, false
+	all := b.reg.All()
+	for range min(tuning.SpareDraws, 2*len(all)) {
+		m := all[b.rng.IntN(len(all))]
+		if m != t.main && m.Usable(now) && j.allows(m.Build, m.Yard, m.Loaners) && m.Cap.Fits(j.need) &&
+			len(b.host(m).low) < tuning.LowDepth && !j.avoids(m) {
+			b.queueLow(t, m)
+			return
 		}
-		return 0, true
-	})
-	if m != nil {
-		b.queueLow(t, m)
 	}
 }
 
@@ -245,14 +295,15 @@
 // leave at once, tasks that can save are stopped just in time to do so.
 func (b *Board) recalls(now time.Time) {
 	for _, m := range b.reg.All() {
-		if q := b.q[m]; q != nil && len(q.high)+len(q.low) > 0 && !m.Usable(now) {
+		h := b.host(m)
+		if len(h.high)+len(h.low) > 0 && !m.Usable(now) {
 			b.clearQueues(now, m)
 		}
 		if m.Recall.IsZero() {
 			continue
 		}
 		margin := config.Seconds(b.facts.Workers.ReportS*tuning.RecallReports) + tuning.SaveGrace
-		for _, t := range slices.Clone(b.on[m]) {
+		for _, t := range slices.Clone(h.on) {
 			if t.phase == Live && t.Job.Spec.BookmarkS > 0 && t.stage != wire.PieceFetching &&
 				now.Add(config.Seconds(t.Job.Spec.StowS)+margin).After(m.Recall) {
 				b.yield(now, t, "machine is recalled")
@@ -266,11 +317,11 @@
 func (b *Board) redraw(now time.Time) {
 	round := config.Seconds(b.facts.Workers.ReportS * tuning.RedrawReports)
 	for _, m := range b.reg.All() {
-		q := b.q[m]
-		if q == nil {
+		h := b.host(m)
+		if len(h.high) == 0 {
 			continue
 		}
-		for _, t := range slices.Clone(q.high) {
+		for _, t := range slices.Clone(h.high) {
 			j := t.Job
 			if j.Gang() || t.phase != Idle || now.Sub(t.mainSince) < round {
 				continue
@@ -278,12 +329,10 @@
 			if m.Usable(now) && m.Free().Fits(j.need) {
 				continue // not stuck: it starts with the next report
 			}
-			other := b.pick(j, func(o *worker.Machine) (int, bool) {
-				ok := o != m && o.Usable(now) && j.allows(o.Build, o.Yard, o.Loaners) && !j.avoids(o) &&
+			if slices.ContainsFunc(b.reg.All(), func(o *worker.Machine) bool {
+				return o != m && o.Usable(now) && j.allows(o.Build, o.Yard, o.Loaners) && !j.avoids(o) &&
 					o.Free().Sub(o.Promised).Fits(j.need)
-				return 0, ok
-			})
-			if other != nil {
+			}) {
 				b.Count.Redrawn++
 				b.takeBack(now, t)
 			}
@@ -317,6 +366,10 @@
 		b.waits(j, "team's limit")
 		return
 	}
+	if !b.reachable(now, j, guaranteed) {
+		b.waits(j, "no room for all tasks")
+		return
+	}
 	yards := []string{""}
 	if j.Spec.Together {
 		yards = b.facts.Zones
@@ -361,13 +414,14 @@
 		room quota.Room
 	}
 	var cands []cand
+	k := j.kind(guaranteed)
 	for _, m := range b.reg.All() {
 		if !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || yard != "" && m.Yard != yard || j.avoids(m) {
 			continue
 		}
 		c := cand{place: place{m: m}, room: m.FreeForMain()}
 		if !c.room.Fits(j.need) {
-			c.stop, c.room, c.score = b.victims(now, j, m, c.room, guaranteed)
+			c.stop, c.room, c.score = b.victims(now, k, m, c.room)
 			if !c.room.Fits(j.need) {
 				continue
 			}
@@ -399,11 +453,11 @@
 	return out
 }
 
-// victims chooses the tasks to stop on a machine so that need fits: work of
-// lower rank, or of a team beyond its guarantee for one within its own.
-func (b *Board) victims(now time.Time, j *Job, m *worker.Machine, room quota.Room, guaranteed bool) (stop []*Task, left quota.Room, cost float64) {
+// victims chooses the tasks to stop on a machine so that a gang's task fits:
+// work of lower rank, or of a team beyond its guarantee for one within its own.
+func (b *Board) victims(now time.Time, k kind, m *worker.Machine, room quota.Room) (stop []*Task, left quota.Room, cost float64) {
 	var may []*Task
-	for _, t := range b.on[m] {
+	for _, t := range b.host(m).on {
 		o := t.Job
 		if t.spare || o.closed {
 			continue // its room counts as free already, or is about to be
@@ -411,14 +465,14 @@
 		// A team that has only its guarantee keeps it against other teams' work
 		// beyond theirs, whatever its rank: otherwise the two would stop each
 		// other in turn, one by rank and one by its guarantee, for ever.
-		kept := o.Spec.Crew != j.Spec.Crew && !guaranteed && !b.book.Beyond(o.Spec.Crew)
-		if o.rank < j.rank && !kept || guaranteed && o.Spec.Crew != j.Spec.Crew && b.book.Beyond(o.Spec.Crew) {
+		kept := o.Spec.Crew != k.crew && !k.guaranteed && !b.book.Beyond(o.Spec.Crew)
+		if o.rank < k.rank && !kept || k.guaranteed && o.Spec.Crew != k.crew && b.book.Beyond(o.Spec.Crew) {
 			may = append(may, t)
 		}
 	}
 	slices.SortFunc(may, func(a, c *Task) int { return cmp.Compare(b.loss(now, a), b.loss(now, c)) })
 	for _, t := range may {
-		if room.Fits(j.need) {
+		if room.Fits(k.need) {
 			break
 		}
 		room = room.Add(t.Job.need)
@@ -472,7 +526,7 @@
 
 // yieldSpares stops running spares on a machine until what lacks is covered.
 func (b *Board) yieldSpares(now time.Time, m *worker.Machine, lacks quota.Room) {
-	for _, t := range slices.Clone(b.on[m]) {
+	for _, t := range slices.Clone(b.host(m).on) {
 		if lacks.CPUs <= 0 && lacks.GPUs <= 0 && lacks.MemGB <= 0 {
 			return
 		}
@@ -493,8 +547,8 @@
 // heads hands out what is at the head of a machine's queues: mains first, and
 // spares only while no main waits.
 func (b *Board) heads(now time.Time, m *worker.Machine) {
-	q := b.q[m]
-	if q == nil || !m.Usable(now) {
+	q := b.host(m)
+	if len(q.high)+len(q.low) == 0 || !m.Usable(now) {
 		return
 	}
 	room := m.Free()
@@ -584,7 +638,7 @@
 			t.stopDue = false
 		}
 	}
-	for _, t := range b.on[m] {
+	for _, t := range b.host(m).on {
 		if len(out) == tuning.OrdersMost {
 			return out
 		}
@@ -609,7 +663,7 @@
 
 // Answered settles a direct command: executed or surely not.
 func (b *Board) Answered(m *worker.Machine, orders []wire.Order) {
-	for _, t := range b.on[m] {
+	for _, t := range b.host(m).on {
 		for _, o := range orders {
 			if o.Verb == wire.VerbRun && o.Try == t.try && o.Piece == t.Name() && t.openDo > 0 {
 				t.openDo--
@@ -621,7 +675,7 @@
 // InDoubt tells whether all that may be on a machine are tasks to be stopped
 // that it has never reported.
 func (b *Board) InDoubt(m *worker.Machine) bool {
-	for _, t := range b.on[m] {
+	for _, t := range b.host(m).on {
 		if t.phase != Stopping || t.reported {
 			return false
 		}
@@ -633,16 +687,20 @@
 // answer to their next report.
 func (b *Board) Kicks(now time.Time) []*worker.Machine {
 	var out []*worker.Machine
-	for _, m := range b.reg.All() {
-		if m.State != worker.Up || m.DoBusy || !m.Used {
-			continue
-		}
-		for _, t := range b.on[m] {
-			if t.phase == Sent && !t.ordered && t.Job.Gang() || t.phase == Stopping && t.stopDue && t.ordered && !t.Job.closed {
-				out = append(out, m)
-				break
+	b.kicks = slices.DeleteFunc(b.kicks, func(h *host) bool {
+		pending, ready := false, false
+		for _, t := range h.on {
+			switch {
+			case t.phase == Sent && !t.ordered && t.Job.Gang():
+				pending, ready = true, true
+			case t.phase == Stopping && t.stopDue && !t.Job.closed:
+				pending, ready = true, ready || t.ordered
 			}
 		}
-	}
+		if h.kick = pending; ready && h.m.State == worker.Up && !h.m.DoBusy && h.m.Used {
+			out = append(out, h.m)
+		}
+		return !pending
+	})
 	return out
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -48,7 +48,7 @@
 func (x *bench) report(m *worker.Machine, extra ...wire.Piece) []wire.Order {
 	x.t.Helper()
 	rep := &wire.Report{Host: m.Host, Build: "g2", Yard: "a", Stint: 1, Tally: m.Tally + 1}
-	for _, t := range x.b.on[m] {
+	for _, t := range x.b.host(m).on {
 		p := wire.Piece{Piece: t.Name(), Try: t.try, Stage: wire.PieceRunning}
 		for _, e := range extra {
 			if e.Piece == p.Piece {
@@ -120,7 +120,7 @@
 		{"the spare finishes first", 0, func(x *bench, task *Task, _, away *worker.Machine) {
 			x.report(away, wire.Piece{Piece: task.Name(), Stage: wire.PieceExited, Cause: wire.CauseDone})
 		}, func(x *bench, task *Task, home, _ *worker.Machine) string {
-			if len(x.done) != 1 || len(x.b.queue(home).high) != 0 || task.main != nil {
+			if len(x.done) != 1 || len(x.b.host(home).high) != 0 || task.main != nil {
 				return "the main is still there"
 			}
 			return ""
@@ -244,11 +244,11 @@
 				return
 			}
 			m := g.tasks[0].main
-			if o := x.verbs(x.report(m)); g.located != 0 || len(x.b.on[m]) != 2 {
+			if o := x.verbs(x.report(m)); g.located != 0 || len(x.b.host(m).on) != 2 {
 				t.Fatalf("started beside what it stops: %s", o)
 			}
 			var gone []wire.Piece
-			for _, v := range x.b.on[m] {
+			for _, v := range x.b.host(m).on {
 				gone = append(gone, wire.Piece{Piece: v.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
 			}
 			if o := x.verbs(x.report(m, gone...)); g.located != 1 {
@@ -281,13 +281,13 @@
 		t.Fatalf("%d left, broken %t", g.located, g.broken)
 	}
 	for _, m := range x.reg.All() {
-		for _, v := range x.b.on[m] {
+		for _, v := range x.b.host(m).on {
 			if v.phase != Stopping {
 				t.Errorf("%s is %v", v.Name(), v.phase)
 			}
 		}
-		if len(x.b.on[m]) > 0 {
-			x.report(m, wire.Piece{Piece: x.b.on[m][0].Name(), Stage: wire.PieceExited, Cause: wire.CauseMatesGone})
+		if len(x.b.host(m).on) > 0 {
+			x.report(m, wire.Piece{Piece: x.b.host(m).on[0].Name(), Stage: wire.PieceExited, Cause: wire.CauseMatesGone})
 		}
 	}
 	x.b.Draw(x.now)
--- /dev/null
+++ b/internal/placement/survey.go
@@ -0,0 +1,205 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"juniperchute/internal/quota"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/worker"
+)
+
+// view is what a machine had to offer when the survey last looked at it.
+type view struct {
+	usable        bool
+	free          quota.Room
+	images, tasks int
+}
+
+// more tells whether v offers a waiting task something that old did not.
+func (v view) more(old view) bool {
+	return v.usable && (!old.usable || !old.free.Fits(v.free) || v.images > old.images || v.tasks > old.tasks)
+}
+
+// survey lets the cost of a draw grow with what has changed and not with
+// machines times jobs. It numbers the changes by which machines gained room or
+// images, so that a job that found no place looks at the machines changed since
+// then only, and it keeps count of the places that gangs of a kind could have.
+type survey struct {
+	touched []*host
+	grown   []*host // by change; the first one has the number base
+	base    uint64
+	beyond  uint64 // which teams are beyond their guarantees
+	reaches map[kind]*reach
+	changed bool // jobs, limits or the order have changed since the last draw
+}
+
+func newSurvey() survey { return survey{base: 1, reaches: map[kind]*reach{}} }
+
+// next is the number of the next change.
+func (s *survey) next() uint64 { return s.base + uint64(len(s.grown)) }
+
+// again makes the next draw go through all jobs.
+func (s *survey) again() { s.changed = true }
+
+func (s *survey) forget(m *worker.Machine) {
+	for _, r := range s.reaches {
+		r.set(m, 0)
+	}
+}
+
+// touch notes that something about a machine has changed.
+func (b *Board) touch(h *host) {
+	if !h.touched {
+		h.touched = true
+		b.survey.touched = append(b.survey.touched, h)
+	}
+}
+
+// Touch notes that something about a machine has changed that the board itself
+// does not see.
+func (b *Board) Touch(m *worker.Machine) { b.touch(b.host(m)) }
+
+// look brings the survey up to date and tells whether some machine has gained
+// something.
+func (b *Board) look(now time.Time) bool {
+	s := &b.survey
+	var beyond uint64
+	for i, t := range b.facts.Teams {
+		if b.book.Beyond(t.Name) {
+			beyond |= 1 << (i % 64)
+		}
+	}
+	if beyond != s.beyond {
+		// whose work may be stopped for whom is another matter now
+		s.beyond = beyond
+		clear(s.reaches)
+	}
+	gained := false
+	for _, h := range s.touched {
+		h.touched = false
+		m := h.m
+		v := view{m.Usable(now), m.FreeForMain(), len(m.Images), len(h.on) + len(h.high)}
+		if v.more(h.seen) {
+			gained = true
+			h.grew = s.next()
+			s.grown = append(s.grown, h)
+		}
+		h.seen = v
+		for k, r := range s.reaches {
+			r.set(m, b.places(now, k, m))
+		}
+	}
+	s.touched = s.touched[:0]
+	if drop := len(s.grown) - tuning.ChangesKept; drop > 0 {
+		drop += tuning.ChangesKept / 2
+		s.grown = slices.Delete(s.grown, 0, drop)
+		s.base += uint64(drop)
+	}
+	return gained
+}
+
+// since lists the machines that have gained something since a change, or all of
+// them if that was too long ago.
+func (b *Board) since(change uint64) []*host {
+	s := &b.survey
+	var out []*host
+	if change < s.base {
+		for _, m := range b.reg.All() {
+			out = append(out, b.host(m))
+		}
+		return out
+	}
+	for i := change; i < s.next(); i++ {
+		if h := s.grown[i-s.base]; h.grew == i {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// kind is all that decides where a gang could be placed, but for images and
+// past failures.
+type kind struct {
+	need       quota.Room
+	builds     string // allowed types, "*" for any
+	yard       string
+	loaners    bool
+	rank       int
+	crew       string
+	guaranteed bool
+}
+
+func (j *Job) kind(guaranteed bool) kind {
+	k := kind{j.need, "*", j.Spec.Yard, j.Spec.Loaners, j.rank, j.Spec.Crew, guaranteed}
+	if !j.Spec.AnyBuild {
+		k.builds = strings.Join(j.Spec.Builds, " ")
+	}
+	return k
+}
+
+func (k *kind) allows(m *worker.Machine) bool {
+	return (k.loaners || !m.Loaners) && (k.yard == "" || k.yard == m.Yard) &&
+		(k.builds == "*" || slices.Contains(strings.Fields(k.builds), m.Build))
+}
+
+// reach is how many tasks of a kind of gang could be placed on each machine,
+// other work giving way where it has to.
+type reach struct {
+	on    map[*worker.Machine]int
+	yards map[string]int
+	total int
+}
+
+func (r *reach) set(m *worker.Machine, n int) {
+	d := n - r.on[m]
+	if d == 0 {
+		return
+	}
+	r.yards[m.Yard] += d
+	r.total += d
+	if n == 0 {
+		delete(r.on, m)
+	} else {
+		r.on[m] = n
+	}
+}
+
+// places is how many tasks of a kind of gang a machine could take.
+func (b *Board) places(now time.Time, k kind, m *worker.Machine) int {
+	if !m.Usable(now) || !k.allows(m) {
+		return 0
+	}
+	room := m.FreeForMain()
+	if !room.Fits(k.need) {
+		_, room, _ = b.victims(now, k, m, room)
+	}
+	return room.Count(k.need, maxCount)
+}
+
+// reachable tells whether there could be a place for each task of a gang. It
+// may say so wrongly, as it knows nothing of past failures.
+func (b *Board) reachable(now time.Time, j *Job, guaranteed bool) bool {
+	k := j.kind(guaranteed)
+	r := b.survey.reaches[k]
+	if r == nil {
+		if len(b.survey.reaches) >= tuning.GangKinds {
+			clear(b.survey.reaches)
+		}
+		r = &reach{on: map[*worker.Machine]int{}, yards: map[string]int{}}
+		for _, m := range b.reg.All() {
+			r.set(m, b.places(now, k, m))
+		}
+		b.survey.reaches[k] = r
+	}
+	if !j.Spec.Together {
+		return r.total >= j.Spec.Pieces
+	}
+	for _, n := range r.yards {
+		if n >= j.Spec.Pieces {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -138,6 +138,19 @@
 	// ImagePatience is how long a waiting array lets later ones go first whose
 	// image a machine has already.
 	ImagePatience = 30 * time.Second
+	// DrawEvery is how often jobs are gone through although nothing changed:
+	// pauses end, and machines fall silent.
+	DrawEvery = 100 * time.Millisecond
+	// TurnsEvery is how often the jobs' turns are worked out anew: work drains
+	// within seconds.
+	TurnsEvery = 1 * time.Second
+	// ChangesKept is how many machines' changes are remembered for jobs that
+	// found no room: a few seconds' worth at a thousand machines.
+	ChangesKept = 4096
+	// GangKinds is for how many kinds of gangs places are counted.
+	GangKinds = 32
+	// SpareDraws is how many random machines are tried for a spare.
+	SpareDraws = 16
 	// SaveGrace is added to the time a task needs to save.
 	SaveGrace = 1 * time.Second
 	// RecallReports is how early, in report intervals, tasks on a recalled
