A report is news only if it is newer, and proof only if an answer got through

Attempts started by direct commands are no longer reaped in their session.

A machine gets work only while its reports show that answers reach it (its count of reports goes on by one, or it comes back sooner than a worker gives up), and is returned when two leases pass without.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -159,8 +159,9 @@
 			s.set(h, hireAsking, "recorded")
 		case hireGranted:
 			for host, v := range h.used {
-				if m := s.reg.Get(host); m != nil && v <= ver {
+				if m := s.reg.Get(host); m != nil && v <= ver && !m.Used {
 					m.Used = true
+					s.board.Touch(m)
 				}
 			}
 		case hireEmpty:
@@ -216,7 +217,10 @@
 
 func (s *Slice) size(m *worker.Machine) {
 	if f, ok := s.flavors[m.Build]; ok {
-		m.Cap = quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}
+		if room := (quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}); m.Cap != room {
+			m.Cap = room
+			s.board.Touch(m)
+		}
 	}
 }
 
@@ -247,6 +251,20 @@
 	if !m.Recorded && !m.Used {
 		s.adopt(now, m)
 	}
+	s.enter(now, m)
+}
+
+// Entering takes note of a machine's first word, which may be an old copy: it
+// is entered as used all the same, so that it can be given tasks as soon as it
+// is heard. A record may name too many, never too few.
+func (s *Slice) Entering(now time.Time, m *worker.Machine, rep *wire.Report) {
+	if m.State == worker.Booting {
+		m.Address = rep.Address
+		s.enter(now, m)
+	}
+}
+
+func (s *Slice) enter(now time.Time, m *worker.Machine) {
 	if m.Used || m.State == worker.Deleting {
 		return
 	}
@@ -451,6 +469,9 @@
 			return "no longer listed"
 		}
 	case worker.Up:
+		if m.Mute(now, tuning.MuteLeases*lease) && m.Busy == 0 {
+			return "no answer reaches it"
+		}
 		if m.OpenDo > 0 && s.board.InDoubt(m) {
 			// A direct command that was never answered may still start its
 			// task there, minutes from now: only this machine's end settles it.
--- a/internal/node/standin_worker_test.go
+++ b/internal/node/standin_worker_test.go
@@ -18,6 +18,7 @@
 	hung     bool
 	sick     bool
 	cut      bool     // its network is cut
+	mute     bool     // its reports arrive, but no answer or command reaches it
 	late     []func() // messages held back by the cut or the hang
 	stint    uint64
 	tally    uint64
@@ -215,6 +216,9 @@
 		}
 	})
 	reply := func(status int, body any) {
+		if h.mute {
+			return
+		}
 		h.w.deliver(h, nd, func() {
 			if h.inFlight != num || h.dead || h.stint != stint {
 				return
@@ -248,11 +252,29 @@
 	}
 	h.w.deliver(h, nd, func() {
 		if !nd.alive {
-			after()
+			if !h.mute {
+				after()
+			}
 			return
 		}
 		nd.core.Report(h.w.clk.now, rep, reply)
 	})
+	if h.w.chaos && h.w.rng.IntN(50) == 0 {
+		h.w.copyLate(rep)
+	}
+}
+
+// copyLate delivers a copy of a report to some node, seconds to well over a
+// lease later, wherever the machine is by then.
+func (w *world) copyLate(rep *wire.Report) {
+	nd := w.nodes[w.rng.IntN(len(w.nodes))]
+	copied := *rep
+	copied.Pieces = slices.Clone(rep.Pieces)
+	w.clk.in(time.Duration(500+w.rng.IntN(40000))*time.Millisecond, func() {
+		if nd.alive {
+			nd.core.Report(w.clk.now, &copied, func(int, any) {})
+		}
+	})
 }
 
 // command is a direct command that reached the worker.
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -517,31 +517,48 @@
 		reply(http.StatusServiceUnavailable, submission.Problem{Error: "lease is over"})
 		return
 	}
+	stale := func() {
+		reply(http.StatusServiceUnavailable, submission.Problem{Error: "a newer report has been handled"})
+	}
+	if t.reg.IsGone(rep.Host) {
+		stale() // a late copy: the machine was returned
+		return
+	}
 	m := t.reg.Get(rep.Host)
+	out := wire.Orders{Baton: t.Baton, Orders: []wire.Order{}}
+	if rep.Baton < t.Baton {
+		// What a machine says before it has seen this Baton may be minutes old,
+		// a copy from a machine long gone: nothing is concluded from it. If it
+		// is there, the answer renews its lease and it reports again at once.
+		if m != nil {
+			if !m.Glimpse(rep) {
+				stale()
+				return
+			}
+			m.Answered = now
+			t.fleet.Entering(now, m, rep)
+		}
+		reply(http.StatusOK, out)
+		return
+	}
 	if m == nil {
 		m = t.reg.Add(now, rep.Host, worker.Booting)
 		m.IdleFrom = now
 		m.Build, m.Yard, m.Loaners = rep.Build, rep.Yard, rep.Loaners
 	}
-	out := wire.Orders{Baton: t.Baton, Orders: []wire.Order{}}
-	// A machine that an earlier tenure used is heard only once it has seen
-	// this Baton: what it says before may be minutes old.
-	if rep.Baton == t.Baton || !m.Used {
-		if !t.absorb(now, m, rep, true) {
-			reply(http.StatusServiceUnavailable, submission.Problem{Error: "a newer report has been handled"})
-			return
-		}
-		if entitled && t.state != tenureLoading {
-			t.save(now)
-			t.board.Draw(now)
-			if rep.Baton == t.Baton {
-				out.Orders = append(out.Orders, t.board.Orders(now, m, true)...)
-			}
-		}
+	if !t.absorb(now, m, rep, true) {
+		stale()
+		return
+	}
+	if entitled && t.state != tenureLoading {
+		t.board.Draw(now)
+		out.Orders = append(out.Orders, t.board.Orders(now, m, true)...)
 	}
 	m.Answered = now
 	reply(http.StatusOK, out)
-	t.settle(now)
+	if entitled {
+		t.kick(now)
+	}
 }
 
 // settle draws, and sends at once what should not wait for a report.
@@ -550,6 +567,14 @@
 		return
 	}
 	t.board.Draw(now)
+	t.kick(now)
+}
+
+// kick sends what should not wait for a report.
+func (t *tenure) kick(now time.Time) {
+	if t.state == tenureLoading || t.state == tenureOver {
+		return
+	}
 	for _, m := range t.board.Kicks(now) {
 		if orders := t.board.Orders(now, m, false); len(orders) > 0 {
 			t.direct(now, m, orders)
--- a/internal/node/world_run_test.go
+++ b/internal/node/world_run_test.go
@@ -94,8 +94,13 @@
 			w.cancel(j) // these end only so
 		}
 	}
-	for range 40 {
+	for i := range 40 {
 		w.runFor(15 * time.Second)
+		for _, j := range w.order {
+			if i >= 5 && j.accepted && w.clk.now.Sub(j.answered) > 75*time.Second {
+				w.fail("forgotten: no question about %s was answered for %v", j.spec.ID, w.clk.now.Sub(j.answered))
+			}
+		}
 		left := ""
 		for _, j := range w.order {
 			if j.told != wire.JobDone && j.told != wire.JobWithdrawn {
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -52,6 +52,7 @@
 	accepted  bool
 	asked     bool // its user has asked to cancel it
 	cancelled time.Time
+	answered  time.Time // when a question about it was last answered
 }
 
 func (j *simJob) complete() bool { return !slices.Contains(j.done, false) }
@@ -146,6 +147,15 @@
 	n.w.clk.in(back, n.start)
 }
 
+// restoreState ends a cut from the state service: what was held back arrives.
+func (n *simNode) restoreState() {
+	n.cutState = false
+	for _, f := range n.held {
+		n.w.clk.in(n.w.lag(), f)
+	}
+	n.held = nil
+}
+
 func (w *world) lag() time.Duration { return time.Duration(200+w.rng.IntN(4000)) * time.Microsecond }
 
 // deliver carries a message between a worker and a node, either way. A cut
@@ -226,6 +236,9 @@
 		w.clk.in(time.Duration(w.rng.IntN(30000))*time.Millisecond, arrive)
 	case w.chaos && roll < 8: // executed, and the answer lost
 		w.clk.in(w.lag(), func() { w.state.call(c, func(store.Result) {}) })
+	case w.chaos && roll < 16 && c.Op == store.OpMulti: // carried out, and repeated late
+		w.clk.in(w.lag(), arrive)
+		w.clk.in(time.Duration(w.rng.IntN(30000))*time.Millisecond, func() { w.state.call(c, func(store.Result) {}) })
 	default:
 		w.clk.in(w.lag(), arrive)
 	}
@@ -252,6 +265,9 @@
 		}
 	default:
 		w.clk.in(100*time.Millisecond, arrive)
+		if w.chaos && roll < 6 { // carried out, and repeated late
+			w.clk.in(time.Duration(1+w.rng.IntN(60))*time.Second, func() { w.cloud.call(c) })
+		}
 	}
 }
 
@@ -269,12 +285,22 @@
 	if h == nil {
 		return
 	}
+	if h.mute {
+		return
+	}
 	w.deliver(h, e.n, func() {
 		if h.dead {
 			return
 		}
 		status, rep := h.command(d)
 		w.deliver(h, e.n, func() { finish(status, rep) })
+		if w.chaos && w.rng.IntN(20) == 0 { // a repeat of a command that was carried out
+			w.clk.in(time.Duration(200+w.rng.IntN(60000))*time.Millisecond, func() {
+				if !h.dead && !h.hung {
+					h.command(d)
+				}
+			})
+		}
 	})
 }
 
@@ -444,6 +470,7 @@
 	case stage == wire.JobWithdrawn && !j.asked:
 		w.fail("went_back: %s was never cancelled", j.spec.ID)
 	}
+	j.answered = w.clk.now
 	if final(j.told) {
 		return
 	}
@@ -532,22 +559,19 @@
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	span := time.Duration(1+w.rng.IntN(25)) * time.Second
 	back := time.Duration(100+w.rng.IntN(5000)) * time.Millisecond
-	switch w.rng.IntN(16) {
+	if w.rng.IntN(3) == 0 { // over within a fraction of a second
+		span, back = time.Duration(20+w.rng.IntN(400))*time.Millisecond, time.Duration(10+w.rng.IntN(300))*time.Millisecond
+	}
+	switch w.rng.IntN(19) {
 	case 0, 1:
 		n.crash(back)
 	case 2:
 		for _, o := range w.nodes {
-			o.crash(time.Duration(100+w.rng.IntN(4000)) * time.Millisecond)
+			o.crash(back + time.Duration(w.rng.IntN(2000))*time.Millisecond)
 		}
 	case 3:
 		n.cutState = true
-		w.clk.in(span, func() {
-			n.cutState = false
-			for _, f := range n.held {
-				w.clk.in(w.lag(), f)
-			}
-			n.held = nil
-		})
+		w.clk.in(span, n.restoreState)
 	case 4:
 		n.refused = true
 		w.clk.in(span, func() { n.refused = false })
@@ -593,6 +617,17 @@
 		if h := w.someWorker(); h != nil {
 			w.cloud.remove(h.host.ID)
 		}
+	case 16, 17:
+		if h := w.someWorker(); h != nil {
+			h.mute = true
+			w.clk.in(2*span, func() { h.mute = false })
+		}
+	case 18: // only its workers are left to it
+		n.cutState, n.cutPeers = true, true
+		w.clk.in(2*span, func() {
+			n.cutPeers = false
+			n.restoreState()
+		})
 	}
 }
 
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -29,10 +29,20 @@
 	m         *worker.Machine
 	high, low []*Task
 	on        []*Task // handed out and not known gone
-	seen      view
-	grew      uint64 // the change, counted by the board, in which it last gained room or an image
-	touched   bool   // something about it changed since the last survey
-	kick      bool   // it is among those to be told at once
+	// direct holds the attempts started by direct commands in the worker's
+	// session. A repeat of such a command may come minutes later, and starts
+	// the attempt anew if the worker has forgotten it: these are never reaped.
+	direct  map[attempt]bool
+	seen    view
+	grew    uint64 // the change, counted by the board, in which it last gained room or an image
+	touched bool   // something about it changed since the last survey
+	kick    bool   // it is among those to be told at once
+}
+
+// attempt is one attempt of a task.
+type attempt struct {
+	piece string
+	try   uint64
 }
 
 // Board is the placement state of one block in one tenure.
@@ -484,6 +494,7 @@
 	b.touch(h)
 	if v == worker.Renewed {
 		b.Lost(now, m, "worker's session is a new one")
+		h.direct = nil // commands of an earlier session are void
 		m.Images = map[string]time.Time{}
 	}
 	shown := make(map[string]*wire.Piece, len(m.Pieces))
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -71,7 +71,7 @@
 	var bins []*bin
 	for _, m := range b.reg.All() {
 		m.Wanted = m.Busy > 0
-		if m.Faulty || m.Closing || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting {
+		if m.Faulty || m.Mute(now, config.Seconds(b.facts.Workers.LeaseS)) || m.Closing || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting {
 			continue
 		}
 		bn := &bin{m: m, build: m.Build, yard: m.Yard, loaners: m.Loaners, cap: m.Cap, free: m.FreeForMain()}
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -601,6 +601,7 @@
 // the answer to its report, otherwise into a direct command.
 func (b *Board) Orders(now time.Time, m *worker.Machine, checkin bool) []wire.Order {
 	b.heads(now, m)
+	h := b.host(m)
 	var out []wire.Order
 	zero := 0.0
 	for i := range m.Pieces {
@@ -616,12 +617,9 @@
 			}
 		}
 		if p.Stage == wire.PieceExited {
-			// A completion stays reported until it is kept elsewhere, and an
-			// attempt until no unanswered direct command could start it again.
-			if j == nil || j.closed || p.Cause != wire.CauseDone || j.Standing() || j.durable.has(n) {
-				if m.OpenDo == 0 {
-					out = append(out, wire.Order{Verb: wire.VerbReap, Piece: p.Piece, Try: p.Try})
-				}
+			// A completion stays reported until it is kept elsewhere.
+			if (j == nil || j.closed || p.Cause != wire.CauseDone || j.Standing() || j.durable.has(n)) && !h.direct[attempt{p.Piece, p.Try}] {
+				out = append(out, wire.Order{Verb: wire.VerbReap, Piece: p.Piece, Try: p.Try})
 			}
 			continue
 		}
@@ -638,12 +636,20 @@
 			t.stopDue = false
 		}
 	}
-	for _, t := range b.host(m).on {
+	for _, t := range h.on {
 		if len(out) == tuning.OrdersMost {
 			return out
 		}
 		switch {
+		case t.phase == Sent && !checkin && len(h.direct) >= tuning.DirectMost:
+			// goes out with the answer to the next report
 		case t.phase == Sent:
+			if !checkin {
+				if h.direct == nil {
+					h.direct = map[attempt]bool{}
+				}
+				h.direct[attempt{t.Name(), t.try}] = true
+			}
 			out = append(out, wire.Order{Verb: wire.VerbRun, Piece: t.Name(), Try: t.try})
 			t.ordered, t.stint = true, m.Stint
 			if checkin {
@@ -691,7 +697,7 @@
 		pending, ready := false, false
 		for _, t := range h.on {
 			switch {
-			case t.phase == Sent && !t.ordered && t.Job.Gang():
+			case t.phase == Sent && !t.ordered && t.Job.Gang() && len(h.direct) < tuning.DirectMost:
 				pending, ready = true, true
 			case t.phase == Stopping && t.stopDue && !t.Job.closed:
 				pending, ready = true, ready || t.ordered
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -103,8 +103,22 @@
 	// ProbeTimeout how long it tries.
 	ProbeWorkers = 3
 	ProbeTimeout = 700 * time.Millisecond
+	// DirectMost is how many attempts may be started by direct commands in a
+	// worker's session. They stay in its reports, which must not grow for ever;
+	// beyond it all starts go with the answers to reports.
+	DirectMost = 40
 	// FenceRetry is the pause before an unheard machine is asked again.
 	FenceRetry = 1 * time.Second
+	// WorkerPatience is the least time after which a worker that got no answer
+	// turns to another node, by the protocol 4 s, less what a network may have
+	// held its report before back.
+	WorkerPatience = 3500 * time.Millisecond
+	// MuteLeases is for how many leases a machine may report without a sign that
+	// anything reaches it before it is returned: a lost answer or a change of
+	// the holder passes within one.
+	MuteLeases = 2
+	// GoneKept is how many returned machines' names are remembered.
+	GoneKept = 20000
 	// TryBits is how many low bits of an attempt number count within a tenure.
 	TryBits = 20
 )
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -4,6 +4,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"juniperchute/internal/config"
@@ -56,15 +58,23 @@
 	// Answered is when the last report that was answered came in. The
 	// worker's lease counts from when it sent it, so not later.
 	Answered time.Time
-	Recall   time.Time // when the cloud takes it away; zero: no notice
-	Pieces   []wire.Piece
-	Stranger bool // has tasks that no open job explains
-	Recorded bool // its hire record names it
-	Used     bool // its hire record says that it may have tasks
-	Faulty   bool
-	Wanted   bool // a demand pass found a use for it
-	Closing  bool // nothing more is drawn to it, so that it can be returned
-	IdleFrom time.Time
+	// Proven: its newest report shows that an answer or a command has reached
+	// the worker since the report before. One whose reports come and to which
+	// nothing gets through holds no lease and carries nothing out.
+	Proven bool
+	// Unproven is since when its reports have come without being so; zero: not.
+	Unproven time.Time
+	// The newest session and report seen in any message, absorbed or not.
+	SeenStint, SeenTally uint64
+	Recall               time.Time // when the cloud takes it away; zero: no notice
+	Pieces               []wire.Piece
+	Stranger             bool // has tasks that no open job explains
+	Recorded             bool // its hire record names it
+	Used                 bool // its hire record says that it may have tasks
+	Faulty               bool
+	Wanted               bool // a demand pass found a use for it
+	Closing              bool // nothing more is drawn to it, so that it can be returned
+	IdleFrom             time.Time
 
 	// The account of what may be on it, kept by placement.
 	Taken    quota.Room // by copies handed out, until they are known gone
@@ -79,7 +89,13 @@
 
 // Usable tells whether new work may be drawn to the machine.
 func (m *Machine) Usable(now time.Time) bool {
-	return m.State == Up && m.Recall.IsZero() && !m.Faulty && !m.Closing && m.OpenDo == 0 && m.Used && !m.Stranger
+	return m.State == Up && m.Recall.IsZero() && !m.Faulty && !m.Closing && m.OpenDo == 0 && m.Used && !m.Stranger && m.Proven
+}
+
+// Mute tells whether a machine's reports have come for longer than its lease
+// without a sign that any answer or command reaches it.
+func (m *Machine) Mute(now time.Time, lease time.Duration) bool {
+	return !m.Proven && !m.Unproven.IsZero() && m.Checked.After(m.Unproven) && now.Sub(m.Unproven) > lease
 }
 
 // Free is the room not taken.
@@ -95,14 +111,15 @@
 	facts  config.Workers
 	log    *slog.Logger
 	hosts  map[string]*Machine
-	order  []*Machine // in the order in which they became known
+	order  []*Machine      // in the order in which they became known
+	gone   map[string]bool // machines whose deletion was answered
 	expiry time.Duration
 }
 
 // NewRegistry makes an empty registry.
 func NewRegistry(facts config.Workers, log *slog.Logger) *Registry {
 	lease := config.Seconds(facts.LeaseS)
-	return &Registry{facts: facts, log: log, hosts: map[string]*Machine{},
+	return &Registry{facts: facts, log: log, hosts: map[string]*Machine{}, gone: map[string]bool{},
 		expiry: lease + time.Duration(float64(lease)*2*tuning.ClockDrift) + tuning.LeaseMargin}
 }
 
@@ -133,6 +150,7 @@
 	m.State, m.Since = s, now
 	if s == Gone {
 		delete(r.hosts, m.Host)
+		r.bury(m.Host)
 		for i, o := range r.order {
 			if o == m {
 				r.order = append(r.order[:i:i], r.order[i+1:]...)
@@ -142,6 +160,21 @@
 	}
 }
 
+// bury remembers a machine that is gone: a late copy of one of its reports must
+// not bring it back. Names come in the order of creation, so the smallest are
+// the oldest.
+func (r *Registry) bury(host string) {
+	r.gone[host] = true
+	if len(r.gone) > tuning.GoneKept {
+		for _, h := range slices.Sorted(maps.Keys(r.gone))[:tuning.GoneKept/2] {
+			delete(r.gone, h)
+		}
+	}
+}
+
+// IsGone tells whether a machine's deletion was answered in this tenure.
+func (r *Registry) IsGone(host string) bool { return r.gone[host] }
+
 // Verdict is what a report amounts to.
 type Verdict int
 
@@ -154,6 +187,30 @@
 	Renewed
 )
 
+// Glimpse takes note of a report from which nothing else may be concluded, as
+// it may be a late copy, and tells whether it is at least the newest one seen.
+func (m *Machine) Glimpse(rep *wire.Report) bool {
+	if rep.Stint < m.SeenStint || rep.Stint == m.SeenStint && rep.Tally <= m.SeenTally {
+		return false
+	}
+	m.SeenStint, m.SeenTally = rep.Stint, rep.Tally
+	return true
+}
+
+// proves tells whether a report shows that the answer to the one before, or a
+// command since, has reached the worker. A worker that gets no answer gives up
+// after some seconds and goes to the next node, so that it comes back late and
+// with other reports in between.
+func (m *Machine) proves(now time.Time, rep *wire.Report, checkin bool) bool {
+	switch {
+	case !checkin || m.Stint == 0:
+		return true // the command has just been answered; the Baton has reached it
+	case rep.Stint != m.Stint:
+		return false
+	}
+	return rep.Tally == m.Tally+1 || !m.Checked.IsZero() && now.Sub(m.Checked) < tuning.WorkerPatience
+}
+
 // Absorb takes in a worker's account of itself. checkin tells a report from
 // the answer to a direct command.
 func (r *Registry) Absorb(now time.Time, m *Machine, rep *wire.Report, checkin bool) Verdict {
@@ -162,6 +219,17 @@
 	if m.Stint != 0 && (rep.Stint < m.Stint || rep.Stint == m.Stint && rep.Tally <= m.Tally) {
 		return Stale
 	}
+	// What a session that is surely over had to say is old, however late it
+	// comes.
+	if m.State == Lapsed && rep.Stint <= m.SeenStint {
+		return Stale
+	}
+	m.Glimpse(rep)
+	if m.Proven = m.proves(now, rep, checkin); m.Proven {
+		m.Unproven = time.Time{}
+	} else if m.Unproven.IsZero() {
+		m.Unproven = now
+	}
 	v := Fresh
 	if m.Stint != 0 && rep.Stint > m.Stint {
 		v = Renewed
