State service: one write a submission, pages for tallies and used machines

An open job is one key, q/ID; its end is written to j/ID as that key goes. Tallies and used machines share pages. Questions of open jobs wait for one look at the changes rather than a read each; takeovers find the open jobs read.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -35,11 +36,6 @@
 	Loaners     bool
 	Number      int
 	Hosts       []string `json:",omitempty"`
-	// Used names the machines that may have been given tasks. A machine is
-	// entered before its first task, so a successor need not wait for one
-	// that is not named.
-	// The value is the worker's address.
-	Used map[string]string `json:",omitempty"`
 }
 
 type hireState int
@@ -62,17 +58,23 @@
 	file  *store.Record
 	busy  bool
 	retry time.Time
-	used  map[string]int // host: version of the record that names it used
+	kept  bool // its record names its machines durably
 }
 
-// Key prefixes, under the control records.
+// Key prefixes: all blocks' hires, and the machine types among the control
+// records.
 const (
-	underHires   = "c/h/"
+	UnderHires   = "h/"
 	underFlavors = "c/f/"
 )
 
 // Hires is the key prefix of a block's hire records.
-func Hires(block int) string { return fmt.Sprintf("%s%d/", underHires, block) }
+func Hires(block int) string { return fmt.Sprintf("%s%d/", UnderHires, block) }
+
+// UsedUnder is the key prefix of the pages that name a block's machines that may
+// have been given tasks, with their workers' addresses. A machine is entered
+// before its first task, so a successor need not wait for one that is not named.
+func UsedUnder(block int) string { return fmt.Sprintf("u/%d/", block) }
 
 // FlavorName tells whether a control key holds a machine type, and which.
 func FlavorName(key string) (string, bool) { return strings.CutPrefix(key, underFlavors) }
@@ -96,11 +98,14 @@
 	flavors map[string]wire.Flavor
 	known   map[string]string // machine types as recorded for all nodes
 	files   []*store.Record   // of the machine types
+	used    *store.Pages
+	entered map[string]bool // machines that are being, or have been, entered as used
 	limit   *rate.Limiter
 	back    *backoff.ExponentialBackOff // of calls that fail in a row
 	born    time.Time
 
 	hires     map[string]*hire
+	by        map[string]*hire // machines by their hires
 	seq       int
 	noneUntil map[string]time.Time
 	deleting  map[string]bool
@@ -126,14 +131,16 @@
 	back.InitialInterval, back.MaxInterval = tuning.CloudRetry, tuning.CloudRetryMost
 	back.RandomizationFactor = 0 // one holder asks: there is no crowd to part, and tests repeat
 	back.Reset()
-	return &Slice{
+	s := &Slice{
 		Set:   Settings{IdleReturn: tuning.IdleReturn},
 		block: block, baton: baton, tenure: tenure, facts: facts, cloud: cloud, state: state, log: log, reg: reg, board: board,
 		lost: lost, gone: gone, foreign: foreign, flavors: map[string]wire.Flavor{}, known: map[string]string{},
 		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))), back: back, born: now,
-		hires: map[string]*hire{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
-		listed: map[string]bool{}, missing: map[string]int{},
+		hires: map[string]*hire{}, by: map[string]*hire{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
+		listed: map[string]bool{}, missing: map[string]int{}, entered: map[string]bool{},
 	}
+	s.used = store.NewPages(UsedUnder(block), facts.State.ValueKB, tuning.UsedEvery, store.ClassUser, tenure, state, log, lost)
+	return s
 }
 
 // sorted lists the hires by name.
@@ -153,15 +160,15 @@
 }
 
 func (s *Slice) file(h *hire, stamp uint64) {
-	h.file = store.NewRecord(Hires(s.block)+h.name, stamp, store.ClassUser, s.tenure, s.state, func(now time.Time, ver int) {
+	h.file = store.NewRecord(Hires(s.block)+h.name, stamp, store.ClassUser, s.tenure, s.state, func(now time.Time, _ int) {
 		switch h.state {
 		case hireRecording:
 			s.set(h, hireAsking, "recorded")
 		case hireGranted:
-			for host, v := range h.used {
-				if m := s.reg.Get(host); m != nil && v <= ver && !m.Used {
-					m.Used = true
-					s.board.Touch(m)
+			h.kept = true
+			for _, host := range h.rec.Hosts {
+				if m := s.reg.Get(host); m != nil && m.SeenStint > 0 {
+					s.enter(now, m)
 				}
 			}
 		case hireEmpty:
@@ -180,7 +187,7 @@
 		s.log.Error("hire record cannot be read", "key", it.Path, "error", err)
 		return
 	}
-	h := &hire{name: name, rec: rec, used: map[string]int{}}
+	h := &hire{name: name, rec: rec}
 	s.file(h, it.Stamp)
 	s.hires[name] = h
 	if len(rec.Hosts) == 0 {
@@ -190,19 +197,30 @@
 		return
 	}
 	s.set(h, hireGranted, "taken over")
+	h.kept = true
 	for _, host := range rec.Hosts {
-		st := worker.Booting
-		addr, used := rec.Used[host]
-		if used {
-			st = worker.Unheard
-			h.used[host] = 0
-		}
-		m := s.meet(now, host, st, rec.Build, rec.Yard, rec.Loaners)
-		m.Address = addr
-		m.Recorded, m.Used = true, st == worker.Unheard
+		s.by[host] = h
+		s.meet(now, host, worker.Booting, rec.Build, rec.Yard, rec.Loaners).Recorded = true
 	}
 }
 
+// LoadUsed takes over the pages that name the machines used by earlier tenures,
+// after their hires. One whose hire is gone is gone itself.
+func (s *Slice) LoadUsed(now time.Time, items []wire.Item) {
+	s.used.Load(items, func(host string, raw json.RawMessage) {
+		m := s.reg.Get(host)
+		if m == nil || !m.Recorded {
+			s.used.Drop(host)
+			return
+		}
+		s.entered[host], m.Used = true, true
+		if m.State == worker.Booting {
+			_ = json.Unmarshal(raw, &m.Address) // without one it is heard when it reports
+			s.reg.Set(now, m, worker.Unheard, "used by an earlier tenure")
+		}
+	})
+}
+
 // meet makes a machine known to the registry.
 func (s *Slice) meet(now time.Time, host string, st worker.State, build, yard string, loaners bool) *worker.Machine {
 	m := s.reg.Get(host)
@@ -224,14 +242,16 @@
 	}
 }
 
-// Owns tells whether a hire record names a machine, and whether the record
-// still waits for its machines' names.
-func Owns(it wire.Item, host string) (owned, waiting bool) {
+// Named tells of a hire record whose block's it is and which machines it names,
+// none while it waits for them.
+func Named(it wire.Item) (block int, hosts []string) {
+	num, _, _ := strings.Cut(strings.TrimPrefix(it.Path, UnderHires), "/")
 	var rec HireRec
-	if json.Unmarshal(it.Value, &rec) != nil {
-		return false, false
+	block, err := strconv.Atoi(num)
+	if err != nil || json.Unmarshal(it.Value, &rec) != nil {
+		return 0, nil
 	}
-	return slices.Contains(rec.Hosts, host), len(rec.Hosts) == 0
+	return block, rec.Hosts
 }
 
 // Flavor takes note of a machine type as recorded for all nodes.
@@ -265,20 +285,18 @@
 }
 
 func (s *Slice) enter(now time.Time, m *worker.Machine) {
-	if m.Used || m.State == worker.Deleting {
+	// Its hire's record comes first: a successor that found the machine among
+	// the used ones and in no hire would take it for gone.
+	if h := s.by[m.Host]; m.Used || m.State == worker.Deleting || s.entered[m.Host] || h == nil || !h.kept {
 		return
 	}
 	s.size(m)
-	for _, h := range s.sorted() {
-		if _, used := h.rec.Used[m.Host]; !used && slices.Contains(h.rec.Hosts, m.Host) {
-			if h.rec.Used == nil {
-				h.rec.Used = map[string]string{}
-			}
-			h.rec.Used[m.Host] = m.Address
-			h.used[m.Host] = h.file.Set(h.rec)
-			h.file.Tick(now)
-		}
-	}
+	s.entered[m.Host] = true
+	s.used.Put(m.Host, m.Address, func(now time.Time) {
+		m.Used = true
+		s.board.Touch(m)
+	})
+	s.used.Tick(now)
 }
 
 // unsettled tells whether some hire's machines are not known yet.
@@ -296,18 +314,16 @@
 	if s.unsettled() || s.foreign(m.Host) {
 		return // one of the hires under way may explain it
 	}
-	for _, h := range s.sorted() {
-		if slices.Contains(h.rec.Hosts, m.Host) {
-			m.Recorded = true
-			return
-		}
+	if s.by[m.Host] != nil {
+		m.Recorded = true
+		return
 	}
 	s.log.Info("adopting a machine nobody expected", "host", m.Host)
-	h := &hire{name: "found-" + m.Host, used: map[string]int{}, rec: HireRec{
+	h := &hire{name: "found-" + m.Host, rec: HireRec{
 		Build: m.Build, Yard: m.Yard, Loaners: m.Loaners, Number: 1, Hosts: []string{m.Host}}}
 	s.file(h, 0)
 	s.set(h, hireGranted, "found")
-	s.hires[h.name] = h
+	s.hires[h.name], s.by[m.Host] = h, h
 	h.file.Set(h.rec)
 	m.Recorded = true
 }
@@ -332,6 +348,7 @@
 	for _, f := range s.files {
 		f.Tick(now)
 	}
+	s.used.Tick(now)
 	for _, h := range s.sorted() {
 		h.file.Tick(now)
 		if h.state == hireAsking && !h.busy && !now.Before(h.retry) && s.may(now) {
@@ -432,6 +449,7 @@
 	h.rec.Hosts = hosts
 	h.file.Set(h.rec)
 	for _, host := range hosts {
+		s.by[host] = h
 		s.meet(now, host, worker.Booting, h.rec.Build, h.rec.Yard, h.rec.Loaners).Recorded = true
 	}
 	h.file.Tick(now)
@@ -545,19 +563,18 @@
 // strike takes a machine that is gone off its hire's record.
 func (s *Slice) strike(now time.Time, host string) {
 	delete(s.missing, host)
-	for _, h := range s.sorted() {
-		i := slices.Index(h.rec.Hosts, host)
-		if i < 0 {
-			continue
-		}
-		h.rec.Hosts = slices.Delete(slices.Clone(h.rec.Hosts), i, i+1)
-		delete(h.rec.Used, host)
-		delete(h.used, host)
-		if len(h.rec.Hosts) == 0 {
-			s.drop(now, h, "all machines gone")
-		} else {
-			h.file.Set(h.rec)
-		}
+	delete(s.entered, host)
+	s.used.Drop(host)
+	h := s.by[host]
+	if h == nil {
+		return
+	}
+	delete(s.by, host)
+	h.rec.Hosts = slices.DeleteFunc(slices.Clone(h.rec.Hosts), func(o string) bool { return o == host })
+	if len(h.rec.Hosts) == 0 {
+		s.drop(now, h, "all machines gone")
+	} else {
+		h.file.Set(h.rec)
 	}
 }
 
@@ -669,7 +686,7 @@
 		}
 		o := offers[i]
 		s.seq++
-		h := &hire{name: fmt.Sprintf("b%d-%d-%d", s.block, s.baton, s.seq), used: map[string]int{},
+		h := &hire{name: fmt.Sprintf("b%d-%d-%d", s.block, s.baton, s.seq),
 			rec: HireRec{Build: o.Build, Yard: o.Yard, Loaners: o.Loaners, Number: n}}
 		s.file(h, 0)
 		s.hires[h.name] = h
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"juniperchute/internal/store"
@@ -124,7 +125,13 @@
 func (s *Slice) Synced() bool { return s.mirror.Synced() }
 
 // Each calls f for every control record under a prefix.
-func (s *Slice) Each(under string, f func(it wire.Item)) { s.mirror.Each(under, f) }
+func (s *Slice) Each(under string, f func(it wire.Item)) {
+	s.mirror.Each(func(it wire.Item) {
+		if strings.HasPrefix(it.Path, under) {
+			f(it)
+		}
+	})
+}
 
 // Stamp is the version of a control record, 0 when it does not exist.
 func (s *Slice) Stamp(key string) uint64 { return s.mirror.Stamp(key) }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -46,6 +46,9 @@
 
 	leader    *leader.Slice
 	users     *submission.Slice
+	open      *store.Mirror  // open jobs of all blocks
+	hires     *store.Mirror  // hires of all blocks
+	blockFor  map[string]int // machines by the hires that name them
 	tenures   map[int]*tenure
 	flavors   map[string]wire.Flavor
 	flavorRaw map[string]string
@@ -70,10 +73,18 @@
 func NewCore(cfg *config.Config, blocks int, env Env, rng *rand.Rand, wall func() time.Time, log *slog.Logger) *Core {
 	c := &Core{cfg: cfg, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
 		tenures: map[int]*tenure{}, flavors: map[string]wire.Flavor{}, flavorRaw: map[string]string{},
-		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}}
+		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}, blockFor: map[string]int{}}
 	c.leader = leader.New(cfg.Member, blocks, wall, c.state, log, c.control)
+	c.open = store.NewMirror(submission.OpenUnder, c.state, func(now time.Time, _ string, it wire.Item, gone bool) {
+		for _, t := range c.tenures {
+			if t.state != tenureOver && t.reading == 0 {
+				t.jobChanged(now, it, gone)
+			}
+		}
+	})
+	c.hires = store.NewMirror(fleet.UnderHires, c.state, c.hired)
 	c.users = submission.New(cfg.Facts, blocks, wall, c.state, log,
-		func() map[string]wire.Flavor { return c.flavors }, c.progress)
+		func() map[string]wire.Flavor { return c.flavors }, c.open, c.progress)
 	for _, k := range cfg.Known {
 		c.peers[k.Member] = &peerView{}
 	}
@@ -169,6 +180,12 @@
 		i++
 	}
 	c.after(now)
+	c.open.Pace, c.hires.Pace = tuning.OpenPace, tuning.OpenPace
+	if len(c.tenures) > 0 {
+		c.open.Pace = tuning.HolderPace
+	}
+	c.open.Tick(now)
+	c.hires.Tick(now)
 	for b := range c.blocks {
 		if t := c.tenures[b]; t != nil {
 			t.Tick(now)
@@ -246,7 +263,7 @@
 // the state service says no, so that users go to the others; in an outage all
 // stay, as they would be slow to come back.
 func (c *Core) Healthy(now time.Time) bool {
-	if !c.leader.Synced() || len(c.flavors) == 0 {
+	if !c.leader.Synced() || !c.open.Synced() || len(c.flavors) == 0 {
 		return false
 	}
 	if c.silent(now) < tuning.CutAfter+tuning.WatchWait {
@@ -281,36 +298,36 @@
 			return b
 		}
 	}
-	for b := range c.blocks {
-		if owned, _ := c.owns(b, host); owned {
-			return b
-		}
-	}
-	return 0
+	return c.blockFor[host]
 }
 
-// owns tells whether a block's hire records name a machine, and whether some
-// record still waits for its machines' names.
-func (c *Core) owns(block int, host string) (owned, waiting bool) {
-	c.leader.Each(fleet.Hires(block), func(it wire.Item) {
-		o, w := fleet.Owns(it, host)
-		owned, waiting = owned || o, waiting || w
-	})
-	return owned, waiting
+// hired takes note of a hire's record.
+func (c *Core) hired(_ time.Time, _ string, it wire.Item, gone bool) {
+	block, hosts := fleet.Named(it)
+	for _, h := range hosts {
+		if gone {
+			delete(c.blockFor, h)
+		} else {
+			c.blockFor[h] = block
+		}
+	}
 }
 
 // foreign tells whether a machine is, or may turn out to be, of another block
 // than the given one.
 func (c *Core) foreign(block int, host string) bool {
-	for b := range c.blocks {
-		if b == block {
-			continue
-		}
-		if owned, waiting := c.owns(b, host); owned || waiting {
-			return true
-		}
+	if c.blocks == 1 {
+		return false
 	}
-	return false
+	if b, ok := c.blockFor[host]; ok {
+		return b != block
+	}
+	waiting := false
+	c.hires.Each(func(it wire.Item) {
+		b, hosts := fleet.Named(it)
+		waiting = waiting || b != block && len(hosts) == 0
+	})
+	return waiting
 }
 
 // holder names a block's holder: as the records say, or a peer that has seen
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"maps"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -53,13 +51,11 @@
 	book  *quota.Book
 	board *placement.Board
 	fleet *fleet.Slice
-	jobs  *store.Mirror
 
-	early    bool // jobs now being read were accepted before this tenure
-	tallied  bool // tallies have been read
-	tallies  map[string]map[int]*store.Record
-	orphans  []*store.Record // tallies of jobs that are over
-	found    []wire.Item     // tallies read before their jobs
+	tallies  tallies
+	found    []wire.Item // tallies and used machines as read, before they are taken over
+	used     []wire.Item
+	reading  int // reads that are still under way
 	tallyDue time.Time
 	countDue time.Time
 	deaf     bool // no worker is heard any more
@@ -74,7 +70,7 @@
 func newTenure(now time.Time, c *Core, l leader.Tenure, inc uint64) *tenure {
 	t := &tenure{
 		Tenure: l, c: c, inc: inc, since: now, log: c.log.With("block", l.Block, "baton", l.Baton),
-		tallies: map[string]map[int]*store.Record{}, dirty: map[string]*placement.Job{},
+		dirty:  map[string]*placement.Job{},
 		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, stints: map[string]uint64{},
 	}
 	t.reg = worker.NewRegistry(c.cfg.Facts.Workers, t.log)
@@ -83,19 +79,81 @@
 	t.fleet = fleet.New(now, l.Block, l.Baton, t.cond(), c.cfg.Facts, c.env.Cloud, t.call, t.log, t.reg, t.board, t.lost,
 		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) },
 		func(host string) bool { return c.foreign(l.Block, host) })
-	t.jobs = store.NewMirror(submission.OpenUnder(l.Block), t.call, t.jobChanged)
-	t.early = true
+	t.tallies = tallies{chunk: int(c.cfg.Facts.State.ValueKB*1024) * tuning.TallyBits, jobs: map[string]int{},
+		pages: store.NewPages(tallyUnder(l.Block), c.cfg.Facts.State.ValueKB, tuning.TallyEvery, store.ClassTally, t.cond(), t.call, t.log, t.lost)}
 	t.log.Info("tenure begins", "ended", l.Ended)
 	for name, f := range c.flavors {
 		t.fleet.Flavor(f, c.flavorRaw[name])
 	}
-	c.leader.Each(fleet.Hires(l.Block), func(it wire.Item) { t.fleet.Load(now, it) })
 	t.configure()
-	t.jobs.Tick(now)
-	t.loadTallies(now, "")
+	t.reading = 4
+	t.sync(now, c.open)
+	t.sync(now, c.hires)
+	t.list(now, tallyUnder(l.Block), "", &t.found)
+	t.list(now, fleet.UsedUnder(l.Block), "", &t.used)
 	return t
 }
 
+// sync waits until a mirror holds all that was written before this tenure.
+func (t *tenure) sync(now time.Time, m *store.Mirror) {
+	m.Sync(now, 0, func(now time.Time, ok bool) {
+		switch {
+		case t.state == tenureOver:
+		case ok:
+			t.read(now)
+		default:
+			t.c.later(now, tuning.MirrorRetry, func(now time.Time) { t.sync(now, m) })
+		}
+	})
+}
+
+// list reads all keys under a prefix.
+func (t *tenure) list(now time.Time, under, after string, into *[]wire.Item) {
+	t.call(store.Call{Op: store.OpList, Class: store.ClassLease, Under: under, After: after, Page: tuning.ListPage}, func(now time.Time, r store.Result) {
+		if !r.OK() {
+			t.c.later(now, tuning.MirrorRetry, func(now time.Time) {
+				if t.state != tenureOver {
+					t.list(now, under, after, into)
+				}
+			})
+			return
+		}
+		*into = append(*into, r.Items...)
+		if n := len(r.Items); r.More && n > 0 {
+			t.list(now, under, r.Items[n-1].Path, into)
+			return
+		}
+		t.read(now)
+	})
+}
+
+// read goes on to fencing once everything has been read.
+func (t *tenure) read(now time.Time) {
+	if t.reading--; t.reading > 0 {
+		return
+	}
+	t.c.open.Each(func(it wire.Item) { t.jobChanged(now, it, false) })
+	t.c.hires.Each(func(it wire.Item) {
+		if strings.HasPrefix(it.Path, fleet.Hires(t.Block)) {
+			t.fleet.Load(now, it)
+		}
+	})
+	t.fleet.LoadUsed(now, t.used)
+	t.tallies.load(t.found, t.board.Job)
+	t.found, t.used = nil, nil
+	for _, j := range t.board.Jobs() {
+		if j.Complete() {
+			t.dirty[j.Spec.ID] = j
+		}
+	}
+	t.set(now, tenureFencing, "records read")
+	for _, m := range slices.Clone(t.reg.All()) {
+		if m.State == worker.Up {
+			t.board.Reported(now, m, worker.Fresh, false)
+		}
+	}
+}
+
 func (t *tenure) cond() wire.Cond { return store.Is(leader.BlockKey(t.Block), t.Stamp) }
 
 // call passes a call on and drops its answer once the tenure is over.
@@ -118,7 +176,6 @@
 
 func (t *tenure) end(now time.Time, why string) {
 	t.set(now, tenureOver, why)
-	t.jobs.Stop()
 }
 
 // lost is told when a write finds the block's record changed.
@@ -147,18 +204,21 @@
 	return u
 }
 
-func (t *tenure) jobChanged(now time.Time, key string, it wire.Item, gone bool) {
-	id := strings.TrimPrefix(key, submission.OpenUnder(t.Block))
+// jobChanged takes note of an open job's entry, or of its end.
+func (t *tenure) jobChanged(now time.Time, it wire.Item, gone bool) {
+	id := strings.TrimPrefix(it.Path, submission.OpenUnder)
 	if gone {
-		t.board.CloseJob(now, id)
-		t.dropTallies(now, id)
-		delete(t.dirty, id)
-		delete(t.finalDue, id)
+		if t.board.Job(id) != nil {
+			t.over(now, id)
+		}
 		return
 	}
 	var rec submission.OpenRec
 	if err := json.Unmarshal(it.Value, &rec); err != nil || rec.Spec.ID != id || rec.Spec.Pieces < 1 || rec.Spec.Pieces > wire.MaxPieces {
-		t.log.Error("job entry cannot be read", "key", key, "error", err)
+		t.log.Error("job entry cannot be read", "key", it.Path, "error", err)
+		return
+	}
+	if rec.Block != t.Block {
 		return
 	}
 	// The predecessor started nothing after its lease ended, and that was
@@ -166,117 +226,6 @@
 	t.board.AddJob(now, rec.Spec, time.UnixMilli(rec.At), it.Stamp, it.Stamp < t.Stamp)
 }
 
-// Tallies: which tasks of an open job have completed, in chunks that fit one
-// value.
-
-type tallyRec struct{ Bits []byte }
-
-func tallyUnder(block int) string { return "t/" + strconv.Itoa(block) + "/" }
-
-func tallyKey(block int, job string, chunk int) string {
-	return fmt.Sprintf("%s%s/%d", tallyUnder(block), job, chunk)
-}
-
-func (t *tenure) chunk() int { return int(t.c.cfg.Facts.State.ValueKB*1024) * tuning.TallyBits }
-
-func (t *tenure) loadTallies(now time.Time, after string) {
-	t.call(store.Call{Op: store.OpList, Class: store.ClassLease, Under: tallyUnder(t.Block), After: after, Page: tuning.ListPage}, func(now time.Time, r store.Result) {
-		if !r.OK() {
-			t.c.later(now, tuning.MirrorRetry, func(now time.Time) {
-				if t.state != tenureOver {
-					t.loadTallies(now, after)
-				}
-			})
-			return
-		}
-		t.found = append(t.found, r.Items...)
-		if n := len(r.Items); r.More && n > 0 {
-			t.loadTallies(now, r.Items[n-1].Path)
-			return
-		}
-		t.tallied = true
-		t.loaded(now)
-	})
-}
-
-// loaded goes on to fencing once everything has been read.
-func (t *tenure) loaded(now time.Time) {
-	if t.state != tenureLoading || !t.tallied || !t.jobs.Synced() {
-		return
-	}
-	for _, it := range t.found {
-		job, num, _ := strings.Cut(strings.TrimPrefix(it.Path, tallyUnder(t.Block)), "/")
-		chunk, err := strconv.Atoi(num)
-		var rec tallyRec
-		j := t.board.Job(job)
-		if err != nil || chunk < 0 || json.Unmarshal(it.Value, &rec) != nil {
-			t.log.Error("tally cannot be read", "key", it.Path)
-			continue
-		}
-		file := t.tally(job, chunk, it.Stamp)
-		if j == nil {
-			file.Set(nil)
-			t.orphans = append(t.orphans, file)
-			delete(t.tallies, job)
-			continue
-		}
-		for i, b := range rec.Bits {
-			for k := range 8 {
-				if b&(1<<k) != 0 {
-					j.Recover(chunk*t.chunk() + i*8 + k)
-				}
-			}
-		}
-	}
-	t.found = nil
-	for _, j := range t.board.Jobs() {
-		if j.Complete() {
-			t.dirty[j.Spec.ID] = j
-		}
-	}
-	t.set(now, tenureFencing, "records read")
-	for _, m := range slices.Clone(t.reg.All()) {
-		if m.State == worker.Up {
-			t.board.Reported(now, m, worker.Fresh, false)
-		}
-	}
-}
-
-func (t *tenure) tally(job string, chunk int, stamp uint64) *store.Record {
-	if t.tallies[job] == nil {
-		t.tallies[job] = map[int]*store.Record{}
-	}
-	f := t.tallies[job][chunk]
-	if f == nil {
-		pending := map[int][]int{}
-		f = store.NewRecord(tallyKey(t.Block, job, chunk), stamp, store.ClassTally, t.cond(), t.call, func(now time.Time, ver int) {
-			j := t.board.Job(job)
-			for v, ns := range pending {
-				if v <= ver {
-					for _, n := range ns {
-						if j != nil {
-							j.Durable(n)
-						}
-					}
-					delete(pending, v)
-				}
-			}
-		}, t.lost)
-		f.Note = func(ver int, ns []int) { pending[ver] = ns }
-		t.tallies[job][chunk] = f
-	}
-	return f
-}
-
-func (t *tenure) dropTallies(now time.Time, job string) {
-	for _, c := range slices.Sorted(maps.Keys(t.tallies[job])) {
-		f := t.tallies[job][c]
-		f.Set(nil)
-		t.orphans = append(t.orphans, f)
-	}
-	delete(t.tallies, job)
-}
-
 // finished is told of each completed task.
 func (t *tenure) finished(now time.Time, j *placement.Job) { t.dirty[j.Spec.ID] = j }
 
@@ -294,27 +243,13 @@
 		if !batch {
 			continue
 		}
-		for c := 0; c*t.chunk() < j.Spec.Pieces; c++ {
-			fresh, bits := j.Unsaved(c*t.chunk(), (c+1)*t.chunk())
-			if len(fresh) > 0 {
-				f := t.tally(id, c, 0)
-				f.Note(f.Set(tallyRec{bits}), fresh)
-			}
-		}
+		t.tallies.save(j, t.board.Job)
 		delete(t.dirty, id)
 	}
 	if batch {
 		t.tallyDue = now.Add(tuning.TallyEvery)
 	}
-	for _, id := range slices.Sorted(maps.Keys(t.tallies)) {
-		for _, c := range slices.Sorted(maps.Keys(t.tallies[id])) {
-			t.tallies[id][c].Tick(now)
-		}
-	}
-	t.orphans = slices.DeleteFunc(t.orphans, func(f *store.Record) bool {
-		f.Tick(now)
-		return f.Settled()
-	})
+	t.tallies.pages.Tick(now)
 }
 
 // finalize writes a job's end: done, unless its user was faster with a
@@ -323,10 +258,10 @@
 	id := j.Spec.ID
 	t.finals[id] = true
 	t.call(store.Call{Op: store.OpMulti, Class: store.ClassFinal, Multi: wire.Multi{
-		When: []wire.Cond{t.cond(), store.Is(submission.JobKey(id), j.Stamp)},
+		When: []wire.Cond{t.cond(), store.Is(submission.OpenKey(id), j.Stamp)},
 		Writes: []wire.Write{
-			store.Put(submission.JobKey(id), submission.JobRec{Stage: wire.JobDone, Block: t.Block, Done: j.Spec.Pieces}, 0),
-			store.Remove(submission.OpenKey(t.Block, id)),
+			store.Put(submission.JobKey(id), submission.JobRec{Stage: wire.JobDone, Done: j.Spec.Pieces}, 0),
+			store.Remove(submission.OpenKey(id)),
 		},
 	}}, func(now time.Time, r store.Result) {
 		delete(t.finals, id)
@@ -346,7 +281,7 @@
 
 func (t *tenure) over(now time.Time, id string) {
 	t.board.CloseJob(now, id)
-	t.dropTallies(now, id)
+	t.tallies.drop(id)
 	delete(t.dirty, id)
 	delete(t.finalDue, id)
 }
@@ -355,16 +290,14 @@
 // write of ours was applied after all.
 func (t *tenure) reread(now time.Time, id string) {
 	t.finals[id] = true
-	t.call(store.Call{Op: store.OpGet, Class: store.ClassFinal, Key: submission.JobKey(id)}, func(now time.Time, r store.Result) {
+	t.call(store.Call{Op: store.OpGet, Class: store.ClassFinal, Key: submission.OpenKey(id)}, func(now time.Time, r store.Result) {
 		delete(t.finals, id)
 		t.finalDue[id] = now.Add(tuning.RecordRetry)
-		var rec submission.JobRec
-		if r.OK() && json.Unmarshal(r.Item.Value, &rec) == nil {
-			if rec.Stage != wire.JobPending || rec.Block != t.Block {
-				t.over(now, id)
-			} else if j := t.board.Job(id); j != nil {
-				j.Stamp = r.Item.Stamp
-			}
+		switch j := t.board.Job(id); {
+		case r.Status == 404:
+			t.over(now, id)
+		case r.OK() && j != nil:
+			j.Stamp = r.Item.Stamp
 		}
 	})
 }
@@ -374,8 +307,6 @@
 	if t.state == tenureOver {
 		return
 	}
-	t.jobs.Tick(now)
-	t.loaded(now)
 	for _, m := range t.reg.Quiet(now, t.unheardUntil()) {
 		t.board.Lost(now, m, "lease surely over")
 	}
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"juniperchute/internal/tuning"
@@ -20,18 +19,21 @@
 	mirrorIdle      mirrorState = iota // nothing under way
 	mirrorListing                      // reading all keys
 	mirrorFollowing                    // waiting for changes
-	mirrorStopped
 )
 
 // Mirror keeps a copy of all keys with a prefix. It lists them, then follows
 // their changes, and lists again when it has fallen too far behind.
 type Mirror struct {
+	// Pace is the least time between two watches, so that a busy prefix does
+	// not cost a request for each change. Sync does not wait for it.
+	Pace   time.Duration
 	under  string
 	call   Caller
 	change func(now time.Time, key string, it wire.Item, gone bool)
 
 	state  mirrorState
 	round  int // tells answers of an abandoned round apart
+	lists  int // counts the lists begun
 	synced bool
 	epoch  uint64
 	heard  time.Time
@@ -39,6 +41,11 @@
 	items  map[string]wire.Item
 	seen   map[string]bool // keys listed in this round
 	base   uint64          // the revision that this round's list began at
+
+	syncing  bool
+	syncDue  time.Time
+	waiting  []func(now time.Time, ok bool) // for the sync under way
+	waitNext []func(now time.Time, ok bool) // for the one after it
 }
 
 // NewMirror makes a mirror of the keys under a prefix; change is told of each
@@ -54,6 +61,65 @@
 // Heard is when the state service last answered this mirror.
 func (m *Mirror) Heard() time.Time { return m.heard }
 
+// Sync brings the mirror up to whatever the service holds by now and then tells
+// so. Calls that come while one is under way share the next one: the one under
+// way may be older than they are. Two begin no sooner than gap after each other.
+func (m *Mirror) Sync(now time.Time, gap time.Duration, then func(now time.Time, ok bool)) {
+	m.waitNext = append(m.waitNext, then)
+	m.sync(now, gap)
+}
+
+func (m *Mirror) sync(now time.Time, gap time.Duration) {
+	if m.syncing || len(m.waitNext) == 0 || now.Before(m.syncDue) {
+		return
+	}
+	m.waiting, m.waitNext = m.waitNext, nil
+	m.syncing, m.syncDue = true, now.Add(gap)
+	finish := func(now time.Time, ok bool) {
+		m.syncing = false
+		done := m.waiting
+		m.waiting = nil
+		for _, f := range done {
+			f(now, ok)
+		}
+		m.sync(now, gap)
+	}
+	if !m.synced {
+		finish(now, false)
+		return
+	}
+	round := m.lists
+	m.call(Call{Op: OpChanges, Class: ClassUser, Under: m.under, Since: m.epoch}, func(now time.Time, r Result) {
+		if !r.OK() || m.lists != round {
+			finish(now, false) // a list under way tells what it finds in its own time
+			return
+		}
+		m.heard = now
+		m.took(now, r)
+		finish(now, true)
+	})
+}
+
+// took takes in the changes up to a revision.
+func (m *Mirror) took(now time.Time, r Result) {
+	if r.Epoch <= m.epoch {
+		return // another answer, sent later, was here first
+	}
+	for _, ev := range r.Events {
+		if ev.Stamp > m.epoch {
+			m.apply(now, ev)
+		}
+	}
+	m.epoch = r.Epoch
+}
+
+// Each calls f for every key, in key order.
+func (m *Mirror) Each(f func(it wire.Item)) {
+	for _, k := range slices.Sorted(maps.Keys(m.items)) {
+		f(m.items[k])
+	}
+}
+
 // Get returns a key.
 func (m *Mirror) Get(key string) (wire.Item, bool) {
 	it, ok := m.items[key]
@@ -63,25 +129,11 @@
 // Stamp returns a key's version, 0 when it does not exist.
 func (m *Mirror) Stamp(key string) uint64 { return m.items[key].Stamp }
 
-// Each calls f for every key under a prefix, in key order.
-func (m *Mirror) Each(under string, f func(it wire.Item)) {
-	for _, k := range slices.Sorted(maps.Keys(m.items)) {
-		if strings.HasPrefix(k, under) {
-			f(m.items[k])
-		}
-	}
-}
-
 func (m *Mirror) set(s mirrorState) { m.state = s }
 
-// Stop ends the mirror; answers still under way are ignored.
-func (m *Mirror) Stop() {
-	m.set(mirrorStopped)
-	m.round++
-}
-
 // Tick starts what is due.
 func (m *Mirror) Tick(now time.Time) {
+	m.sync(now, 0)
 	if m.state != mirrorIdle || now.Before(m.retry) {
 		return
 	}
@@ -90,6 +142,7 @@
 		return
 	}
 	m.round++
+	m.lists++
 	m.seen, m.base = map[string]bool{}, 0
 	m.list(now, "")
 }
@@ -161,10 +214,12 @@
 			m.failed(now)
 		default:
 			m.heard = now
-			for _, ev := range r.Events {
-				m.apply(now, ev)
+			m.took(now, r)
+			if len(r.Events) > 0 && m.Pace > 0 {
+				m.set(mirrorIdle)
+				m.retry = now.Add(m.Pace)
+				return
 			}
-			m.epoch = max(m.epoch, r.Epoch)
 			m.follow(now)
 		}
 	})
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -34,9 +34,6 @@
 	retry  time.Time
 	done   func(now time.Time, ver int)
 	lost   func(now time.Time)
-
-	// Note remembers, for the owner, what a version adds.
-	Note func(ver int, added []int)
 }
 
 // NewRecord makes the record of a key that now has the given version. done is
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"log/slog"
 	"slices"
-	"strconv"
 	"time"
 
 	"juniperchute/internal/config"
@@ -16,30 +15,29 @@
 	"juniperchute/internal/wire"
 )
 
-// JobRec is a job's record at JobKey, which is never removed. It changes when
-// the job ends or moves to another block, each time conditioned on its version.
+// JobRec tells how a job ended. It is written when the job's open entry is
+// removed, in one transaction, and never removed itself: a job is open or ended,
+// never both.
 type JobRec struct {
-	Stage string // pending until done or withdrawn
-	Block int
-	Done  int `json:",omitempty"`
+	Stage string // done or withdrawn
+	Done  int    `json:",omitempty"`
 }
 
-// OpenRec is an open job's entry in its block's list. It is written and
-// removed together with each change of the job's record, so that both have the
-// same version while the job is open.
+// OpenRec is an open job's entry. Each change is conditioned on its version.
 type OpenRec struct {
-	Spec wire.Submission
-	At   int64 // when it was accepted, ms of the time of day
+	Spec  wire.Submission
+	At    int64 // when it was accepted, ms of the time of day
+	Block int   `json:",omitempty"`
 }
 
-// JobKey is the key of a job's record.
-func JobKey(id string) string { return "j/" + id }
+// OpenUnder is the prefix of all open jobs' entries.
+const OpenUnder = "q/"
 
-// OpenUnder is the prefix of a block's list of open jobs.
-func OpenUnder(block int) string { return "q/" + strconv.Itoa(block) + "/" }
+// JobKey is the key of a job's end.
+func JobKey(id string) string { return "j/" + id }
 
 // OpenKey is the key of an open job's entry.
-func OpenKey(block int, id string) string { return OpenUnder(block) + id }
+func OpenKey(id string) string { return OpenUnder + id }
 
 // Response is an answer to a user.
 type Response struct {
@@ -77,23 +75,25 @@
 	call     store.Caller
 	log      *slog.Logger
 	flavors  func() map[string]wire.Flavor
+	open     *store.Mirror
+	gap      time.Duration // between two looks at the open jobs
 	progress func(now time.Time, block int, id string, then func(now time.Time, p Progress))
 
-	inHand int // submissions and cancellations under way
-	reads  map[string]*read
-	finals finals
-}
-
-type read struct {
-	next []func(now time.Time, r store.Result) // for the read after this one
+	inHand  int // submissions and cancellations under way
+	queries int // questions under way
+	finals  finals
 }
 
 // New makes the slice.
 func New(facts config.Facts, blocks int, wall func() time.Time, call store.Caller, log *slog.Logger,
-	flavors func() map[string]wire.Flavor,
+	flavors func() map[string]wire.Flavor, open *store.Mirror,
 	progress func(now time.Time, block int, id string, then func(now time.Time, p Progress))) *Slice {
-	return &Slice{facts: facts, blocks: blocks, wall: wall, call: call, log: log, flavors: flavors, progress: progress,
-		reads: map[string]*read{}, finals: finals{m: map[string]wire.JobState{}}}
+	gap := time.Duration(0)
+	if facts.State.RPS > 0 {
+		gap = time.Duration(float64(max(1, facts.Nodes)) / (facts.State.RPS * tuning.SyncShare) * float64(time.Second))
+	}
+	return &Slice{facts: facts, blocks: blocks, wall: wall, call: call, log: log, flavors: flavors, open: open, gap: gap, progress: progress,
+		finals: finals{m: map[string]wire.JobState{}}}
 }
 
 // finals remembers how jobs ended, the newest ones.
@@ -187,12 +187,12 @@
 		// A job that was accepted stays accepted, whatever the settings or
 		// the machine types say by the time its user asks again.
 		s.inHand++
-		s.get(now, spec.ID, func(now time.Time, r store.Result) {
+		s.find(now, spec.ID, func(f found) {
 			s.inHand--
 			switch {
-			case r.OK():
-				s.known(r, spec.ID, reply)
-			case r.Status != 404 || undecided:
+			case f.stage != "":
+				reply(Response{Status: 200, Body: wire.Accepted{ID: spec.ID, Stage: f.stage}})
+			case !f.sure || undecided:
 				reply(Unable("cannot tell yet"))
 			default:
 				reply(refuse(422, why, 0))
@@ -204,59 +204,82 @@
 		// names of no type would only take room in the record
 		spec.Builds = slices.DeleteFunc(slices.Clone(spec.Builds), func(b string) bool { _, ok := s.flavors()[b]; return !ok })
 	}
+	rec := OpenRec{Spec: spec, At: s.wall().UnixMilli(), Block: s.block(&spec)}
+	if raw, err := json.Marshal(rec); err != nil || s.facts.State.ValueKB > 0 && len(raw) > int(s.facts.State.ValueKB*1024*tuning.PageFill) {
+		reply(refuse(400, "too large to be kept", 0))
+		return
+	}
 	s.inHand++
-	s.write(now, spec, 0, func(r Response) {
+	s.write(now, rec, 0, func(r Response) {
 		s.inHand--
 		reply(r)
 	})
 }
 
-// known answers for a job that has a record.
-func (s *Slice) known(r store.Result, id string, reply func(Response)) {
-	rec, ok := s.decode(r.Item, id)
-	if !ok {
-		reply(Unable("record cannot be read"))
-		return
-	}
-	reply(Response{Status: 200, Body: wire.Accepted{ID: id, Stage: rec.Stage}})
+// found is what a look at the records told of a job.
+type found struct {
+	sure  bool   // the records were read
+	stage string // "" if there is no such job
+	done  int
+	stamp uint64 // of the open entry
 }
 
-func (s *Slice) decode(it wire.Item, id string) (JobRec, bool) {
-	var rec JobRec
-	if err := json.Unmarshal(it.Value, &rec); err != nil || rec.Stage == "" {
-		s.log.Error("job record cannot be read", "job", id, "error", err)
-		return rec, false
-	}
-	if rec.Stage == wire.JobDone || rec.Stage == wire.JobWithdrawn {
-		s.finals.put(wire.JobState{ID: id, Stage: rec.Stage, Done: rec.Done})
-	}
-	return rec, true
+// find reads a job's records: the open entry first, then the end. As a job goes
+// from one to the other in one transaction, it cannot be missed in between.
+func (s *Slice) find(now time.Time, id string, then func(f found)) {
+	s.call(store.Call{Op: store.OpGet, Class: store.ClassUser, Key: OpenKey(id)}, func(now time.Time, r store.Result) {
+		var rec OpenRec
+		switch {
+		case r.Status == 404:
+			s.end(now, id, then)
+		case r.OK() && json.Unmarshal(r.Item.Value, &rec) == nil:
+			then(found{sure: true, stage: wire.JobPending, stamp: r.Item.Stamp})
+		default:
+			then(found{})
+		}
+	})
 }
 
-func (s *Slice) write(now time.Time, spec wire.Submission, tries int, reply func(Response)) {
-	block := s.block(&spec)
+// end reads how a job that is not open ended.
+func (s *Slice) end(now time.Time, id string, then func(f found)) {
+	s.call(store.Call{Op: store.OpGet, Class: store.ClassUser, Key: JobKey(id)}, func(now time.Time, r store.Result) {
+		var rec JobRec
+		switch {
+		case r.Status == 404:
+			then(found{sure: true})
+		case !r.OK():
+			then(found{})
+		case json.Unmarshal(r.Item.Value, &rec) != nil || rec.Stage != wire.JobDone && rec.Stage != wire.JobWithdrawn:
+			s.log.Error("job record cannot be read", "job", id)
+			then(found{})
+		default:
+			s.finals.put(wire.JobState{ID: id, Stage: rec.Stage, Done: rec.Done})
+			then(found{sure: true, stage: rec.Stage, done: rec.Done})
+		}
+	})
+}
+
+func (s *Slice) write(now time.Time, rec OpenRec, tries int, reply func(Response)) {
+	id := rec.Spec.ID
 	s.call(store.Call{Op: store.OpMulti, Class: store.ClassUser, Multi: wire.Multi{
-		When: []wire.Cond{store.Is(JobKey(spec.ID), 0)},
-		Writes: []wire.Write{
-			store.Put(JobKey(spec.ID), JobRec{Stage: wire.JobPending, Block: block}, 0),
-			store.Put(OpenKey(block, spec.ID), OpenRec{Spec: spec, At: s.wall().UnixMilli()}, 0),
-		},
+		When:   []wire.Cond{store.Is(OpenKey(id), 0), store.Is(JobKey(id), 0)},
+		Writes: []wire.Write{store.Put(OpenKey(id), rec, 0)},
 	}}, func(now time.Time, r store.Result) {
 		switch {
 		case r.OK():
-			s.log.Debug("job accepted", "job", spec.ID, "class", spec.Lane, "block", block)
-			reply(Response{Status: 201, Body: wire.Accepted{ID: spec.ID, Stage: wire.JobPending}})
+			s.log.Debug("job accepted", "job", id, "class", rec.Spec.Lane, "block", rec.Block)
+			reply(Response{Status: 201, Body: wire.Accepted{ID: id, Stage: wire.JobPending}})
 		case r.Status == 409:
-			s.get(now, spec.ID, func(now time.Time, r store.Result) {
-				if !r.OK() {
+			s.find(now, id, func(f found) {
+				if f.stage == "" {
 					reply(Unable("state service does not answer"))
 					return
 				}
-				s.known(r, spec.ID, reply)
+				reply(Response{Status: 200, Body: wire.Accepted{ID: id, Stage: f.stage}})
 			})
 		case r.Status == 0 && tries == 0:
 			// perhaps written: the same transaction then finds the key there
-			s.write(now, spec, tries+1, reply)
+			s.write(now, rec, tries+1, reply)
 		case r.Status == 429:
 			reply(Busy())
 		default:
@@ -265,33 +288,6 @@
 	})
 }
 
-// get reads a job's record. Requests that come while a read is under way
-// share the one after it: the one under way may be older than they are.
-func (s *Slice) get(now time.Time, id string, then func(now time.Time, r store.Result)) {
-	if rd := s.reads[id]; rd != nil {
-		rd.next = append(rd.next, then)
-		return
-	}
-	rd := &read{}
-	s.reads[id] = rd
-	s.fetch(now, id, rd, []func(time.Time, store.Result){then})
-}
-
-func (s *Slice) fetch(now time.Time, id string, rd *read, waiting []func(time.Time, store.Result)) {
-	s.call(store.Call{Op: store.OpGet, Class: store.ClassUser, Key: JobKey(id)}, func(now time.Time, r store.Result) {
-		next := rd.next
-		rd.next = nil
-		if len(next) > 0 {
-			s.fetch(now, id, rd, next)
-		} else {
-			delete(s.reads, id)
-		}
-		for _, f := range waiting {
-			f(now, r)
-		}
-	})
-}
-
 // Query tells a job's state.
 func (s *Slice) Query(now time.Time, id string, reply func(Response)) {
 	if !wire.ValidID(id) {
@@ -302,38 +298,45 @@
 		reply(Response{Status: 200, Body: f})
 		return
 	}
-	if len(s.reads) >= tuning.ReadsInHand {
+	if s.queries >= tuning.ReadsInHand {
 		reply(Busy())
 		return
 	}
-	s.get(now, id, func(now time.Time, r store.Result) {
-		switch r.Status {
-		case 200:
-		case 404:
-			reply(refuse(404, "no such job", 0))
-			return
-		case 429:
-			reply(Busy())
-			return
-		default:
-			reply(Unable("state service does not answer"))
-			return
-		}
-		rec, ok := s.decode(r.Item, id)
+	s.queries++
+	answer := func(r Response) {
+		s.queries--
+		reply(r)
+	}
+	// One look at what has changed among the open jobs answers all questions
+	// that came before it.
+	s.open.Sync(now, s.gap, func(now time.Time, ok bool) {
 		if !ok {
-			reply(Unable("record cannot be read"))
+			answer(Unable("state service does not answer"))
 			return
 		}
-		if rec.Stage != wire.JobPending {
-			reply(Response{Status: 200, Body: wire.JobState{ID: id, Stage: rec.Stage, Done: rec.Done}})
+		it, open := s.open.Get(OpenKey(id))
+		if !open {
+			s.end(now, id, func(f found) {
+				switch {
+				case !f.sure:
+					answer(Unable("state service does not answer"))
+				case f.stage == "":
+					answer(refuse(404, "no such job", 0))
+				default:
+					answer(Response{Status: 200, Body: wire.JobState{ID: id, Stage: f.stage, Done: f.done}})
+				}
+			})
 			return
 		}
+		// an entry that cannot be read is still an open job
+		var rec struct{ Block int }
+		_ = json.Unmarshal(it.Value, &rec)
 		s.progress(now, rec.Block, id, func(now time.Time, p Progress) {
 			st := wire.JobState{ID: id, Stage: wire.JobPending, Done: p.Done, Running: p.Running}
 			if p.Running > 0 {
 				st.Stage = wire.JobRunning
 			}
-			reply(Response{Status: 200, Body: st})
+			answer(Response{Status: 200, Body: st})
 		})
 	})
 }
@@ -360,29 +363,23 @@
 }
 
 func (s *Slice) cancel(now time.Time, id string, tries int, reply func(Response)) {
-	s.get(now, id, func(now time.Time, r store.Result) {
-		if r.Status == 404 {
-			reply(refuse(404, "no such job", 0))
-			return
-		}
-		if !r.OK() {
+	s.find(now, id, func(f found) {
+		switch {
+		case !f.sure:
 			reply(Unable("state service does not answer"))
 			return
-		}
-		rec, ok := s.decode(r.Item, id)
-		if !ok {
-			reply(Unable("record cannot be read"))
+		case f.stage == "":
+			reply(refuse(404, "no such job", 0))
 			return
-		}
-		if rec.Stage != wire.JobPending {
-			reply(Response{Status: 200, Body: wire.Accepted{ID: id, Stage: rec.Stage}})
+		case f.stage != wire.JobPending:
+			reply(Response{Status: 200, Body: wire.Accepted{ID: id, Stage: f.stage}})
 			return
 		}
 		s.call(store.Call{Op: store.OpMulti, Class: store.ClassUser, Multi: wire.Multi{
-			When: []wire.Cond{store.Is(JobKey(id), r.Item.Stamp)},
+			When: []wire.Cond{store.Is(OpenKey(id), f.stamp)},
 			Writes: []wire.Write{
-				store.Put(JobKey(id), JobRec{Stage: wire.JobWithdrawn, Block: rec.Block}, 0),
-				store.Remove(OpenKey(rec.Block, id)),
+				store.Put(JobKey(id), JobRec{Stage: wire.JobWithdrawn}, 0),
+				store.Remove(OpenKey(id)),
 			},
 		}}, func(now time.Time, r store.Result) {
 			switch {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -53,6 +53,11 @@
 	WatchWait = 4 * time.Second
 	// MirrorRetry is the pause after a failed list or watch.
 	MirrorRetry = 250 * time.Millisecond
+	// PageFill is the part of a value's limit that a page's entries may take:
+	// the service counts the JSON around them too.
+	PageFill = 0.85
+	// PagesMost bounds the numbers of pages, far above any use.
+	PagesMost = 10000
 	// RecordRetry is the pause after a failed write of a record.
 	RecordRetry = 300 * time.Millisecond
 	// StateCalls is how many calls to the state service may be under way at
@@ -263,8 +268,19 @@
 	// TallyEvery is how long completions gather before they are written.
 	TallyEvery = 1500 * time.Millisecond
 	// TallyBits is how many bits of a tally go into one byte of a value's
-	// limit: base64 and the rest of the record take their part.
-	TallyBits = 3
+	// limit: base64 takes its part, and a page should hold several jobs'.
+	TallyBits = 2
+	// UsedEvery is how often machines heard for the first time are entered as
+	// used: hundreds come up within seconds, and each waits for its entry.
+	UsedEvery = 250 * time.Millisecond
+	// OpenPace is how soon after one change of the open jobs, or of the hires, a
+	// node that holds no block looks for the next: questions bring it up to date.
+	OpenPace = 1 * time.Second
+	// HolderPace is the same for a holder, which has to act on them.
+	HolderPace = 50 * time.Millisecond
+	// SyncShare is the part of the state service's rate that all nodes'
+	// questions about open jobs may take together.
+	SyncShare = 0.3
 	// CountEvery is how often the counters of copies are logged.
 	CountEvery = 60 * time.Second
 	// EventBuffer is how many events may wait for the owner goroutine.
