Nobody starves: waits raise a job's rank; health does not wait for the owner

Both are bounded now (120 s and 100 s), a gang that has waited 40 s is not overtaken by later ones of its rank, and a job that has waited 180 s for its tasks to start is raised by a rank, and again each 15 s.

/healthz is answered from the last tick: a busy node is not unhealthy. A node that hears neither the state service nor any peer says that it is.

--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -100,6 +100,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(tuning.GCPercent)
 	debug.SetMemoryLimit(int64(cfg.Facts.Limits.MemoryMB * (1 << 20) * tuning.MemoryShare))
 	var seed [16]byte
 	if _, err := crand.Read(seed[:]); err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -71,6 +71,13 @@
 // Hires is the key prefix of a block's hire records.
 func Hires(block int) string { return fmt.Sprintf("%s%d/", UnderHires, block) }
 
+// FlavorRec is a machine type as recorded for all nodes. Each tells how many there
+// are: until a node knows them all, it cannot say that a job fits none.
+type FlavorRec struct {
+	wire.Flavor
+	Of int
+}
+
 // UsedUnder is the key prefix of the pages that name a block's machines that may
 // have been given tasks, with their workers' addresses. A machine is entered
 // before its first task, so a successor need not wait for one that is not named.
@@ -390,13 +397,14 @@
 			// Prices move all the time; the record is for what nodes need to
 			// check submissions.
 			f.Price, f.LowPrice = 0, 0
-			raw, _ := json.Marshal(f)
+			all := FlavorRec{f, len(r.Flavors)}
+			raw, _ := json.Marshal(all)
 			if old, ok := s.known[f.Name]; ok && old == string(raw) {
 				continue
 			}
 			s.known[f.Name] = string(raw)
 			rec := store.NewRecord(underFlavors+f.Name, 0, store.ClassUser, s.tenure, s.state, func(time.Time, int) {}, s.lost)
-			rec.Set(f)
+			rec.Set(all)
 			s.files = append(s.files, rec)
 			rec.Tick(now)
 		}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -52,6 +52,7 @@
 	tenures   map[int]*tenure
 	flavors   map[string]wire.Flavor
 	flavorRaw map[string]string
+	flavorsOf int // how many machine types there are
 	settings  admin.Settings
 	peers     map[string]*peerView
 	claims    map[int]*peerpb.Holding // the highest Baton that peers know of each block
@@ -84,7 +85,7 @@
 	})
 	c.hires = store.NewMirror(fleet.UnderHires, c.state, c.hired)
 	c.users = submission.New(cfg.Facts, blocks, wall, c.state, log,
-		func() map[string]wire.Flavor { return c.flavors }, c.open, c.progress)
+		c.types, c.open, c.progress)
 	for _, k := range cfg.Known {
 		c.peers[k.Member] = &peerView{}
 	}
@@ -122,16 +123,24 @@
 	}
 	delete(c.flavors, name)
 	delete(c.flavorRaw, name)
-	var f wire.Flavor
+	var f fleet.FlavorRec
 	if gone || json.Unmarshal(it.Value, &f) != nil {
 		return
 	}
-	c.flavors[name], c.flavorRaw[name] = f, string(it.Value)
+	c.flavors[name], c.flavorRaw[name], c.flavorsOf = f.Flavor, string(it.Value), f.Of
 	for _, t := range c.tenures {
-		t.fleet.Flavor(f, string(it.Value))
+		t.fleet.Flavor(f.Flavor, string(it.Value))
 	}
 }
 
+// types are the machine types, none until all of them are known.
+func (c *Core) types() map[string]wire.Flavor {
+	if len(c.flavors) < c.flavorsOf {
+		return nil
+	}
+	return c.flavors
+}
+
 // after begins and ends tenures as the records say.
 func (c *Core) after(now time.Time) {
 	mine := c.leader.Tenures()
@@ -260,21 +269,26 @@
 }
 
 // Healthy tells whether this node can take requests. A node that alone lost
-// the state service says no, so that users go to the others; in an outage all
-// stay, as they would be slow to come back.
+// the state service, or that hears neither it nor any peer, says no, so that
+// users go to the others; in an outage all stay, as they would be slow to come
+// back.
 func (c *Core) Healthy(now time.Time) bool {
-	if !c.leader.Synced() || !c.open.Synced() || len(c.flavors) == 0 {
+	if !c.leader.Synced() || !c.open.Synced() || len(c.types()) == 0 {
 		return false
 	}
 	if c.silent(now) < tuning.CutAfter+tuning.WatchWait {
 		return true
 	}
+	alone := len(c.peers) > 0
 	for _, p := range c.peers {
-		if now.Sub(p.heard) < 3*tuning.PulseEvery && p.silent < tuning.CutAfter {
-			return false
+		if now.Sub(p.heard) < 3*tuning.PulseEvery {
+			alone = false
+			if p.silent < tuning.CutAfter {
+				return false
+			}
 		}
 	}
-	return true
+	return !alone
 }
 
 // Report answers a worker's report.
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -97,14 +97,14 @@
 	}
 }
 
-func (r *Runtime) health(w http.ResponseWriter, req *http.Request) {
-	r.ask(w, req, func(now time.Time, reply func(submission.Response)) {
-		if r.core.Healthy(now) {
-			reply(submission.Response{Status: http.StatusOK, Body: struct{}{}})
-			return
-		}
-		reply(submission.Unable("cannot take requests"))
-	})
+// health does not wait for the owner: a node that is busy is not unhealthy, and
+// the load balancer is slow to come back to one that was too late twice.
+func (r *Runtime) health(w http.ResponseWriter, _ *http.Request) {
+	if r.healthy.Load() {
+		answer(w, http.StatusOK, struct{}{}, 0)
+		return
+	}
+	respond(w, submission.Unable("cannot take requests"))
 }
 
 func (r *Runtime) submit(w http.ResponseWriter, req *http.Request) {
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -42,6 +42,7 @@
 	peerSlots  chan struct{}
 	ctx        context.Context
 	lat        latencies
+	healthy    atomic.Bool // as of the last tick: health is answered without the owner
 }
 
 func transport(conns int) *http.Transport {
@@ -101,13 +102,17 @@
 	r.log.Info("serving", "api", r.cfg.APIAddr, "peers", r.cfg.PeerBind)
 	tick := time.NewTicker(tuning.TickEvery)
 	defer tick.Stop()
-	r.core.Tick(time.Now())
+	turn := func(now time.Time) {
+		r.core.Tick(now)
+		r.healthy.Store(r.core.Healthy(now))
+	}
+	turn(time.Now())
 	for {
 		select {
 		case f := <-r.events:
 			f(time.Now())
 		case <-tick.C:
-			r.core.Tick(time.Now())
+			turn(time.Now())
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -223,7 +223,9 @@
 	}
 	// The predecessor started nothing after its lease ended, and that was
 	// before the block's record changed: younger jobs are on no machine.
-	t.board.AddJob(now, rec.Spec, time.UnixMilli(rec.At), it.Stamp, it.Stamp < t.Stamp)
+	at := time.UnixMilli(rec.At)
+	j := t.board.AddJob(now, rec.Spec, at, it.Stamp, it.Stamp < t.Stamp)
+	j.Since = now.Add(-max(0, t.c.wall().Sub(at)))
 }
 
 // finished is told of each completed task.
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -64,6 +64,7 @@
 	turns    [][]*Job // the open jobs of each rank by turn, as last sorted
 	turnsDue time.Time
 	drawDue  time.Time
+	first    *Job // the gang before which no other of its rank is placed
 	strays   map[*worker.Machine][]wire.Piece
 	pace     map[string]float64 // by class: run time over the owner's estimate
 	closeDue time.Time
@@ -99,7 +100,7 @@
 	}
 	rank, _ := wire.Rank(spec.Rank)
 	j := &Job{
-		Spec: spec, At: at, opened: now, Stamp: stamp, Early: early, rank: rank,
+		Spec: spec, At: at, Since: now, Stamp: stamp, Early: early, rank: rank, level: rank,
 		need:  quota.Room{CPUs: spec.Vcpus, GPUs: spec.Gpus, MemGB: spec.MemGb},
 		tasks: map[int]*Task{}, done: newBitset(spec.Pieces), durable: newBitset(spec.Pieces),
 		failedOn: map[string]int{}, wellOn: map[string]bool{},
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -78,6 +79,7 @@
 	}
 	b.survey.changed = false
 	for _, jobs := range b.byRank(now) {
+		b.first = nil
 		for _, guaranteed := range []bool{true, false} {
 			// room goes to a task whose image is there before one of an
 			// earlier turn that would have it fetched
@@ -109,20 +111,32 @@
 	}
 	b.turnsDue = now.Add(tuning.TurnsEvery)
 	b.turns = nil
-	for i := 0; i < len(b.order); {
-		k := i
-		for k < len(b.order) && b.order[k].rank == b.order[i].rank {
-			k++
-		}
-		b.turns = append(b.turns, b.byTurn(b.order[i:k]))
-		i = k
+	levels := map[int][]*Job{}
+	for _, j := range b.order {
+		j.level = j.rank + b.raised(now, j)
+		levels[j.level] = append(levels[j.level], j)
+	}
+	for _, l := range slices.Backward(slices.Sorted(maps.Keys(levels))) {
+		b.turns = append(b.turns, b.byTurn(levels[l]))
 	}
 	return b.turns
 }
 
-// byTurn orders jobs of one rank: gangs by age, then arrays by age with their
-// remaining work added, so that when there is too much the many small jobs are
-// in time and not only the oldest.
+// raised is by how many ranks a job is raised because it has waited for so long
+// that it would starve: no burst of others, however long, may keep it from
+// beginning. What it has started keeps the rank it started with.
+func (b *Board) raised(now time.Time, j *Job) int {
+	up := j.level - j.rank
+	if over := now.Sub(j.Since) - tuning.StarveAfter; over >= 0 && (j.held() > 0 || len(j.tasks) > j.located) {
+		up = max(up, 1+min(int(over/tuning.StarveStep), wire.Ranks-1))
+	}
+	return up
+}
+
+// byTurn orders jobs of one rank by age. Gangs go a while before arrays, and
+// arrays with their remaining work added to their age, so that when there is
+// too much the many small jobs are in time and not only the oldest. Both are
+// bounded, so that neither arrays nor the largest of them starve.
 func (b *Board) byTurn(jobs []*Job) []*Job {
 	out := slices.Clone(jobs)
 	for _, j := range out {
@@ -130,7 +144,7 @@
 		if j.Gang() {
 			j.turn -= tuning.GangsAhead.Seconds()
 		} else {
-			j.turn += tuning.TurnWork * float64(j.held()) * b.Expect(j) * j.share(b.reg)
+			j.turn += min(tuning.TurnWork*float64(j.held())*b.Expect(j)*j.share(b.reg), tuning.TurnMost.Seconds())
 		}
 	}
 	slices.SortStableFunc(out, func(a, c *Job) int { return cmp.Compare(a.turn, c.turn) })
@@ -174,7 +188,7 @@
 	}
 	var spread map[string]int
 	patient, missed := 0, uint64(0)
-	if image && now.Sub(j.opened) < tuning.ImagePatience {
+	if image && now.Sub(j.Since) < tuning.ImagePatience {
 		patient = 1
 	}
 	if j.constrained() {
@@ -366,8 +380,12 @@
 		b.waits(j, "team's limit")
 		return
 	}
+	if b.first != nil && b.first != j {
+		b.waits(j, "an older gang goes first")
+		return
+	}
 	if !b.reachable(now, j, guaranteed) {
-		b.waits(j, "no room for all tasks")
+		b.noRoom(now, j)
 		return
 	}
 	yards := []string{""}
@@ -388,7 +406,7 @@
 		}
 	}
 	if best == nil {
-		b.waits(j, "no room for all tasks")
+		b.noRoom(now, j)
 		return
 	}
 	b.Count.GangsPlaced++
@@ -407,6 +425,16 @@
 	j.next, j.returned = j.Spec.Pieces, nil
 }
 
+// noRoom notes that a gang found no room. Once it has waited for long, no gang
+// behind it is placed before it: many small ones would take each machine that
+// becomes free, and a large one would never see enough of them.
+func (b *Board) noRoom(now time.Time, j *Job) {
+	b.waits(j, "no room for all tasks")
+	if b.first == nil && now.Sub(j.Since) > tuning.GangPatience {
+		b.first = j
+	}
+}
+
 // fitGang finds a place for each task of a gang, in one zone if one is named.
 func (b *Board) fitGang(now time.Time, j *Job, yard string, guaranteed bool) []place {
 	type cand struct {
@@ -466,7 +494,7 @@
 		// beyond theirs, whatever its rank: otherwise the two would stop each
 		// other in turn, one by rank and one by its guarantee, for ever.
 		kept := o.Spec.Crew != k.crew && !k.guaranteed && !b.book.Beyond(o.Spec.Crew)
-		if o.rank < k.rank && !kept || k.guaranteed && o.Spec.Crew != k.crew && b.book.Beyond(o.Spec.Crew) {
+		if o.level < k.level && !kept || k.guaranteed && o.Spec.Crew != k.crew && b.book.Beyond(o.Spec.Crew) {
 			may = append(may, t)
 		}
 	}
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -67,13 +67,14 @@
 
 // Job is an open job, or a closed one whose tasks are not all gone yet.
 type Job struct {
-	Spec   wire.Submission
-	At     time.Time // when it was accepted, by the time of day
-	opened time.Time // when this tenure took it up
-	Stamp  uint64    // version of its record
-	Early  bool      // accepted before this tenure: its tasks may be on machines not heard yet
+	Spec  wire.Submission
+	At    time.Time // when it was accepted, by the time of day
+	Since time.Time // since when it has been known, by the steady clock
+	Stamp uint64    // version of its record
+	Early bool      // accepted before this tenure: its tasks may be on machines not heard yet
 
 	rank   int
+	level  int // the rank, raised for age
 	need   quota.Room
 	closed bool
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -145,9 +145,21 @@
 	// TurnWork is how many seconds later an array's turn comes for each second
 	// of a whole machine's work that it still has waiting.
 	TurnWork = 1.0
-	// GangsAhead puts gangs of a rank ahead of its arrays: a gang that waits
-	// holds no machine up, an array fills whatever is left.
-	GangsAhead = 24 * time.Hour
+	// TurnMost bounds that, so that the largest arrays do not starve behind
+	// the many small ones that come after them.
+	TurnMost = 100 * time.Second
+	// GangsAhead is how much earlier the turn of a gang comes than an array's
+	// of its rank: a gang that waits holds no machine up, an array fills
+	// whatever is left. Bounded, or a burst of gangs would starve the arrays.
+	GangsAhead = 120 * time.Second
+	// GangPatience is how long a gang waits before no later one of its rank may
+	// be placed before it.
+	GangPatience = 40 * time.Second
+	// StarveAfter is how long a job waits for its tasks to start before it is
+	// raised by a rank, and by another after each StarveStep: the largest jobs
+	// too should begin within four minutes.
+	StarveAfter = 180 * time.Second
+	StarveStep  = 15 * time.Second
 	// CloseEvery is the least time between two machines being emptied to be
 	// returned: what the first one's tasks do to the rest shows only then.
 	CloseEvery = 3 * time.Second
@@ -316,6 +328,9 @@
 	OrdersMost = 300
 	// StatusJobs bounds the jobs in a status.
 	StatusJobs = 200
+	// GCPercent lets the heap grow several times over what is live before it is
+	// collected: what is live is small, and the memory limit bounds the rest.
+	GCPercent = 400
 	// MemoryShare is the part of the memory limit given to the Go heap; the
 	// program's text and the runtime's own memory take the rest.
 	MemoryShare = 0.6
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -42,6 +42,9 @@
 	DueS      float64 `json:",omitempty"`
 }
 
+// Ranks is how many ranks there are.
+const Ranks = 4
+
 // Rank orders priorities: a larger one goes first.
 func Rank(name string) (int, bool) {
 	switch name {
