--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -35,8 +35,7 @@
 	free    quota.Room // now, for gangs
 }
 
-// Horizon is how long an array's work may wait and run in all for its class's
-// aims to hold.
+// Horizon is the time in which a class's jobs should be finished.
 func Horizon(objectives []config.Objective, lane string) float64 {
 	h := 0.0
 	for _, o := range objectives {
@@ -47,7 +46,7 @@
 	if h == 0 {
 		h = tuning.DefaultAim.Seconds()
 	}
-	return h * tuning.HorizonShare
+	return h
 }
 
 // Expect estimates a task's run time in seconds.
@@ -70,7 +69,7 @@
 	}
 	var bins []*bin
 	for _, m := range b.reg.All() {
-		m.Wanted = m.Busy > 0
+		m.Wanted, m.Guests = m.Busy > 0, false
 		if m.Faulty || m.Mute(now, config.Seconds(b.facts.Workers.LeaseS)) || m.Closing || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting {
 			continue
 		}
@@ -83,10 +82,10 @@
 		}
 	}
 	hires := make([]int, len(offers))
-	open := func(j *Job, yard string) *bin {
+	open := func(j *Job, yard string, cheap bool) *bin {
 		best := -1
 		for i, o := range offers {
-			if o.Left-hires[i] <= 0 || yard != "" && o.Yard != yard || !j.allows(o.Build, o.Yard, o.Loaners) || !o.Cap.Fits(j.need) {
+			if o.Left-hires[i] <= 0 || cheap && !o.Loaners || yard != "" && o.Yard != yard || !j.allows(o.Build, o.Yard, o.Loaners) || !o.Cap.Fits(j.need) {
 				continue
 			}
 			if best < 0 || o.Price/float64(o.Cap.Count(j.need, maxCount)) < offers[best].Price/float64(offers[best].Cap.Count(j.need, maxCount)) {
@@ -131,7 +130,7 @@
 // wholeDemand packs a job whose tasks are placed whole, and hires for those
 // that fit nowhere. A job that has to be in one zone is packed into the zone
 // that lacks the fewest; zones that would get too many tasks are passed over.
-func (b *Board) wholeDemand(j *Job, n int, bins *[]*bin, open func(*Job, string) *bin, offered func(yard string) bool) {
+func (b *Board) wholeDemand(j *Job, n int, bins *[]*bin, open func(*Job, string, bool) *bin, offered func(yard string) bool) {
 	pack := func(yard string, commit bool) (lacks int) {
 		inYard := j.yards(true)
 		room := map[*bin]quota.Room{}
@@ -154,7 +153,7 @@
 						want = y
 					}
 				}
-				if best = open(j, want); best != nil {
+				if best = open(j, want, false); best != nil {
 					*bins = append(*bins, best)
 				}
 			}
@@ -205,7 +204,7 @@
 
 // arrayDemand pours the arrays' waiting work, as machine time within the
 // class's horizon, into what the gangs leave.
-func (b *Board) arrayDemand(now time.Time, bins []*bin, open func(*Job, string) *bin, admit func(*Job, quota.Room) bool) {
+func (b *Board) arrayDemand(now time.Time, bins []*bin, open func(*Job, string, bool) *bin, admit func(*Job, quota.Room) bool) {
 	type load struct {
 		j *Job
 		n int
@@ -236,54 +235,64 @@
 	spent := map[*bin]float64{}
 	for _, l := range loads {
 		j := l.j
-		h := Horizon(b.facts.Objectives, j.Spec.Lane)
+		aim := Horizon(b.facts.Objectives, j.Spec.Lane)
 		dur := b.Expect(j)
-		room := func(bn *bin) float64 {
-			// machine time this bin can give to the job within its horizon
-			if !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) || bn.m != nil && j.avoids(bn.m) {
-				return 0
+		work := float64(l.n)
+		each := func(bn *bin) float64 { return dur / float64(max(1, bn.cap.Count(j.need, maxCount))) }
+		pour := func(bn *bin, h float64) {
+			// machine time this bin can give to the job within the horizon
+			if work <= 0 || !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) || bn.m != nil && j.avoids(bn.m) {
+				return
 			}
 			t := h - spent[bn]
 			if bn.m != nil {
 				t -= committed[bn.m]
 			}
 			// what is free now takes tasks at once, however long they run
-			return max(t, dur*float64(bn.free.Count(j.need, maxCount))*j.need.Share(bn.cap)-spent[bn])
-		}
-		work := float64(l.n)
-		each := func(bn *bin) float64 { return dur / float64(max(1, bn.cap.Count(j.need, maxCount))) }
-		pour := func(bn *bin) {
-			n := min(work, room(bn)/each(bn))
+			t = max(t, dur*float64(bn.free.Count(j.need, maxCount))*j.need.Share(bn.cap)-spent[bn])
+			n := min(work, t/each(bn))
 			if n <= 0 {
 				return
 			}
 			if bn.m != nil {
-				bn.m.Wanted = true
+				bn.m.Wanted, bn.m.Guests = true, true
 			}
 			spent[bn] += n * each(bn)
 			work -= n
 		}
-		for _, cheap := range []bool{true, false} {
-			for _, bn := range bins {
-				if bn.loaners == cheap && work > 0 {
-					pour(bn)
+		hire := func(cheap bool, h float64) {
+			for work > tuning.HireRest && admit(j, j.need) {
+				bn := open(j, "", cheap)
+				if bn == nil {
+					return
+				}
+				bins = append(bins, bn)
+				before := work
+				if pour(bn, h); work == before {
+					return
 				}
 			}
 		}
-		for work > tuning.HireRest {
-			if !admit(j, j.need) {
-				break
-			}
-			bn := open(j, "")
-			if bn == nil {
-				break
+		// Cheap machines first, and as many as the work is worth. Dear ones are
+		// for jobs that may use no others, and for what cheap ones would not get
+		// done in time: they cost several times as much.
+		dear := aim * tuning.HorizonShare
+		if j.Spec.Loaners {
+			for _, bn := range bins {
+				if bn.loaners {
+					pour(bn, aim*tuning.HorizonShare)
+				}
 			}
-			bins = append(bins, bn)
-			before := work
-			pour(bn)
-			if work == before {
-				break
+			hire(true, aim*tuning.HorizonShare)
+			dear = aim * tuning.DearShare
+		}
+		for _, cheap := range []bool{true, false} {
+			for _, bn := range bins {
+				if bn.loaners == cheap {
+					pour(bn, dear)
+				}
 			}
 		}
+		hire(false, dear)
 	}
 }
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -201,7 +201,7 @@
 	}
 	var cands []*host
 	for _, h := range b.since(missed) {
-		if m := h.m; m.Usable(now) && fit(m) && j.allows(m.Build, m.Yard, m.Loaners) && !j.avoids(m) {
+		if m := h.m; m.Usable(now) && (m.Loaners || m.Guests || !j.Spec.Loaners) && fit(m) && j.allows(m.Build, m.Yard, m.Loaners) && !j.avoids(m) {
 			cands = append(cands, h)
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -267,6 +267,9 @@
 	// HorizonShare is the part of a class's aim that its waiting work may
 	// take on the machines there are before more are hired.
 	HorizonShare = 0.1
+	// DearShare is the same for work that could run on cheap machines, before
+	// ordinary ones are hired or kept for it.
+	DearShare = 0.4
 	// LeastRun is the least run time assumed of a task.
 	LeastRun = 10 * time.Second
 	// HireRest is the waiting work, in tasks, not worth another machine.
