--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -165,6 +165,11 @@
 	}
 }
 
+// unreached makes a machine one whose reports come, and nothing reaches it.
+func unreached(m *worker.Machine, now time.Time) {
+	m.Proven, m.Wanted, m.Unproven, m.Checked = false, true, now, now.Add(time.Second)
+}
+
 // Which machines go back, and that one with work never does.
 func TestReturns(t *testing.T) {
 	for _, c := range []struct {
@@ -181,6 +186,8 @@
 		{"faulty", worker.Up, func(m *worker.Machine, _ time.Time) { m.Faulty = true }, time.Second, true},
 		{"promised", worker.Up, func(m *worker.Machine, _ time.Time) { m.Promised = quota.Room{CPUs: 1} }, time.Minute, false},
 		{"an unanswered command, nothing else", worker.Up, func(m *worker.Machine, _ time.Time) { m.OpenDo = 1 }, time.Second, true},
+		{"no answer reaches it", worker.Up, unreached, 2*10*time.Second + time.Second, true},
+		{"no answer reached it for a lease", worker.Up, unreached, 12 * time.Second, false},
 		{"booting", worker.Booting, nil, 60 * time.Second, false},
 		{"stuck boot", worker.Booting, nil, 80 * time.Second, true},
 		{"silent", worker.Silent, nil, 9 * time.Second, false},
--- a/internal/node/standin_worker_test.go
+++ b/internal/node/standin_worker_test.go
@@ -18,6 +18,7 @@
 	hung     bool
 	sick     bool
 	cut      bool     // its network is cut
+	only     *simNode // the one node it can reach; nil: all
 	mute     bool     // its reports arrive, but no answer or command reaches it
 	late     []func() // messages held back by the cut or the hang
 	stint    uint64
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -161,7 +161,7 @@
 // deliver carries a message between a worker and a node, either way. A cut
 // holds it back or loses it.
 func (w *world) deliver(h *workerHost, n *simNode, f func()) {
-	if h.cut || n.cutWorkers || h.hung {
+	if h.cut || n.cutWorkers || h.hung || h.only != nil && h.only != n {
 		if w.rng.IntN(2) == 0 {
 			h.late = append(h.late, f)
 		}
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -134,17 +134,27 @@
 }
 
 // byTurn orders jobs of one rank by age. Gangs go a while before arrays, and
-// arrays with their remaining work added to their age, so that when there is
-// too much the many small jobs are in time and not only the oldest. Both are
+// arrays with more work waiting a while after ones with less, so that when there
+// is too much the many small jobs are in time and not only the oldest. Both are
 // bounded, so that neither arrays nor the largest of them starve.
 func (b *Board) byTurn(jobs []*Job) []*Job {
 	out := slices.Clone(jobs)
+	works := map[*Job]float64{}
+	sum := 0.0
+	for _, j := range out {
+		if n := j.held(); n > 0 && !j.Gang() {
+			works[j] = float64(n) * b.Expect(j) * j.share(b.reg)
+			sum += works[j]
+		}
+	}
+	usual := sum / float64(max(1, len(works)))
 	for _, j := range out {
 		j.turn = float64(j.At.UnixMilli()) / 1000
-		if j.Gang() {
+		switch w := works[j]; {
+		case j.Gang():
 			j.turn -= tuning.GangsAhead.Seconds()
-		} else {
-			j.turn += min(tuning.TurnWork*float64(j.held())*b.Expect(j)*j.share(b.reg), tuning.TurnMost.Seconds())
+		case w > 0:
+			j.turn += tuning.TurnMost.Seconds() * w / (w + usual)
 		}
 	}
 	slices.SortStableFunc(out, func(a, c *Job) int { return cmp.Compare(a.turn, c.turn) })
@@ -481,6 +491,12 @@
 	return out
 }
 
+// starved tells whether a job has waited for so long without any of its tasks
+// coming to an end that those it has begun are left alone.
+func (j *Job) starved(now time.Time) bool {
+	return j.done.count == 0 && now.Sub(j.Since) > tuning.StarveAfter+tuning.StarveStep
+}
+
 // victims chooses the tasks to stop on a machine so that a gang's task fits:
 // work of lower rank, or of a team beyond its guarantee for one within its own.
 func (b *Board) victims(now time.Time, k kind, m *worker.Machine, room quota.Room) (stop []*Task, left quota.Room, cost float64) {
@@ -494,7 +510,7 @@
 		// beyond theirs, whatever its rank: otherwise the two would stop each
 		// other in turn, one by rank and one by its guarantee, for ever.
 		kept := o.Spec.Crew != k.crew && !k.guaranteed && !b.book.Beyond(o.Spec.Crew)
-		if o.level < k.level && !kept || k.guaranteed && o.Spec.Crew != k.crew && b.book.Beyond(o.Spec.Crew) {
+		if o.rank < k.rank && !kept && !o.starved(now) || k.guaranteed && o.Spec.Crew != k.crew && b.book.Beyond(o.Spec.Crew) {
 			may = append(may, t)
 		}
 	}
--- a/internal/placement/survey.go
+++ b/internal/placement/survey.go
@@ -126,13 +126,13 @@
 	builds     string // allowed types, "*" for any
 	yard       string
 	loaners    bool
-	level      int
+	rank       int
 	crew       string
 	guaranteed bool
 }
 
 func (j *Job) kind(guaranteed bool) kind {
-	k := kind{j.need, "*", j.Spec.Yard, j.Spec.Loaners, j.level, j.Spec.Crew, guaranteed}
+	k := kind{j.need, "*", j.Spec.Yard, j.Spec.Loaners, j.rank, j.Spec.Crew, guaranteed}
 	if !j.Spec.AnyBuild {
 		k.builds = strings.Join(j.Spec.Builds, " ")
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -140,6 +142,77 @@
 	}
 }
 
+// Entries share pages, pages keep to their limit, each is written once a while,
+// and a successor finds everything again.
+func TestPages(t *testing.T) {
+	now := time.Unix(0, 0)
+	kv := map[string]wire.Item{}
+	epoch, writes := uint64(10), 0
+	call := func(c Call, then func(time.Time, Result)) {
+		for _, cond := range c.Multi.When {
+			if cond.Path != "c/b/0" && kv[cond.Path].Stamp != cond.Stamp {
+				then(now, Result{Status: 409, Failed: []string{cond.Path}})
+				return
+			}
+		}
+		epoch++
+		for _, w := range c.Multi.Writes {
+			if writes++; len(w.Value) > 1024 {
+				t.Errorf("%s has %d bytes", w.Write, len(w.Value))
+			}
+			delete(kv, w.Remove)
+			if w.Write != "" {
+				kv[w.Write] = wire.Item{Path: w.Write, Value: w.Value, Stamp: epoch}
+			}
+		}
+		then(now, Result{Status: 200, Epoch: epoch})
+	}
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	open := func() *Pages {
+		return NewPages("t/0/", 1, time.Second, ClassTally, Is("c/b/0", 2), call, quiet, func(time.Time) { t.Error("lost") })
+	}
+	p := open()
+	durable := 0
+	for i := range 60 {
+		p.Put(fmt.Sprintf("job-%d/0", i), strings.Repeat("x", 20), func(time.Time) { durable++ })
+	}
+	if durable != 0 {
+		t.Fatal("durable before it was written")
+	}
+	p.Tick(now)
+	if durable != 60 || writes != len(kv) || writes < 2 || writes > 4 {
+		t.Fatalf("%d durable by %d writes in %d pages", durable, writes, len(kv))
+	}
+	before := writes
+	p.Put("job-0/0", strings.Repeat("y", 20), func(time.Time) { durable++ })
+	p.Drop("job-1/0")
+	for range 10 {
+		p.Tick(now) // not yet
+	}
+	now = now.Add(time.Second)
+	p.Tick(now)
+	if durable != 61 || writes != before+1 {
+		t.Errorf("%d durable by %d more writes, want one", durable, writes-before)
+	}
+	var items []wire.Item
+	for _, it := range kv {
+		items = append(items, it)
+	}
+	found := map[string]string{}
+	p = open()
+	p.Load(items, func(key string, raw json.RawMessage) { found[key] = string(raw) })
+	if len(found) != 59 || !strings.Contains(found["job-0/0"], "yyy") {
+		t.Errorf("found %d entries, %q", len(found), found["job-0/0"])
+	}
+	for k := range found {
+		p.Drop(k)
+	}
+	p.Tick(now)
+	if len(kv) != 0 {
+		t.Errorf("%d empty pages are left", len(kv))
+	}
+}
+
 func TestRecord(t *testing.T) {
 	now := time.Unix(0, 0)
 	for _, c := range []struct {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -142,12 +142,10 @@
 	// before its spare starts: a main whose machine reports in time would
 	// stop the spare at once.
 	SpareReports = 1.5
-	// TurnWork is how many seconds later an array's turn comes for each second
-	// of a whole machine's work that it still has waiting.
-	TurnWork = 1.0
-	// TurnMost bounds that, so that the largest arrays do not starve behind
-	// the many small ones that come after them.
-	TurnMost = 100 * time.Second
+	// TurnMost is how much later the turn of an array with very much work waiting
+	// comes than that of one with very little; one with the usual amount is in
+	// the middle. Small ones first, but the largest do not starve.
+	TurnMost = 200 * time.Second
 	// GangsAhead is how much earlier the turn of a gang comes than an array's
 	// of its rank: a gang that waits holds no machine up, an array fills
 	// whatever is left. Bounded, or a burst of gangs would starve the arrays.
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -45,6 +45,39 @@
 	}
 }
 
+// Which reports prove that an answer or a command has reached the worker since
+// the one before.
+func TestProven(t *testing.T) {
+	type msg struct {
+		at           float64
+		stint, tally uint64
+		do           bool
+		want         bool
+	}
+	for _, c := range []struct {
+		name string
+		msgs []msg
+	}{
+		{"one after the other", []msg{{0, 1, 1, false, true}, {4.8, 1, 2, false, true}}},
+		{"it went to other nodes in between", []msg{{0, 1, 1, false, true}, {15, 1, 4, false, false}}},
+		{"and stays from then on", []msg{{0, 1, 1, false, true}, {15, 1, 4, false, false}, {19, 1, 5, false, true}}},
+		{"asked by others in between, but soon again", []msg{{0, 1, 1, false, true}, {1.5, 1, 4, false, true}}},
+		{"its session rises, as nothing renews it", []msg{{0, 1, 1, false, true}, {15, 2, 4, false, false}, {30, 3, 7, false, false}}},
+		{"a command is answered", []msg{{0, 1, 1, false, true}, {15, 2, 4, false, false}, {16, 2, 9, true, true}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := registry()
+			m := r.Add(time.Unix(0, 0), "i-1", Booting)
+			for i, s := range c.msgs {
+				r.Absorb(time.Unix(0, int64(s.at*1e9)), m, &wire.Report{Host: "i-1", Stint: s.stint, Tally: s.tally}, !s.do)
+				if m.Proven != s.want {
+					t.Errorf("message %d: proven %t, want %t", i, m.Proven, s.want)
+				}
+			}
+		})
+	}
+}
+
 // What a machine that stops reporting goes through, and when its lease is
 // surely over: not before the worker's own clock says so, however it drifts.
 func TestQuiet(t *testing.T) {
