--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -35,7 +35,8 @@
 	free    quota.Room // now, for gangs
 }
 
-// Horizon is the time in which a class's jobs should be finished.
+// Horizon is how long an array's work may wait and run in all for its class's
+// aims to hold.
 func Horizon(objectives []config.Objective, lane string) float64 {
 	h := 0.0
 	for _, o := range objectives {
@@ -46,7 +47,7 @@
 	if h == 0 {
 		h = tuning.DefaultAim.Seconds()
 	}
-	return h
+	return h * tuning.HorizonShare
 }
 
 // Expect estimates a task's run time in seconds.
@@ -69,7 +70,7 @@
 	}
 	var bins []*bin
 	for _, m := range b.reg.All() {
-		m.Wanted, m.Guests = m.Busy > 0, false
+		m.Wanted = m.Busy > 0
 		if m.Faulty || m.Mute(now, config.Seconds(b.facts.Workers.LeaseS)) || m.Closing || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting {
 			continue
 		}
@@ -82,10 +83,10 @@
 		}
 	}
 	hires := make([]int, len(offers))
-	open := func(j *Job, yard string, cheap bool) *bin {
+	open := func(j *Job, yard string) *bin {
 		best := -1
 		for i, o := range offers {
-			if o.Left-hires[i] <= 0 || cheap && !o.Loaners || yard != "" && o.Yard != yard || !j.allows(o.Build, o.Yard, o.Loaners) || !o.Cap.Fits(j.need) {
+			if o.Left-hires[i] <= 0 || yard != "" && o.Yard != yard || !j.allows(o.Build, o.Yard, o.Loaners) || !o.Cap.Fits(j.need) {
 				continue
 			}
 			if best < 0 || o.Price/float64(o.Cap.Count(j.need, maxCount)) < offers[best].Price/float64(offers[best].Cap.Count(j.need, maxCount)) {
@@ -130,7 +131,7 @@
 // wholeDemand packs a job whose tasks are placed whole, and hires for those
 // that fit nowhere. A job that has to be in one zone is packed into the zone
 // that lacks the fewest; zones that would get too many tasks are passed over.
-func (b *Board) wholeDemand(j *Job, n int, bins *[]*bin, open func(*Job, string, bool) *bin, offered func(yard string) bool) {
+func (b *Board) wholeDemand(j *Job, n int, bins *[]*bin, open func(*Job, string) *bin, offered func(yard string) bool) {
 	pack := func(yard string, commit bool) (lacks int) {
 		inYard := j.yards(true)
 		room := map[*bin]quota.Room{}
@@ -153,7 +154,7 @@
 						want = y
 					}
 				}
-				if best = open(j, want, false); best != nil {
+				if best = open(j, want); best != nil {
 					*bins = append(*bins, best)
 				}
 			}
@@ -204,7 +205,7 @@
 
 // arrayDemand pours the arrays' waiting work, as machine time within the
 // class's horizon, into what the gangs leave.
-func (b *Board) arrayDemand(now time.Time, bins []*bin, open func(*Job, string, bool) *bin, admit func(*Job, quota.Room) bool) {
+func (b *Board) arrayDemand(now time.Time, bins []*bin, open func(*Job, string) *bin, admit func(*Job, quota.Room) bool) {
 	type load struct {
 		j *Job
 		n int
@@ -235,11 +236,11 @@
 	spent := map[*bin]float64{}
 	for _, l := range loads {
 		j := l.j
-		aim := Horizon(b.facts.Objectives, j.Spec.Lane)
+		h := Horizon(b.facts.Objectives, j.Spec.Lane)
 		dur := b.Expect(j)
 		work := float64(l.n)
 		each := func(bn *bin) float64 { return dur / float64(max(1, bn.cap.Count(j.need, maxCount))) }
-		pour := func(bn *bin, h float64) {
+		pour := func(bn *bin) {
 			// machine time this bin can give to the job within the horizon
 			if work <= 0 || !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) || bn.m != nil && j.avoids(bn.m) {
 				return
@@ -255,44 +256,28 @@
 				return
 			}
 			if bn.m != nil {
-				bn.m.Wanted, bn.m.Guests = true, true
+				bn.m.Wanted = true
 			}
 			spent[bn] += n * each(bn)
 			work -= n
 		}
-		hire := func(cheap bool, h float64) {
-			for work > tuning.HireRest && admit(j, j.need) {
-				bn := open(j, "", cheap)
-				if bn == nil {
-					return
-				}
-				bins = append(bins, bn)
-				before := work
-				if pour(bn, h); work == before {
-					return
-				}
-			}
-		}
-		// Cheap machines first, and as many as the work is worth. Dear ones are
-		// for jobs that may use no others, and for what cheap ones would not get
-		// done in time: they cost several times as much.
-		dear := aim * tuning.HorizonShare
-		if j.Spec.Loaners {
-			for _, bn := range bins {
-				if bn.loaners {
-					pour(bn, aim*tuning.HorizonShare)
-				}
-			}
-			hire(true, aim*tuning.HorizonShare)
-			dear = aim * tuning.DearShare
-		}
 		for _, cheap := range []bool{true, false} {
 			for _, bn := range bins {
 				if bn.loaners == cheap {
-					pour(bn, dear)
+					pour(bn)
 				}
 			}
 		}
-		hire(false, dear)
+		for work > tuning.HireRest && admit(j, j.need) {
+			bn := open(j, "")
+			if bn == nil {
+				break
+			}
+			bins = append(bins, bn)
+			before := work
+			if pour(bn); work == before {
+				break
+			}
+		}
 	}
 }
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -81,8 +82,8 @@
 	for _, jobs := range b.byRank(now) {
 		b.first = nil
 		for _, guaranteed := range []bool{true, false} {
-			// room goes to a task whose image is there before one of an
-			// earlier turn that would have it fetched
+			// room goes to a task whose image is there before one of a
+			// somewhat earlier turn that would have it fetched
 			for _, image := range []bool{true, false} {
 				for _, j := range jobs {
 					b.drawJob(now, j, guaranteed, image)
@@ -116,12 +117,35 @@
 		j.level = j.rank + b.raised(now, j)
 		levels[j.level] = append(levels[j.level], j)
 	}
+	images := b.imageCounts()
 	for _, l := range slices.Backward(slices.Sorted(maps.Keys(levels))) {
-		b.turns = append(b.turns, b.byTurn(levels[l]))
+		jobs := b.byTurn(levels[l])
+		b.turns = append(b.turns, jobs)
+		first := math.Inf(1)
+		for _, j := range jobs {
+			if j.held() > 0 && !j.Gang() {
+				first = min(first, j.turn)
+				j.late = j.turn > first+tuning.ImagePatience.Seconds()
+				j.seeds = float64(images[j.Spec.Bundle]) < float64(j.held())*j.share(b.reg)
+			}
+		}
 	}
 	return b.turns
 }
 
+// imageCounts tells on how many machines each image is.
+func (b *Board) imageCounts() map[string]int {
+	out := map[string]int{}
+	for _, m := range b.reg.All() {
+		if m.State == worker.Up {
+			for i := range m.Images {
+				out[i]++
+			}
+		}
+	}
+	return out
+}
+
 // raised is by how many ranks a job is raised because it has waited for so long
 // that it would starve: no burst of others, however long, may keep it from
 // beginning. What it has started keeps the rank it started with.
@@ -198,8 +222,13 @@
 	}
 	var spread map[string]int
 	patient, missed := 0, uint64(0)
-	if image && now.Sub(j.Since) < tuning.ImagePatience {
-		patient = 1
+	if image {
+		if j.late {
+			return
+		}
+		if !j.seeds {
+			patient = 1
+		}
 	}
 	if j.constrained() {
 		spread = j.yards(true)
@@ -211,7 +240,7 @@
 	}
 	var cands []*host
 	for _, h := range b.since(missed) {
-		if m := h.m; m.Usable(now) && (m.Loaners || m.Guests || !j.Spec.Loaners) && fit(m) && j.allows(m.Build, m.Yard, m.Loaners) && !j.avoids(m) {
+		if m := h.m; m.Usable(now) && fit(m) && j.allows(m.Build, m.Yard, m.Loaners) && !j.avoids(m) {
 			cands = append(cands, h)
 		}
 	}
@@ -252,19 +281,18 @@
 	}
 }
 
-// tier ranks machines that fit: cheap ones for whoever may use them, then the
-// fuller ones, in steps, so that others empty and can be returned, then ones
-// that have the image or are about to.
+// tier ranks machines that fit: cheap ones for whoever may use them, then ones
+// that have the image or are about to, then the fuller ones, in steps, so that
+// others empty and can be returned.
 func (b *Board) tier(j *Job, m *worker.Machine) int {
 	s := 0
 	if j.Spec.Loaners && !m.Loaners {
 		s += 4 * tuning.FillSteps
 	}
-	s += 2 * int(tuning.FillSteps*m.FreeForMain().Share(m.Cap))
 	if !b.hasImage(m, j.Spec.Bundle) {
-		s++
+		s += 2 * tuning.FillSteps
 	}
-	return s
+	return s + int(tuning.FillSteps*m.FreeForMain().Share(m.Cap))
 }
 
 // hasImage tells whether a machine has an image, or some task there will have
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -93,6 +93,8 @@
 	errors    int
 	wellOn    map[string]bool // machines on which a task of it completed
 	turn      float64         // its place in the order, a time of day in seconds
+	late      bool            // its turn is too late to go first where its image is
+	seeds     bool            // its image is on fewer machines than its work could fill
 	missed    [2]uint64       // the change up to which no machine had room for it, with its image there and without
 	why       string          // why it waits, as last logged
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -145,18 +145,18 @@
 	// TurnMost is how much later the turn of an array with very much work waiting
 	// comes than that of one with very little; one with the usual amount is in
 	// the middle. Small ones first, but the largest do not starve.
-	TurnMost = 200 * time.Second
+	TurnMost = 800 * time.Second
 	// GangsAhead is how much earlier the turn of a gang comes than an array's
 	// of its rank: a gang that waits holds no machine up, an array fills
 	// whatever is left. Bounded, or a burst of gangs would starve the arrays.
 	GangsAhead = 120 * time.Second
 	// GangPatience is how long a gang waits before no later one of its rank may
 	// be placed before it.
-	GangPatience = 40 * time.Second
+	GangPatience = 60 * time.Second
 	// StarveAfter is how long a job waits for its tasks to start before it is
 	// raised by a rank, and by another after each StarveStep: the largest jobs
 	// too should begin within four minutes.
-	StarveAfter = 180 * time.Second
+	StarveAfter = 210 * time.Second
 	StarveStep  = 15 * time.Second
 	// CloseEvery is the least time between two machines being emptied to be
 	// returned: what the first one's tasks do to the rest shows only then.
@@ -164,9 +164,10 @@
 	// FillSteps is in how many steps a machine's fill is told apart when a task
 	// is drawn: finer ones would leave nothing to chance.
 	FillSteps = 4
-	// ImagePatience is how long a waiting array lets later ones go first whose
-	// image a machine has already.
-	ImagePatience = 30 * time.Second
+	// ImagePatience is how much later an array's turn may be than the first's
+	// for its tasks to go first where their image is: a fetch holds a place for
+	// as long as a short task.
+	ImagePatience = 90 * time.Second
 	// DrawEvery is how often jobs are gone through although nothing changed:
 	// pauses end, and machines fall silent.
 	DrawEvery = 100 * time.Millisecond
@@ -265,9 +266,6 @@
 	// HorizonShare is the part of a class's aim that its waiting work may
 	// take on the machines there are before more are hired.
 	HorizonShare = 0.1
-	// DearShare is the same for work that could run on cheap machines, before
-	// ordinary ones are hired or kept for it.
-	DearShare = 0.4
 	// LeastRun is the least run time assumed of a task.
 	LeastRun = 10 * time.Second
 	// HireRest is the waiting work, in tasks, not worth another machine.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -73,7 +73,6 @@
 	Used                 bool // its hire record says that it may have tasks
 	Faulty               bool
 	Wanted               bool // a demand pass found a use for it
-	Guests               bool // a demand pass let work that could run on cheap machines use it
 	Closing              bool // nothing more is drawn to it, so that it can be returned
 	IdleFrom             time.Time
 
