Room goes to a task whose image is there, whatever its turn

Ruled out: idle machines, slow hand-out (0.6%), saving (0.4%).

A gang's missing image counts little if it can be fetched in time.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -243,7 +243,7 @@
 func (s *Slice) size(m *worker.Machine) {
 	if f, ok := s.flavors[m.Build]; ok {
 		if room := (quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}); m.Cap != room {
-			m.Cap = room
+			m.Cap, m.Fetch = room, f.FetchGbPerS
 			s.board.Touch(m)
 		}
 	}
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -494,7 +494,7 @@
 			c.score += tuning.ScorePreempt
 		}
 		if _, ok := m.Images[j.Spec.Bundle]; !ok {
-			c.score += tuning.ScoreNoImage
+			c.score += b.fetchScore(j, m)
 		}
 		if j.Spec.Loaners && !m.Loaners {
 			c.score += tuning.ScoreOrdinary
@@ -525,6 +525,18 @@
 	return j.done.count == 0 && now.Sub(j.Since) > tuning.StarveAfter+tuning.StarveStep
 }
 
+// fetchScore is what it costs a gang that its image is not on a machine: little
+// if it can be fetched within the time in which the gang should have started.
+func (b *Board) fetchScore(j *Job, m *worker.Machine) float64 {
+	for _, o := range b.facts.Objectives {
+		if o.Kind == "wait" && o.Class == j.Spec.Lane && m.Fetch > 0 &&
+			j.Spec.ImageGb/m.Fetch*tuning.FetchSlack+b.facts.Workers.ReportS < o.WithinS {
+			return tuning.ScoreQuickImage
+		}
+	}
+	return tuning.ScoreNoImage
+}
+
 // victims chooses the tasks to stop on a machine so that a gang's task fits:
 // work of lower rank, or of a team beyond its guarantee for one within its own.
 func (b *Board) victims(now time.Time, k kind, m *worker.Machine, room quota.Room) (stop []*Task, left quota.Room, cost float64) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -156,7 +156,7 @@
 	// StarveAfter is how long a job waits for its tasks to start before it is
 	// raised by a rank, and by another after each StarveStep: the largest jobs
 	// too should begin within four minutes.
-	StarveAfter = 210 * time.Second
+	StarveAfter = 260 * time.Second
 	StarveStep  = 15 * time.Second
 	// CloseEvery is the least time between two machines being emptied to be
 	// returned: what the first one's tasks do to the rest shows only then.
@@ -167,7 +167,7 @@
 	// ImagePatience is how much later an array's turn may be than the first's
 	// for its tasks to go first where their image is: a fetch holds a place for
 	// as long as a short task.
-	ImagePatience = 90 * time.Second
+	ImagePatience = 1000 * time.Second
 	// DrawEvery is how often jobs are gone through although nothing changed:
 	// pauses end, and machines fall silent.
 	DrawEvery = 100 * time.Millisecond
@@ -207,8 +207,11 @@
 // Scores of a gang's possible places; the lowest sum is taken. In seconds of
 // a whole machine's work that would be given up for it.
 const (
-	ScorePreempt  = 30.0 // a stop and a reported exit come first
-	ScoreNoImage  = 60.0 // the image has to be fetched
+	ScorePreempt    = 30.0 // a stop and a reported exit come first
+	ScoreNoImage    = 90.0 // the image has to be fetched, and the gang starts late for it
+	ScoreQuickImage = 30.0 // the image can be fetched in time
+	// FetchSlack is how much slower than its type says a machine may fetch.
+	FetchSlack    = 1.3
 	ScoreOrdinary = 10.0 // a cheap machine would do
 )
 
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -47,6 +47,7 @@
 	Yard    string
 	Loaners bool
 	Cap     quota.Room
+	Fetch   float64 // GB of images a second, 0: not known
 
 	State   State
 	Since   time.Time // of the state
