Silent machines are not replaced while their lease may stand

Also, one report out of turn no longer takes a machine out of use: after each takeover that cost a report interval.

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -71,10 +71,15 @@
 	var bins []*bin
 	for _, m := range b.reg.All() {
 		m.Wanted = m.Busy > 0
-		if m.Faulty || m.Mute(now, config.Seconds(b.facts.Workers.LeaseS)) || m.Closing || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting {
+		if m.Faulty || m.Mute(now, config.Seconds(b.facts.Workers.LeaseS)) || m.Closing || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting && m.State != worker.Silent {
 			continue
 		}
 		bn := &bin{m: m, build: m.Build, yard: m.Yard, loaners: m.Loaners, cap: m.Cap, free: m.FreeForMain()}
+		if m.State == worker.Silent {
+			// takes nothing now, but is not replaced while its lease may stand:
+			// after a cut of the holder all of them are silent for a while
+			bn.free = quota.Room{}
+		}
 		bins = append(bins, bn)
 	}
 	for i, o := range offers {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -59,8 +59,8 @@
 	// Answered is when the last report that was answered came in. The
 	// worker's lease counts from when it sent it, so not later.
 	Answered time.Time
-	// Proven: its newest report shows that an answer or a command has reached
-	// the worker since the report before. One whose reports come and to which
+	// Proven: its newest reports show that an answer or a command has reached
+	// the worker since the ones before. One whose reports come and to which
 	// nothing gets through holds no lease and carries nothing out.
 	Proven bool
 	// Unproven is since when its reports have come without being so; zero: not.
@@ -226,10 +226,14 @@
 		return Stale
 	}
 	m.Glimpse(rep)
-	if m.Proven = m.proves(now, rep, checkin); m.Proven {
-		m.Unproven = time.Time{}
-	} else if m.Unproven.IsZero() {
-		m.Unproven = now
+	switch {
+	case m.proves(now, rep, checkin):
+		m.Proven, m.Unproven = true, time.Time{}
+	case m.Unproven.IsZero():
+		// once is nothing: an answer was lost, or the holder is a new one
+		m.Proven, m.Unproven = m.Proven && rep.Stint == m.Stint, now
+	default:
+		m.Proven = false
 	}
 	v := Fresh
 	if m.Stint != 0 && rep.Stint > m.Stint {
