Work gives way at once to a gang that saving would make late

What a save keeps, progress since the last checkpoint, is worth about what saving takes.

Ruled out: slow placement (gangs are placed and told within 20 ms).

--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -449,6 +449,7 @@
 	}
 	b.Count.GangsPlaced++
 	j.why = ""
+	hurry := b.hurry(now, j, best)
 	for n, p := range best {
 		t := &Task{Job: j, N: n}
 		j.tasks[n] = t
@@ -456,7 +457,11 @@
 		for _, v := range p.stop {
 			if v.phase == Sent || v.phase == Live {
 				b.Count.Preempted++
-				b.yield(now, v, "gives way to "+j.Spec.ID)
+				if hurry && !v.Job.Gang() {
+					b.stop(now, v, 0, "gives way at once to "+j.Spec.ID)
+				} else {
+					b.yield(now, v, "gives way to "+j.Spec.ID)
+				}
 			}
 		}
 	}
@@ -525,18 +530,43 @@
 	return j.done.count == 0 && now.Sub(j.Since) > tuning.StarveAfter+tuning.StarveStep
 }
 
+// fetchTime estimates how many seconds a machine takes to fetch a job's image.
+func (j *Job) fetchTime(m *worker.Machine) float64 {
+	if _, ok := m.Images[j.Spec.Bundle]; ok || m.Fetch <= 0 {
+		return 0
+	}
+	return j.Spec.ImageGb / m.Fetch
+}
+
 // fetchScore is what it costs a gang that its image is not on a machine: little
-// if it can be fetched within the time in which the gang should have started.
+// if it can be fetched within a time in which its class should have started.
 func (b *Board) fetchScore(j *Job, m *worker.Machine) float64 {
 	for _, o := range b.facts.Objectives {
 		if o.Kind == "wait" && o.Class == j.Spec.Lane && m.Fetch > 0 &&
-			j.Spec.ImageGb/m.Fetch*tuning.FetchSlack+b.facts.Workers.ReportS < o.WithinS {
+			j.fetchTime(m)*tuning.FetchSlack+b.facts.Workers.ReportS < o.WithinS {
 			return tuning.ScoreQuickImage
 		}
 	}
 	return tuning.ScoreNoImage
 }
 
+// hurry tells whether a gang placed now starts within one of its class's times
+// only if the work that gives way does not save first. What that work loses is
+// its progress since its last checkpoint, about as much as saving takes.
+func (b *Board) hurry(now time.Time, j *Job, places []place) bool {
+	fetch, save := 0.0, 0.0
+	for _, p := range places {
+		fetch = max(fetch, j.fetchTime(p.m))
+		for _, v := range p.stop {
+			save = max(save, v.Job.grace())
+		}
+	}
+	ready := now.Sub(j.Since).Seconds() + fetch + tuning.StartTime.Seconds()
+	return slices.ContainsFunc(b.facts.Objectives, func(o config.Objective) bool {
+		return o.Kind == "wait" && o.Class == j.Spec.Lane && ready <= o.WithinS && ready+save > o.WithinS
+	})
+}
+
 // victims chooses the tasks to stop on a machine so that a gang's task fits:
 // work of lower rank, or of a team beyond its guarantee for one within its own.
 func (b *Board) victims(now time.Time, k kind, m *worker.Machine, room quota.Room) (stop []*Task, left quota.Room, cost float64) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -210,6 +210,9 @@
 	ScorePreempt    = 30.0 // a stop and a reported exit come first
 	ScoreNoImage    = 90.0 // the image has to be fetched, and the gang starts late for it
 	ScoreQuickImage = 30.0 // the image can be fetched in time
+	// StartTime is what a gang's start takes beside saving and fetching: commands
+	// and reports on their way.
+	StartTime = 1 * time.Second
 	// FetchSlack is how much slower than its type says a machine may fetch.
 	FetchSlack    = 1.3
 	ScoreOrdinary = 10.0 // a cheap machine would do
