Jobs are marked as begun, so that a takeover holds up only those

A job is entered as begun, durably, before its first task is handed out; the first few in turn are entered ahead of room. A successor lets jobs that are not entered start at once. Seen failing with each half taken out (TestTroubles: a machine is cut off as the holder crashes).

--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -53,8 +54,10 @@
 	fleet *fleet.Slice
 
 	tallies  tallies
-	found    []wire.Item // tallies and used machines as read, before they are taken over
+	begun    *store.Pages // jobs that may have tasks on machines
+	found    []wire.Item  // tallies, used machines and begun jobs as read, before they are taken over
 	used     []wire.Item
+	marks    []wire.Item
 	reading  int // reads that are still under way
 	tallyDue time.Time
 	countDue time.Time
@@ -81,19 +84,30 @@
 		func(host string) bool { return c.foreign(l.Block, host) })
 	t.tallies = tallies{chunk: int(c.cfg.Facts.State.ValueKB*1024) * tuning.TallyBits, jobs: map[string]int{},
 		pages: store.NewPages(tallyUnder(l.Block), c.cfg.Facts.State.ValueKB, tuning.TallyEvery, store.ClassTally, t.cond(), t.call, t.log, t.lost)}
+	t.begun = store.NewPages(begunUnder(l.Block), c.cfg.Facts.State.ValueKB, tuning.BegunEvery, store.ClassUser, t.cond(), t.call, t.log, t.lost)
+	t.board.Begin = func(now time.Time, j *placement.Job) {
+		t.begun.Put(j.Spec.ID, 1, func(now time.Time) {
+			t.board.Begun(j)
+			t.settle(now)
+		})
+		t.begun.Tick(now)
+	}
 	t.log.Info("tenure begins", "ended", l.Ended)
 	for name, f := range c.flavors {
 		t.fleet.Flavor(f, c.flavorRaw[name])
 	}
 	t.configure()
-	t.reading = 4
+	t.reading = 5
 	t.sync(now, c.open)
 	t.sync(now, c.hires)
 	t.list(now, tallyUnder(l.Block), "", &t.found)
 	t.list(now, fleet.UsedUnder(l.Block), "", &t.used)
+	t.list(now, begunUnder(l.Block), "", &t.marks)
 	return t
 }
 
+func begunUnder(block int) string { return fmt.Sprintf("b/%d/", block) }
+
 // sync waits until a mirror holds all that was written before this tenure.
 func (t *tenure) sync(now time.Time, m *store.Mirror) {
 	m.Sync(now, 0, func(now time.Time, ok bool) {
@@ -140,7 +154,15 @@
 	})
 	t.fleet.LoadUsed(now, t.used)
 	t.tallies.load(t.found, t.board.Job)
-	t.found, t.used = nil, nil
+	t.begun.Load(t.marks, func(id string, _ json.RawMessage) {
+		if j := t.board.Job(id); j != nil {
+			j.Before = true
+			t.board.Begun(j)
+		} else {
+			t.begun.Drop(id)
+		}
+	})
+	t.found, t.used, t.marks = nil, nil, nil
 	for _, j := range t.board.Jobs() {
 		if j.Complete() {
 			t.dirty[j.Spec.ID] = j
@@ -252,6 +274,7 @@
 		t.tallyDue = now.Add(tuning.TallyEvery)
 	}
 	t.tallies.pages.Tick(now)
+	t.begun.Tick(now)
 }
 
 // finalize writes a job's end: done, unless its user was faster with a
@@ -284,6 +307,7 @@
 func (t *tenure) over(now time.Time, id string) {
 	t.board.CloseJob(now, id)
 	t.tallies.drop(id)
+	t.begun.Drop(id)
 	delete(t.dirty, id)
 	delete(t.finalDue, id)
 }
--- a/internal/node/trouble_test.go
+++ b/internal/node/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -177,6 +178,43 @@
 			n.cutPeers = false
 			n.restoreState()
 		}},
+		{"a machine is cut off as the holder crashes: what it may run waits, what was never begun does not", func(w *world) {
+			for i := range 30 {
+				w.add(wire.Submission{ID: fmt.Sprintf("job-1%02d", i), Crew: "red", Lane: "sweep", Shape: wire.ShapeBatch, Rank: "low", Pieces: 4,
+					Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 5}, 5*time.Second)
+			}
+			w.runFor(27 * time.Second)
+			var h *workerHost
+			for _, id := range sortedKeys(w.workers) {
+				if o := w.workers[id]; len(o.pieces) > 0 && o.pieces[0].on() {
+					h = o
+				}
+			}
+			h.cut = true
+			before := w.holder()
+			marked := string(w.state.keys["b/0/0"].Value)
+			before.crash(time.Second)
+			began := 0
+			for range 9 {
+				w.runFor(time.Second)
+				for _, n := range w.nodes {
+					t := n.core.tenures[0]
+					if !n.alive || n == before || t == nil || t.state != tenureFencing {
+						continue
+					}
+					for _, j := range t.board.Jobs() {
+						if j.Early && j.Located() > 0 && !strings.Contains(marked, `"`+j.Spec.ID+`"`) {
+							began++
+						}
+					}
+				}
+			}
+			if began == 0 {
+				w.fail("nothing began while the machine was not heard")
+			}
+			h.cut = false
+			w.release(h)
+		}},
 		{"everything is back within a fraction of a second", func(w *world) {
 			for i := range 12 {
 				for k, n := range w.nodes {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -47,7 +47,11 @@
 
 // Board is the placement state of one block in one tenure.
 type Board struct {
-	Set      Settings
+	Set Settings
+	// Begin is asked to mark a job as begun, and calls Begun once that is
+	// durable. Without it no marks are kept.
+	Begin    func(now time.Time, j *Job)
+	asked    int // marks on their way
 	Count    Counters
 	facts    config.Facts
 	baton    uint64
@@ -132,6 +136,29 @@
 	}
 }
 
+// Begun lets the tasks of a job start: its mark is durable.
+func (b *Board) Begun(j *Job) {
+	if j.begin == beginAsked {
+		b.asked--
+	}
+	j.begin = begun
+	b.survey.again()
+}
+
+// mayBegin tells whether a job's tasks may be handed out, and sees to its mark.
+func (b *Board) mayBegin(now time.Time, j *Job) bool {
+	if b.Begin == nil || j.begin == begun {
+		return true
+	}
+	if j.begin == unbegun && (j.Gang() || b.asked < tuning.BeginAhead) {
+		j.begin = beginAsked
+		b.asked++
+		b.Begin(now, j)
+	}
+	b.waits(j, "being marked as begun")
+	return false
+}
+
 // Durable marks a completed task's outcome as kept by the state service.
 func (j *Job) Durable(n int) { j.durable.add(n) }
 
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -64,7 +64,9 @@
 
 // startable tells whether all that may be on unseen machines allows a held
 // task of the job to start.
-func (b *Board) startable(j *Job) bool { return b.open || !j.Early }
+func (b *Board) startable(j *Job) bool {
+	return b.open || !j.Early || b.Begin != nil && !j.Before
+}
 
 // Draw takes up held tasks in order and queues their copies, places gangs
 // whole, and redraws what is stuck. It does nothing while nothing has changed.
@@ -121,9 +123,12 @@
 	for _, l := range slices.Backward(slices.Sorted(maps.Keys(levels))) {
 		jobs := b.byTurn(levels[l])
 		b.turns = append(b.turns, jobs)
-		first := math.Inf(1)
+		first, ahead := math.Inf(1), 0
 		for _, j := range jobs {
 			if j.held() > 0 && !j.Gang() {
+				if ahead++; ahead <= tuning.BeginAhead && b.startable(j) {
+					b.mayBegin(now, j) // so that a free place need not wait for the mark
+				}
 				first = min(first, j.turn)
 				j.late = j.turn > first+tuning.ImagePatience.Seconds()
 				j.seeds = float64(images[j.Spec.Bundle]) < float64(j.held())*j.share(b.reg)
@@ -244,6 +249,9 @@
 			cands = append(cands, h)
 		}
 	}
+	if len(cands) > 0 && !b.mayBegin(now, j) {
+		return
+	}
 	for j.held() > 0 {
 		if guaranteed && !b.book.Guaranteed(j.Spec.Crew, j.need) {
 			return
@@ -447,6 +455,9 @@
 		b.noRoom(now, j)
 		return
 	}
+	if !b.mayBegin(now, j) {
+		return
+	}
 	b.Count.GangsPlaced++
 	j.why = ""
 	hurry := b.hurry(now, j, best)
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -73,6 +73,8 @@
 	Stamp uint64    // version of its record
 	Early bool      // accepted before this tenure: its tasks may be on machines not heard yet
 
+	Before bool // marked as begun by an earlier tenure
+
 	rank   int
 	level  int // the rank, raised for age
 	need   quota.Room
@@ -93,12 +95,23 @@
 	errors    int
 	wellOn    map[string]bool // machines on which a task of it completed
 	turn      float64         // its place in the order, a time of day in seconds
-	late      bool            // its turn is too late to go first where its image is
-	seeds     bool            // its image is on fewer machines than its work could fill
-	missed    [2]uint64       // the change up to which no machine had room for it, with its image there and without
-	why       string          // why it waits, as last logged
+	begin     beginning
+	late      bool      // its turn is too late to go first where its image is
+	seeds     bool      // its image is on fewer machines than its work could fill
+	missed    [2]uint64 // the change up to which no machine had room for it, with its image there and without
+	why       string    // why it waits, as last logged
 }
 
+// beginning tells whether a job is marked as begun: a successor then knows that
+// the tasks of jobs without the mark are on no machine.
+type beginning int
+
+const (
+	unbegun    beginning = iota
+	beginAsked           // the mark is on its way to the state service
+	begun                // the mark is durable: its tasks may start
+)
+
 type comeback struct {
 	n  int
 	at time.Time
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -153,6 +153,10 @@
 	// GangPatience is how long a gang waits before no later one of its rank may
 	// be placed before it.
 	GangPatience = 60 * time.Second
+	// BeginAhead is how many arrays that are next in turn are marked as begun
+	// before there is room for them: the mark takes a write, and a place that is
+	// not filled with one report waits for the next.
+	BeginAhead = 8
 	// StarveAfter is how long a job waits for its tasks to start before it is
 	// raised by a rank, and by another after each StarveStep: the largest jobs
 	// too should begin within four minutes.
@@ -287,6 +291,8 @@
 	// TallyBits is how many bits of a tally go into one byte of a value's
 	// limit: base64 takes its part, and a page should hold several jobs'.
 	TallyBits = 2
+	// BegunEvery is how often jobs are marked as begun: a gang waits for it.
+	BegunEvery = 100 * time.Millisecond
 	// UsedEvery is how often machines heard for the first time are entered as
 	// used: hundreds come up within seconds, and each waits for its entry.
 	UsedEvery = 250 * time.Millisecond
