Whatever the burst, a job begins within four minutes

A job of which nothing has started for 150 s goes first, arrays with eight tasks, and what it began is left alone until something of it has ended. A gang that waits for room the fleet has is not overtaken by gangs of lower ranks either, and once it starves arrays that would not give way to it keep off.

--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -81,8 +81,8 @@
 		return
 	}
 	b.survey.changed = false
+	b.first = nil
 	for _, jobs := range b.byRank(now) {
-		b.first = nil
 		for _, guaranteed := range []bool{true, false} {
 			// room goes to a task whose image is there before one of a
 			// somewhat earlier turn that would have it fetched
@@ -153,15 +153,27 @@
 
 // raised is by how many ranks a job is raised because it has waited for so long
 // that it would starve: no burst of others, however long, may keep it from
-// beginning. What it has started keeps the rank it started with.
+// beginning. One of which nothing has started goes first until something has;
+// one whose tasks have waited longer still goes up rank by rank, and stays there.
 func (b *Board) raised(now time.Time, j *Job) int {
-	up := j.level - j.rank
+	if j.starved(now) && j.located == 0 {
+		return wire.Ranks
+	}
+	up := min(j.level-j.rank, wire.Ranks-1)
 	if over := now.Sub(j.Since) - tuning.StarveAfter; over >= 0 && (j.held() > 0 || len(j.tasks) > j.located) {
-		up = max(up, 1+min(int(over/tuning.StarveStep), wire.Ranks-1))
+		up = max(up, 1+min(int(over/tuning.StarveStep), wire.Ranks-2))
+	} else if up == wire.Ranks-1 {
+		up = 0 // it has begun
 	}
 	return up
 }
 
+// starved tells whether nothing of a job has come to an end although it has
+// waited for long: what it has begun is left alone.
+func (j *Job) starved(now time.Time) bool {
+	return j.done.count == 0 && now.Sub(j.Since) > tuning.BeginBy
+}
+
 // byTurn orders jobs of one rank by age. Gangs go a while before arrays, and
 // arrays with more work waiting a while after ones with less, so that when there
 // is too much the many small jobs are in time and not only the oldest. Both are
@@ -245,14 +257,17 @@
 	}
 	var cands []*host
 	for _, h := range b.since(missed) {
-		if m := h.m; m.Usable(now) && fit(m) && j.allows(m.Build, m.Yard, m.Loaners) && !j.avoids(m) {
+		if m := h.m; m.Usable(now) && fit(m) && !b.keptFor(now, j, m) && j.allows(m.Build, m.Yard, m.Loaners) && !j.avoids(m) {
 			cands = append(cands, h)
 		}
 	}
 	if len(cands) > 0 && !b.mayBegin(now, j) {
 		return
 	}
-	for j.held() > 0 {
+	for n := 0; j.held() > 0; n++ {
+		if j.level >= wire.Ranks+j.rank && n == tuning.BeginTasks {
+			return // it has begun; the rest waits for its turn
+		}
 		if guaranteed && !b.book.Guaranteed(j.Spec.Crew, j.need) {
 			return
 		}
@@ -268,7 +283,9 @@
 		})
 		if m == nil {
 			b.waits(j, "no room")
-			j.missed[patient] = b.survey.next()
+			if b.first == nil {
+				j.missed[patient] = b.survey.next()
+			}
 			return
 		}
 		n, ok := j.take(now)
@@ -481,14 +498,31 @@
 
 // noRoom notes that a gang found no room. Once it has waited for long, no gang
 // behind it is placed before it: many small ones would take each machine that
-// becomes free, and a large one would never see enough of them.
+// becomes free, and a large one would never see enough of them. Machines that
+// are not there yet are not waited for in this way.
 func (b *Board) noRoom(now time.Time, j *Job) {
 	b.waits(j, "no room for all tasks")
-	if b.first == nil && now.Sub(j.Since) > tuning.GangPatience {
+	if b.first != nil || now.Sub(j.Since) <= tuning.GangPatience {
+		return
+	}
+	k, places := j.kind(false), 0
+	for _, m := range b.reg.All() {
+		if m.Usable(now) && k.allows(m) {
+			places += m.Cap.Count(j.need, maxCount)
+		}
+	}
+	if places >= j.Spec.Pieces {
 		b.first = j
 	}
 }
 
+// keptFor tells whether a machine is kept for a starving gang that an array's
+// tasks would not give way to.
+func (b *Board) keptFor(now time.Time, j *Job, m *worker.Machine) bool {
+	f := b.first
+	return f != nil && f.starved(now) && !j.starved(now) && j.rank >= f.rank && f.allows(m.Build, m.Yard, m.Loaners) && m.Cap.Fits(f.need)
+}
+
 // fitGang finds a place for each task of a gang, in one zone if one is named.
 func (b *Board) fitGang(now time.Time, j *Job, yard string, guaranteed bool) []place {
 	type cand struct {
@@ -535,12 +569,6 @@
 	return out
 }
 
-// starved tells whether a job has waited for so long without any of its tasks
-// coming to an end that those it has begun are left alone.
-func (j *Job) starved(now time.Time) bool {
-	return j.done.count == 0 && now.Sub(j.Since) > tuning.StarveAfter+tuning.StarveStep
-}
-
 // fetchTime estimates how many seconds a machine takes to fetch a job's image.
 func (j *Job) fetchTime(m *worker.Machine) float64 {
 	if _, ok := m.Images[j.Spec.Bundle]; ok || m.Fetch <= 0 {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -157,9 +157,13 @@
 	// before there is room for them: the mark takes a write, and a place that is
 	// not filled with one report waits for the next.
 	BeginAhead = 8
-	// StarveAfter is how long a job waits for its tasks to start before it is
-	// raised by a rank, and by another after each StarveStep: the largest jobs
-	// too should begin within four minutes.
+	// BeginBy is after how long a job of which nothing has started goes first,
+	// with BeginTasks of its tasks: the largest jobs too should begin within
+	// four minutes, whatever the burst.
+	BeginBy    = 150 * time.Second
+	BeginTasks = 8
+	// StarveAfter is how long a job waits for all its tasks to start before it
+	// is raised by a rank, and by another after each StarveStep.
 	StarveAfter = 260 * time.Second
 	StarveStep  = 15 * time.Second
 	// CloseEvery is the least time between two machines being emptied to be
