Empty a fortieth of the machines at a time, not one

The fullest machines take the tasks; a failed look also waits its 3 s, and only machines with room are asked.

--- a/internal/placement/close.go
+++ b/internal/placement/close.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,32 +10,56 @@
 	"juniperchute/internal/worker"
 )
 
-// Close looks for a machine whose tasks would all fit elsewhere, saves and
-// moves them, and draws nothing more to it, so that it can be returned. It
-// does so only while no array waits, and takes the dearest machine with the
-// least on it.
+// Close looks for machines whose tasks would all fit elsewhere, saves and moves
+// them, and draws nothing more to those machines, so that they can be returned.
+// It does so only while no array waits, with a small part of the machines at a
+// time, the dearest with the least on them first; the fullest take the tasks.
 func (b *Board) Close(now time.Time) {
 	if !b.open || now.Before(b.closeDue) || b.waiting(now) {
 		return
 	}
-	var best *worker.Machine
+	b.closeDue = now.Add(tuning.CloseEvery)
+	var from, to []*worker.Machine
+	used := 0
 	for _, m := range b.reg.All() {
-		if m.Busy == 0 || !m.Usable(now) || !b.movable(now, m) || !b.fitsElsewhere(now, m) {
+		if m.Busy == 0 || !m.Usable(now) {
 			continue
 		}
-		if best == nil || best.Loaners && !m.Loaners || best.Loaners == m.Loaners && m.Taken.Share(m.Cap) < best.Taken.Share(best.Cap) {
-			best = m
+		if used++; m.FreeForMain().Share(m.Cap) > tuning.CloseRoom {
+			to = append(to, m)
+		}
+		if b.movable(m) {
+			from = append(from, m)
 		}
 	}
-	if best == nil {
-		return
-	}
-	b.closeDue = now.Add(tuning.CloseEvery)
-	b.log.Info("closing a machine", "host", best.Host, "tasks", best.Busy)
-	best.Closing = true
-	for _, t := range slices.Clone(b.host(best).on) {
-		b.Count.Moved++
-		b.yield(now, t, "its machine is to be returned")
+	share := func(m *worker.Machine) float64 { return m.Taken.Share(m.Cap) }
+	slices.SortStableFunc(from, func(a, c *worker.Machine) int {
+		if a.Loaners != c.Loaners {
+			if c.Loaners {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(share(a), share(c))
+	})
+	slices.SortStableFunc(to, func(a, c *worker.Machine) int { return cmp.Compare(share(c), share(a)) })
+	most := max(1, used/tuning.ClosePart)
+	got := map[*worker.Machine]quota.Room{} // room on machines that take tasks
+	closed := 0
+	for i, m := range from {
+		if closed == most || i == tuning.CloseTries*most {
+			break
+		}
+		if _, takes := got[m]; takes || !b.fitsElsewhere(now, m, to, got) {
+			continue
+		}
+		closed++
+		b.log.Info("closing a machine", "host", m.Host, "tasks", m.Busy)
+		m.Closing = true
+		for _, t := range slices.Clone(b.host(m).on) {
+			b.Count.Moved++
+			b.yield(now, t, "its machine is to be returned")
+		}
 	}
 }
 
@@ -45,7 +70,7 @@
 }
 
 // movable tells whether nothing is lost when a machine's tasks move.
-func (b *Board) movable(now time.Time, m *worker.Machine) bool {
+func (b *Board) movable(m *worker.Machine) bool {
 	h := b.host(m)
 	if len(h.high) > 0 {
 		return false
@@ -60,31 +85,26 @@
 }
 
 // fitsElsewhere tells whether other machines in use that have the images would
-// take a machine's tasks now.
-func (b *Board) fitsElsewhere(now time.Time, m *worker.Machine) bool {
-	room := map[*worker.Machine]quota.Room{}
+// take a machine's tasks now, beside what got says they are taking already, and
+// enters the tasks there if so.
+func (b *Board) fitsElsewhere(now time.Time, m *worker.Machine, to []*worker.Machine, got map[*worker.Machine]quota.Room) bool {
+	mine := map[*worker.Machine]quota.Room{}
 	for _, t := range b.host(m).on {
 		j := t.Job
-		found := false
-		for _, o := range b.reg.All() {
-			if o == m || o.Busy == 0 || !o.Usable(now) || !j.allows(o.Build, o.Yard, o.Loaners) || j.avoids(o) {
-				continue
-			}
-			if _, ok := o.Images[j.Spec.Bundle]; !ok {
-				continue
+		i := slices.IndexFunc(to, func(o *worker.Machine) bool {
+			if o == m || o.Closing || !o.FreeForMain().Sub(got[o]).Sub(mine[o]).Fits(j.need) || !j.allows(o.Build, o.Yard, o.Loaners) || j.avoids(o) {
+				return false
 			}
-			if _, ok := room[o]; !ok {
-				room[o] = o.FreeForMain()
-			}
-			if room[o].Fits(j.need) {
-				room[o] = room[o].Sub(j.need)
-				found = true
-				break
-			}
-		}
-		if !found {
+			_, ok := o.Images[j.Spec.Bundle]
+			return ok
+		})
+		if i < 0 {
 			return false
 		}
+		mine[to[i]] = mine[to[i]].Add(j.need)
+	}
+	for o, r := range mine {
+		got[o] = got[o].Add(r)
 	}
 	return true
 }
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -256,8 +256,14 @@
 		return m.FreeForMain().Fits(j.need) && (spread == nil || j.zoneOK(m.Yard, spread)) && (patient == 0 || b.hasImage(m, j.Spec.Bundle))
 	}
 	var cands []*host
+	kept := false
 	for _, h := range b.since(missed) {
-		if m := h.m; m.Usable(now) && fit(m) && !b.keptFor(now, j, m) && j.allows(m.Build, m.Yard, m.Loaners) && !j.avoids(m) {
+		m := h.m
+		switch {
+		case !m.Usable(now) || !fit(m) || !j.allows(m.Build, m.Yard, m.Loaners) || j.avoids(m):
+		case b.keptFor(now, j, m):
+			kept = true
+		default:
 			cands = append(cands, h)
 		}
 	}
@@ -283,7 +289,7 @@
 		})
 		if m == nil {
 			b.waits(j, "no room")
-			if b.first == nil {
+			if !kept {
 				j.missed[patient] = b.survey.next()
 			}
 			return
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -166,9 +166,16 @@
 	// is raised by a rank, and by another after each StarveStep.
 	StarveAfter = 260 * time.Second
 	StarveStep  = 15 * time.Second
-	// CloseEvery is the least time between two machines being emptied to be
-	// returned: what the first one's tasks do to the rest shows only then.
+	// CloseEvery is the least time between two times that machines are emptied
+	// to be returned: what the first ones' tasks do to the rest shows only then.
 	CloseEvery = 3 * time.Second
+	// ClosePart is the part of the machines in use, one of so many, that is
+	// emptied at a time, and CloseTries how many are tried for each of them.
+	ClosePart  = 40
+	CloseTries = 4
+	// CloseRoom is the part of a machine that must be free for it to be asked
+	// whether it would take a task of another.
+	CloseRoom = 0.02
 	// FillSteps is in how many steps a machine's fill is told apart when a task
 	// is drawn: finer ones would leave nothing to chance.
 	FillSteps = 4
