--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -612,20 +612,33 @@
 	})
 }
 
-// victims chooses the tasks to stop on a machine so that a gang's task fits:
-// work of lower rank, or of a team beyond its guarantee for one within its own.
-func (b *Board) victims(now time.Time, k kind, m *worker.Machine, room quota.Room) (stop []*Task, left quota.Room, cost float64) {
-	var may []*Task
-	for _, t := range b.host(m).on {
-		o := t.Job
-		if t.spare || o.closed {
-			continue // its room counts as free already, or is about to be
+// yields tells whether a task may be stopped for a gang: work of lower rank, or of
+// a team beyond its guarantee for one within its own.
+func (b *Board) yields(now time.Time, t *Task, k kind) bool {
+	o := t.Job
+	if t.spare || o.closed {
+		return false // its room counts as free already, or is about to be
+	}
+	if o.Spec.Crew != k.crew {
+		beyond := b.book.Beyond(o.Spec.Crew)
+		if k.guaranteed && beyond {
+			return true
 		}
 		// A team that has only its guarantee keeps it against other teams' work
 		// beyond theirs, whatever its rank: otherwise the two would stop each
 		// other in turn, one by rank and one by its guarantee, for ever.
-		kept := o.Spec.Crew != k.crew && !k.guaranteed && !b.book.Beyond(o.Spec.Crew)
-		if o.rank < k.rank && !kept && !o.starved(now) || k.guaranteed && o.Spec.Crew != k.crew && b.book.Beyond(o.Spec.Crew) {
+		if !k.guaranteed && !beyond {
+			return false
+		}
+	}
+	return o.rank < k.rank && !o.starved(now)
+}
+
+// victims chooses the tasks to stop on a machine so that a gang's task fits.
+func (b *Board) victims(now time.Time, k kind, m *worker.Machine, room quota.Room) (stop []*Task, left quota.Room, cost float64) {
+	var may []*Task
+	for _, t := range b.host(m).on {
+		if b.yields(now, t, k) {
 			may = append(may, t)
 		}
 	}
--- a/internal/placement/survey.go
+++ b/internal/placement/survey.go
@@ -166,14 +166,19 @@
 	}
 }
 
-// places is how many tasks of a kind of gang a machine could take.
+// places is how many tasks of a kind of gang a machine could take if all that
+// may gives way; at least as many as there turn out to be.
 func (b *Board) places(now time.Time, k kind, m *worker.Machine) int {
 	if !m.Usable(now) || !k.allows(m) {
 		return 0
 	}
 	room := m.FreeForMain()
 	if !room.Fits(k.need) {
-		_, room, _ = b.victims(now, k, m, room)
+		for _, t := range b.host(m).on {
+			if b.yields(now, t, k) {
+				room = room.Add(t.Job.need)
+			}
+		}
 	}
 	return room.Count(k.need, maxCount)
 }
