A takeover does not wait for machines that the cloud no longer lists

A machine that two lists in a row do not show is returned, and so surely gone. Ruled out: cut machines (none at 173 s). Jobs never begun did not wait; begun ones and their gangs did.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -523,6 +523,9 @@
 			return "no longer listed"
 		}
 	case worker.Unheard:
+		if s.missing[m.Host] >= tuning.UnheardLists {
+			return "no longer listed, and not heard"
+		}
 		if now.Sub(s.born) > lease {
 			return "never heard in this tenure"
 		}
@@ -627,6 +630,12 @@
 			s.failed(now, m)
 		}
 	}
+	for _, m := range s.reg.All() {
+		if m.State == worker.Unheard {
+			// it was up under an earlier tenure, so it should be listed
+			s.listed[m.Host] = true
+		}
+	}
 	for host := range s.listed {
 		if in[host] {
 			delete(s.missing, host)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -211,6 +211,26 @@
 	}
 }
 
+// A takeover need not wait for the lease of a machine that the cloud no longer
+// lists; one list may be too old to show it.
+func TestUnheardAndNotListed(t *testing.T) {
+	y := newYard(t)
+	raw, _ := json.Marshal(HireRec{Build: "g2", Yard: "a", Number: 2, Hosts: []string{"i-1", "i-2"}})
+	y.s.Load(y.now, wire.Item{Path: "h/0/b0-3-1", Value: raw, Stamp: 4})
+	y.s.LoadUsed(y.now, []wire.Item{{Path: "u/0/0", Value: json.RawMessage(`{"i-1":"10.1.0.1:9000","i-2":"10.1.0.2:9000"}`), Stamp: 5}})
+	y.pass(0)
+	for i := range tuning.UnheardLists {
+		if m := y.reg.Get("i-2"); m.State != worker.Unheard {
+			t.Fatalf("%v after %d lists", m.State, i)
+		}
+		y.take(OpList, Result{Status: 200, Page: wire.HostPage{Hosts: []wire.Host{{ID: "i-1", Build: "g2", Yard: "a", Stage: wire.HostRunning}}}})
+		y.pass(tuning.ListEvery)
+	}
+	if a, b := y.reg.Get("i-1").State, y.reg.Get("i-2").State; a != worker.Unheard || b != worker.Deleting {
+		t.Errorf("listed: %v, not listed: %v", a, b)
+	}
+}
+
 // A machine that nobody expected is adopted once no hire under way may explain
 // it, and not because a list lags behind a deletion.
 func TestFound(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -272,6 +272,10 @@
 	// must be missing to be taken for gone: a list may be older than the one
 	// before.
 	MissingLists = 3
+	// UnheardLists is the same for a machine that a takeover waits for: its end
+	// makes sure of what everything else waits to know. Two, as one that has
+	// just come up may not be listed yet.
+	UnheardLists = 2
 	// StrangerLists is in how many lists a machine nobody knows must be
 	// before it is adopted: deleted machines stay listed for a while.
 	StrangerLists = 4
