--- /dev/null
+++ b/internal/node/takeover_test.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/fleet"
+	"juniperchute/internal/submission"
+	"juniperchute/internal/wire"
+)
+
+// BenchmarkTakeover measures what a takeover of a large block costs: all
+// controllers start, and one has to read, fence and answer for 850 machines and
+// 4,000 open jobs. The processor time includes the stand-ins'.
+func BenchmarkTakeover(b *testing.B) {
+	const machines, jobs, perHire = 850, 4000, 50
+	for range b.N {
+		flavors := []wire.Flavor{{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 50, Yards: []string{"a"}}}
+		cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 4, 18)
+		cfg.Facts.State.ValueKB = 8
+		w := newWorld(nil, 5, cfg, 1, flavors)
+		put := func(key string, value any) {
+			raw, _ := json.Marshal(value)
+			w.state.epoch++
+			w.state.keys[key] = wire.Item{Path: key, Value: raw, Stamp: w.state.epoch}
+		}
+		var names []string
+		used := map[string]string{}
+		for i := range machines {
+			id := fmt.Sprintf("i-%06d", i)
+			names = append(names, id)
+			used[id] = "addr-" + id
+			host := wire.Host{ID: id, Address: "addr-" + id, Build: "g8", Yard: "a", Stage: wire.HostRunning}
+			w.cloud.hosts[id] = &cloudHost{born: w.clk.now, Host: host}
+			w.booted(w.cloud.hosts[id])
+			if len(names) == perHire {
+				put(fmt.Sprintf("%sb0-0-%d", fleet.Hires(0), i), fleet.HireRec{Build: "g8", Yard: "a", Number: perHire, Hosts: names})
+				names = nil
+			}
+			if len(used) == 5*perHire || i == machines-1 {
+				put(fmt.Sprintf("%s%d", fleet.UsedUnder(0), i/(5*perHire)), used)
+				used = map[string]string{}
+			}
+		}
+		w.cloud.seq = machines
+		for i := range jobs {
+			id := fmt.Sprintf("job-%06d", i)
+			s := wire.Submission{ID: id, Crew: "red", Lane: "sweep", Shape: wire.ShapeBatch, Rank: "low", Pieces: 60,
+				Vcpus: 6, Gpus: 1, MemGb: 36, Bundle: fmt.Sprintf("img-%d", i%12), ImageGb: 2, AnyBuild: true, GuessS: 30}
+			if i%2 == 0 {
+				s.Shape, s.Rank, s.Pieces, s.Vcpus, s.Gpus, s.MemGb = wire.ShapeGang, "normal", 4, 57, 8, 310
+			}
+			w.jobs[id] = &simJob{spec: s, run: time.Minute, done: make([]bool, s.Pieces)}
+			put(submission.OpenKey(id), submission.OpenRec{Spec: s, At: w.clk.now.UnixMilli()})
+		}
+		start, began := time.Now(), w.clk.now
+		for w.holder() == nil && w.clk.now.Sub(began) < time.Minute {
+			w.clk.step()
+		}
+		open := w.clk.now.Sub(began)
+		b.ReportMetric(open.Seconds(), "simulated-s/open")
+		b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms/open")
+		for w.clk.now.Sub(began) < open+3*time.Second {
+			w.clk.step()
+		}
+		b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms/open+3s")
+		if w.holder() == nil {
+			b.Fatal("no holder after a minute")
+		}
+	}
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -68,6 +68,7 @@
 	turns    [][]*Job // the open jobs of each rank by turn, as last sorted
 	turnsDue time.Time
 	drawDue  time.Time
+	tried    int  // gangs that found no room in this draw
 	first    *Job // the gang before which no other of its rank is placed
 	strays   map[*worker.Machine][]wire.Piece
 	pace     map[string]float64 // by class: run time over the owner's estimate
@@ -145,12 +146,19 @@
 	b.survey.again()
 }
 
+// canAsk tells whether a job is begun or could ask for its mark now. Thousands
+// may wait for theirs after a takeover: no room is looked for until then.
+func (b *Board) canAsk(j *Job) bool {
+	return b.Begin == nil || j.begin == begun ||
+		j.begin == unbegun && (b.asked < tuning.BeginAhead || j.Gang() && b.asked < tuning.BeginGangs)
+}
+
 // mayBegin tells whether a job's tasks may be handed out, and sees to its mark.
 func (b *Board) mayBegin(now time.Time, j *Job) bool {
 	if b.Begin == nil || j.begin == begun {
 		return true
 	}
-	if j.begin == unbegun && (j.Gang() || b.asked < tuning.BeginAhead) {
+	if b.canAsk(j) {
 		j.begin = beginAsked
 		b.asked++
 		b.Begin(now, j)
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -77,7 +77,7 @@
 		return
 	}
 	b.survey.changed = false
-	b.first = nil
+	b.first, b.tried = nil, 0
 	for _, jobs := range b.byRank(now) {
 		for _, guaranteed := range []bool{true, false} {
 			// room goes to a task whose image is there before one of a
@@ -111,6 +111,9 @@
 		b.waits(j, "its tasks may be on machines not heard yet")
 		return
 	}
+	if !b.canAsk(j) {
+		return
+	}
 	if j.Gang() {
 		if !image { // where a gang's image is counts in its places' scores
 			b.drawGang(now, j, guaranteed)
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -41,10 +41,18 @@
 		b.waits(j, "an older gang goes first")
 		return
 	}
+	if b.tried >= tuning.GangsTried {
+		return // there is no room for so many before it
+	}
 	if !b.reachable(now, j, guaranteed) {
+		b.tried++
 		b.noRoom(now, j)
 		return
 	}
+	// before the places are chosen: thousands may wait for their marks
+	if !b.mayBegin(now, j) {
+		return
+	}
 	yards := []string{""}
 	if j.Spec.Together {
 		yards = b.facts.Zones
@@ -66,9 +74,6 @@
 		b.noRoom(now, j)
 		return
 	}
-	if !b.mayBegin(now, j) {
-		return
-	}
 	b.Count.GangsPlaced++
 	j.why = ""
 	hurry := b.hurry(now, j, best)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -157,6 +157,12 @@
 	// before there is room for them: the mark takes a write, and a place that is
 	// not filled with one report waits for the next.
 	BeginAhead = 8
+	// BeginGangs is how many jobs may wait for their marks before a gang may not
+	// ask for one too.
+	BeginGangs = 64
+	// GangsTried is how many gangs may find no room in one draw before the rest
+	// is not tried: with thousands waiting the first have not been placed.
+	GangsTried = 200
 	// BeginBy is after how long a job of which nothing has started goes first,
 	// with BeginTasks of its tasks: the largest jobs too should begin within
 	// four minutes, whatever the burst.
