The block goes to the member that joined last, not to the next to be restarted

Ruled out: elections (50 ms) and reading (10 ms). The member whose process just ended comes after the others.

--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -32,6 +32,9 @@
 	Hire  wire.Hire
 	Hosts []string // OpDelete
 	After string   // OpList
+	// By is until when the call may be made; zero: any time. A process that stood
+	// still must not return machines on what it believed before.
+	By time.Time
 }
 
 // Result is what came of a call.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -392,7 +392,7 @@
 		if r.stamp != 0 && s.live(r.val.Holder, r.val.Inc) {
 			continue
 		}
-		to, toStamp, ok := s.choose(r.val.Deaf)
+		to, toStamp, ok := s.choose(r.val.Holder, r.val.Deaf)
 		if !ok {
 			return
 		}
@@ -413,9 +413,12 @@
 }
 
 // choose picks the member to give a block to: the one with the fewest blocks,
-// then one that does not lead, then the one that has been in longest. A member
-// that does not hear the workers comes last.
-func (s *Slice) choose(deaf string) (MemberRec, uint64, bool) {
+// then one that does not lead, then the one that joined last. When all controllers
+// are restarted one after the other, it is the one that has been restarted already:
+// the one that has been in longest would be next, and each restart cost a takeover.
+// The member whose process has just ended comes after the others, as it may end
+// again, and one that does not hear the workers comes last.
+func (s *Slice) choose(last, deaf string) (MemberRec, uint64, bool) {
 	held := map[string]int{}
 	for _, r := range s.recs {
 		if s.live(r.val.Holder, r.val.Inc) {
@@ -427,6 +430,9 @@
 		if ad, bd := a.Member == deaf, b.Member == deaf; ad != bd {
 			return bd
 		}
+		if al, bl := a.Member == last, b.Member == last; al != bl {
+			return bl
+		}
 		if held[a.Member] != held[b.Member] {
 			return held[a.Member] < held[b.Member]
 		}
@@ -435,7 +441,7 @@
 			return bl
 		}
 		if a.Since != b.Since {
-			return a.Since < b.Since
+			return a.Since > b.Since
 		}
 		return a.Member < b.Member
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -121,6 +121,35 @@
 	}
 }
 
+// Who gets a block that nobody holds.
+func TestChoose(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		members    []MemberRec
+		leads      string
+		last, deaf string
+		want       string
+	}{
+		{"the one restarted already, not the one that is next", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}, {"n3", 3, 11}}, "", "n0", "", "n2"},
+		{"one that does not lead", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}}, "n2", "n0", "", "n1"},
+		{"not the one that ended a moment ago", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}}, "n1", "n2", "", "n1"},
+		{"not the one that hears no worker", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}}, "n1", "", "n2", "n1"},
+		{"the one that ended rather than one that hears no worker", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}}, "", "n1", "n2", "n1"},
+		{"whoever is there", []MemberRec{{"n2", 2, 90}}, "n2", "n2", "n2", "n2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newElect()
+			e.s.leader.val.Member = c.leads
+			for _, m := range c.members {
+				e.s.members[m.Member] = item[MemberRec]{m, m.Inc}
+			}
+			if got, _, ok := e.s.choose(c.last, c.deaf); !ok || got.Member != c.want {
+				t.Errorf("chose %q, want %q", got.Member, c.want)
+			}
+		})
+	}
+}
+
 // How long a lease may be acted on: from when its renewal was sent, and never
 // past a 404.
 func TestEntitled(t *testing.T) {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -36,7 +36,7 @@
 	addrs := m.Addresses[:min(len(m.Addresses), tuning.ProbeWorkers)]
 	for _, addr := range addrs {
 		go func() {
-			defer enter(r.doSlots)()
+			defer enter(r.fenceSlots)()
 			answered <- show(ctx, r.workers, addr)
 		}()
 	}
--- /dev/null
+++ b/internal/node/conns_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/tuning"
+)
+
+// Every worker keeps a connection to the block's one holder: the machines of a
+// fleet half as large again as the settings' must fit beside users and the
+// controller's own calls.
+func TestPools(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		sockets, peers    int
+		machines, clients int
+	}{
+		{"one of three, 1,350 machines", 2991, 2, 1350, 200},
+		{"one of seven, 1,850 machines", 2179, 6, 1850, 50},
+		{"one of three, 48 machines", 900, 2, 48, 500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPools(config.Limits{Sockets: c.sockets}, c.peers)
+			if p.guests < c.machines+c.clients {
+				t.Errorf("%d connections for %d workers and %d users", p.guests, c.machines, c.clients)
+			}
+			own := 2*p.do + tuning.StateCalls + tuning.StateExtra + tuning.CloudCalls + 2*c.peers
+			if p.guests+own > c.sockets {
+				t.Errorf("%d and %d of its own are more than %d sockets", p.guests, own, c.sockets)
+			}
+		})
+	}
+}
+
+// pile is a listener with a number of connections waiting.
+type pile struct {
+	net.Listener
+	conns []net.Conn
+}
+
+func (p *pile) Accept() (net.Conn, error) {
+	if len(p.conns) == 0 {
+		return nil, net.ErrClosed
+	}
+	c := p.conns[0]
+	p.conns = p.conns[1:]
+	return c, nil
+}
+
+// link is a connection that only knows whether it was closed.
+type link struct {
+	net.Conn
+	closed bool
+}
+
+func (l *link) Close() error {
+	l.closed = true
+	return nil
+}
+
+// What happens to the connections there are when one more comes: users took the
+// place of workers, whose tasks were killed when their leases ran out.
+func TestGuests(t *testing.T) {
+	const idleUser, busyUser, worker = "idle user", "busy user", "worker"
+	for _, c := range []struct {
+		name   string
+		open   []string // oldest first
+		taken  bool
+		closed int // which of them makes room, -1: none
+	}{
+		{"there is room", []string{worker, idleUser}, true, -1},
+		{"the user idle longest makes room", []string{worker, idleUser, idleUser}, true, 1},
+		{"not one whose request is in hand", []string{busyUser, worker, idleUser}, true, 2},
+		{"no worker does", []string{worker, worker, worker}, false, -1},
+		{"nobody can", []string{worker, busyUser, busyUser}, false, -1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			in := &pile{}
+			g := newGuests(in, 3, func() time.Time { return now })
+			var links []*link
+			for _, what := range c.open {
+				l := &link{}
+				links = append(links, l)
+				in.conns = []net.Conn{l}
+				conn, err := g.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				now = now.Add(time.Second)
+				g.state(conn, http.StateActive)
+				if what == worker {
+					req, _ := http.NewRequestWithContext(withGuest(t.Context(), conn), http.MethodPost, "/checkin", nil)
+					isWorker(req)
+				}
+				if what != busyUser {
+					g.state(conn, http.StateIdle)
+				}
+			}
+			last := &link{}
+			in.conns = []net.Conn{last}
+			_, err := g.Accept()
+			if taken := err == nil; taken != c.taken || last.closed == c.taken {
+				t.Errorf("taken %v, closed %v; want taken %v", taken, last.closed, c.taken)
+			}
+			for i, l := range links {
+				if l.closed != (i == c.closed) {
+					t.Errorf("connection %d (%s): closed %v", i, c.open[i], l.closed)
+				}
+			}
+			if len(g.open) > 3 {
+				t.Errorf("%d are open", len(g.open))
+			}
+		})
+	}
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -28,13 +28,18 @@
 type Env interface {
 	State(c store.Call, then func(now time.Time, r store.Result))
 	Cloud(c fleet.Call, then func(now time.Time, r fleet.Result))
-	// Do sends a direct command; status 0 means that no answer came.
-	Do(addr string, d wire.Do, then func(now time.Time, status int, rep *wire.Report))
+	// Do sends a direct command unless that is only possible after a time: a
+	// process that stood still must not act on what it believed before. Status 0
+	// means that no answer came, NotSent that nothing was sent.
+	Do(addr string, d wire.Do, by time.Time, then func(now time.Time, status int, rep *wire.Report))
 	Pulse(member string, m *peerpb.PulseMessage, then func(now time.Time, r *peerpb.PulseMessage, err error))
 	Progress(member string, m *peerpb.ProgressRequest, then func(now time.Time, r *peerpb.ProgressReply, err error))
 	Probe(member string, m *peerpb.ProbeRequest, then func(now time.Time, r *peerpb.ProbeReply, err error))
 }
 
+// NotSent is the status of a direct command that was too late to be sent.
+const NotSent = -1
+
 // Core is all state of one controller.
 type Core struct {
 	cfg    *config.Config
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -30,7 +30,7 @@
 		Handler:           mux,
 		ReadHeaderTimeout: tuning.HeaderTimeout,
 		ReadTimeout:       tuning.HeaderTimeout,
-		IdleTimeout:       tuning.IdleTimeout,
+		IdleTimeout:       idleTimeout(r.cfg.Facts.Workers),
 		MaxHeaderBytes:    16 << 10,
 	}
 }
@@ -80,12 +80,12 @@
 	return nil, false
 }
 
-// ask hands a request to the owner and waits for its answer. When the owner's
+// ask hands a user's request to the owner and waits for its answer. When the
 // buffer is full the user is told so at once.
 func (r *Runtime) ask(w http.ResponseWriter, req *http.Request, f func(now time.Time, reply func(submission.Response))) {
 	start := time.Now()
 	ch := make(chan submission.Response, 1)
-	if !r.offer(func(now time.Time) { f(now, func(s submission.Response) { ch <- s }) }) {
+	if !offer(r.users, func(now time.Time) { f(now, func(s submission.Response) { ch <- s }) }) {
 		respond(w, submission.Busy())
 		return
 	}
@@ -149,9 +149,28 @@
 		answer(w, http.StatusBadRequest, submission.Problem{Error: "not a report"}, 0)
 		return
 	}
-	r.ask(w, req, func(now time.Time, reply func(submission.Response)) {
-		r.core.Report(now, &rep, func(status int, body any) { reply(submission.Response{Status: status, Body: body}) })
-	})
+	isWorker(req)
+	ch := make(chan submission.Response, 1)
+	report := func(now time.Time) {
+		r.core.Report(now, &rep, func(status int, body any) { ch <- submission.Response{Status: status, Body: body} })
+	}
+	// A worker has one report in hand, so it waits for its turn: refused, it would
+	// go to another node, be sent back and ask again, when there is most to do.
+	late := time.NewTimer(tuning.ReportWait)
+	defer late.Stop()
+	select {
+	case r.reports <- report:
+	case <-late.C:
+		respond(w, submission.Unable("too many reports at once"))
+		return
+	case <-req.Context().Done():
+		return
+	}
+	select {
+	case s := <-ch:
+		respond(w, s)
+	case <-req.Context().Done():
+	}
 }
 
 // show tells whether a worker answers.
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -24,11 +24,16 @@
 // Runtime is the goroutine that owns a Core, and the Env that carries out its
 // effects with real connections.
 type Runtime struct {
-	cfg    *config.Config
-	log    *slog.Logger
-	core   *Core
-	events chan func(now time.Time)
-	done   chan struct{}
+	cfg  *config.Config
+	log  *slog.Logger
+	core *Core
+	// What waits for the owner, each with a small buffer: results of its effects and
+	// peers' calls first, then workers' reports and users' requests in turn.
+	events  chan func(now time.Time)
+	reports chan func(now time.Time)
+	users   chan func(now time.Time)
+	done    chan struct{}
+	pools   pools
 
 	state      *store.Client
 	cloud      *fleet.Client
@@ -39,6 +44,7 @@
 	stateSlots chan struct{}
 	cloudSlots chan struct{}
 	doSlots    chan struct{}
+	fenceSlots chan struct{}
 	peerSlots  chan struct{}
 	ctx        context.Context
 	lat        latencies
@@ -57,16 +63,21 @@
 
 // NewRuntime makes the runtime of a controller.
 func NewRuntime(cfg *config.Config, log *slog.Logger, rng *rand.Rand) *Runtime {
+	p := newPools(cfg.Facts.Limits, len(cfg.Known))
 	r := &Runtime{
-		cfg: cfg, log: log, events: make(chan func(time.Time), tuning.EventBuffer), done: make(chan struct{}),
-		state:      store.NewClient(cfg.External.State, transport(tuning.StateCalls+2), time.Now),
+		cfg: cfg, log: log, done: make(chan struct{}), pools: p,
+		events:     make(chan func(time.Time), tuning.EventBuffer),
+		reports:    make(chan func(time.Time), tuning.EventBuffer),
+		users:      make(chan func(time.Time), tuning.EventBuffer),
+		state:      store.NewClient(cfg.External.State, transport(tuning.StateCalls+tuning.StateExtra), time.Now),
 		cloud:      fleet.NewClient(cfg.External.Cloud, transport(tuning.CloudCalls)),
-		workers:    &http.Client{Transport: transport(tuning.DoCalls)},
+		workers:    &http.Client{Transport: transport(tuning.DoIdle)},
 		peers:      peer.NewClients(cfg.Known),
 		budget:     store.NewBudget(cfg.Facts.State.RPS, cfg.Facts.State.WriteRPS, len(cfg.Known)+1),
 		stateSlots: make(chan struct{}, tuning.StateCalls),
 		cloudSlots: make(chan struct{}, tuning.CloudCalls),
-		doSlots:    make(chan struct{}, tuning.DoCalls),
+		doSlots:    make(chan struct{}, p.do),
+		fenceSlots: make(chan struct{}, p.do),
 		peerSlots:  make(chan struct{}, tuning.PeerCalls),
 		lat:        newLatencies(),
 	}
@@ -89,9 +100,10 @@
 		return fmt.Errorf("peer_bind: %w", err)
 	}
 	failed := make(chan error, 2)
-	limit := int64(float64(r.cfg.Facts.Limits.Sockets) * tuning.SocketShare)
+	clients := newGuests(api, r.pools.guests, time.Now)
 	srv := r.server()
-	go func() { failed <- srv.Serve(&countedListener{Listener: api, limit: limit}) }()
+	srv.ConnState, srv.ConnContext = clients.state, withGuest
+	go func() { failed <- srv.Serve(clients) }()
 	rpc := peer.NewServer(r)
 	go func() { failed <- rpc.Serve(inner) }()
 	defer func() {
@@ -110,6 +122,17 @@
 	for {
 		select {
 		case f := <-r.events:
+			// a lease's renewal must not wait behind a thousand reports
+			f(time.Now())
+			continue
+		default:
+		}
+		select {
+		case f := <-r.events:
+			f(time.Now())
+		case f := <-r.reports:
+			f(time.Now())
+		case f := <-r.users:
 			f(time.Now())
 		case <-tick.C:
 			turn(time.Now())
@@ -130,9 +153,9 @@
 }
 
 // offer hands an event to the owner unless its buffer is full.
-func (r *Runtime) offer(f func(now time.Time)) bool {
+func offer(to chan func(now time.Time), f func(now time.Time)) bool {
 	select {
-	case r.events <- f:
+	case to <- f:
 		return true
 	default:
 		return false
@@ -144,7 +167,7 @@
 // Ask runs f on the owner goroutine and waits for it.
 func (r *Runtime) Ask(ctx context.Context, f func(now time.Time)) error {
 	did := make(chan struct{})
-	if !r.offer(func(now time.Time) { f(now); close(did) }) {
+	if !offer(r.events, func(now time.Time) { f(now); close(did) }) {
 		return errBusy
 	}
 	select {
@@ -195,6 +218,10 @@
 	go func() {
 		defer enter(r.cloudSlots)()
 		start := time.Now()
+		if !c.By.IsZero() && !start.Before(c.By) {
+			r.post(func(now time.Time) { then(now, fleet.Result{}) })
+			return
+		}
 		res := r.cloud.Do(r.ctx, c)
 		r.lat.note(latCloud, time.Since(start))
 		r.post(func(now time.Time) { then(now, res) })
@@ -202,9 +229,19 @@
 }
 
 // Do is part of Env.
-func (r *Runtime) Do(addr string, d wire.Do, then func(now time.Time, status int, rep *wire.Report)) {
+func (r *Runtime) Do(addr string, d wire.Do, by time.Time, then func(now time.Time, status int, rep *wire.Report)) {
 	go func() {
-		defer enter(r.doSlots)()
+		// a fifth of the machines may hang when a takeover asks them all: what
+		// starts tasks does not wait behind that
+		slots := r.doSlots
+		if len(d.Orders) == 0 {
+			slots = r.fenceSlots
+		}
+		defer enter(slots)()
+		if !time.Now().Before(by) {
+			r.post(func(now time.Time) { then(now, NotSent, nil) })
+			return
+		}
 		ctx, cancel := context.WithTimeout(r.ctx, tuning.DoTimeout)
 		defer cancel()
 		status, rep := direct(ctx, r.workers, addr, d)
@@ -244,37 +281,3 @@
 		r.post(func(now time.Time) { then(now, res, err) })
 	}()
 }
-
-// countedListener closes connections beyond a limit, so that sockets are left
-// for what the controller itself has to reach.
-type countedListener struct {
-	net.Listener
-	limit int64
-	open  atomic.Int64
-}
-
-func (l *countedListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.open.Add(1) > l.limit {
-			l.open.Add(-1)
-			c.Close()
-			continue
-		}
-		return &countedConn{Conn: c, l: l}, nil
-	}
-}
-
-type countedConn struct {
-	net.Conn
-	l    *countedListener
-	once sync.Once
-}
-
-func (c *countedConn) Close() error {
-	c.once.Do(func() { c.l.open.Add(-1) })
-	return c.Conn.Close()
-}
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -79,7 +79,7 @@
 	t.reg = worker.NewRegistry(c.cfg.Facts.Workers, t.log)
 	t.book = quota.NewBook(c.cfg.Facts.Teams, l.Block, c.blocks)
 	t.board = placement.NewBoard(c.cfg.Facts, l.Baton, t.book, t.reg, c.rng, t.log, t.finished)
-	t.fleet = fleet.New(now, l.Block, l.Baton, t.cond(), c.cfg.Facts, c.env.Cloud, t.call, t.log, t.reg, t.board, t.lost,
+	t.fleet = fleet.New(now, l.Block, l.Baton, t.cond(), c.cfg.Facts, t.cloud, t.call, t.log, t.reg, t.board, t.lost,
 		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) },
 		func(host string) bool { return c.foreign(l.Block, host) })
 	t.tallies = tallies{chunk: int(c.cfg.Facts.State.ValueKB*1024) * tuning.TallyBits, jobs: map[string]int{},
@@ -188,6 +188,12 @@
 	})
 }
 
+// cloud passes a call on, to be made only while this process surely holds the block.
+func (t *tenure) cloud(c fleet.Call, then func(now time.Time, r fleet.Result)) {
+	c.By = t.c.leader.Deadline()
+	t.c.env.Cloud(c, then)
+}
+
 func (t *tenure) set(now time.Time, s tenureState, why string) {
 	if t.state == s {
 		return
@@ -419,11 +425,15 @@
 		}
 	}
 	m.DoBusy = true
-	t.c.env.Do(m.Address, wire.Do{Baton: t.Baton, Stint: stint, Orders: orders}, func(now time.Time, status int, rep *wire.Report) {
+	t.c.env.Do(m.Address, wire.Do{Baton: t.Baton, Stint: stint, Orders: orders}, t.c.leader.Deadline(), func(now time.Time, status int, rep *wire.Report) {
 		if t.state == tenureOver {
 			return
 		}
 		m.DoBusy = false
+		if status == NotSent {
+			t.board.Answered(m, orders)
+			return
+		}
 		if status != http.StatusOK && status != http.StatusConflict || rep == nil || rep.Host != m.Host {
 			if m.Stint == stint && len(orders) > 0 {
 				m.OpenDo++
--- a/internal/node/trouble_test.go
+++ b/internal/node/trouble_test.go
@@ -215,6 +215,18 @@
 			h.cut = false
 			w.release(h)
 		}},
+		{"the holder stands still in the middle of whatever it does, again and again", func(w *world) {
+			for i := range 16 {
+				if n := w.holder(); n != nil {
+					n.stall = []time.Duration{400 * time.Millisecond, 3 * time.Second, 6 * time.Second, 28 * time.Second}[i%4]
+					n.stallIn = []string{"command", "return", "state", "question", ""}[i%5]
+				}
+				w.add(wire.Submission{ID: fmt.Sprintf("job-2%02d", i), Crew: "red", Lane: "train", Shape: wire.ShapeGang, Rank: "high", Pieces: 2,
+					Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 8}, 8*time.Second)
+				w.runFor(time.Duration(1700+900*(i%5)) * time.Millisecond)
+			}
+			w.runFor(30 * time.Second)
+		}},
 		{"everything is back within a fraction of a second", func(w *world) {
 			for i := range 12 {
 				for k, n := range w.nodes {
