--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,6 +126,7 @@
 	listed     map[string]bool // hosts seen in some list
 	missing    map[string]int  // lists in a row that a once listed host was not in
 	page       []wire.Host
+	few        bool // so few machines are unheard that what waits for them is worth more
 }
 
 // New makes the slice of one tenure. lost is told when the tenure is over, gone
@@ -469,6 +470,13 @@
 
 // returns looks for machines to give back.
 func (s *Slice) returns(now time.Time) {
+	unheard := 0
+	for _, m := range s.reg.All() {
+		if m.State == worker.Unheard {
+			unheard++
+		}
+	}
+	s.few = unheard*tuning.FenceFewPart <= len(s.reg.All())
 	for _, m := range s.reg.All() {
 		why := s.reason(now, m)
 		if why == "" {
@@ -529,6 +537,9 @@
 		if now.Sub(s.born) > lease {
 			return "never heard in this tenure"
 		}
+		if s.few && now.Sub(s.born) > tuning.FenceFew {
+			return "one of few not heard"
+		}
 	case worker.Lapsed:
 		if age > tuning.LapsedReturn {
 			return "silent"
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -211,6 +212,40 @@
 	}
 }
 
+// Whatever was begun before a takeover waits for the last machine that was not
+// heard: one that the cloud had taken held a fleet up for 19 s. A few are given up
+// soon; as many as a cut takes away are not.
+func TestFewUnheard(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		fleet   int
+		unheard int
+		after   time.Duration
+		goes    bool
+	}{
+		{"one of a large fleet", 200, 1, tuning.FenceFew + time.Second, true},
+		{"one of a large fleet, at once", 200, 1, tuning.FenceFew / 2, false},
+		{"as many as a cut takes away", 200, 20, tuning.FenceFew + time.Second, false},
+		{"one of a small fleet", 30, 1, tuning.FenceFew + time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			y := newYard(t)
+			for i := range c.fleet {
+				m := y.reg.Add(y.now, fmt.Sprintf("i-%03d", i), worker.Up)
+				m.Build, m.Used, m.Recorded, m.Busy = "g2", true, true, 1
+				if i < c.unheard {
+					y.reg.Set(y.now, m, worker.Unheard, "test")
+				}
+			}
+			y.now = y.now.Add(c.after)
+			y.s.returns(y.now)
+			if got := len(y.s.deleting); got != 0 != c.goes || c.goes && got != c.unheard {
+				t.Errorf("%d returned, want any: %t", got, c.goes)
+			}
+		})
+	}
+}
+
 // A takeover need not wait for the lease of a machine that the cloud no longer
 // lists; one list may be too old to show it.
 func TestUnheardAndNotListed(t *testing.T) {
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -13,10 +13,18 @@
 )
 
 // BenchmarkTakeover measures what a takeover of a large block costs: all
-// controllers start, and one has to read, fence and answer for 850 machines and
-// 4,000 open jobs. The processor time includes the stand-ins'.
+// controllers start, and one has to read, fence and answer for every machine and
+// open job. The processor time includes the stand-ins'.
 func BenchmarkTakeover(b *testing.B) {
-	const machines, jobs, perHire = 850, 4000, 50
+	for _, size := range []struct{ machines, jobs int }{{850, 4000}, {1850, 6000}} {
+		b.Run(fmt.Sprintf("%d-machines-%d-jobs", size.machines, size.jobs), func(b *testing.B) {
+			benchmarkTakeover(b, size.machines, size.jobs)
+		})
+	}
+}
+
+func benchmarkTakeover(b *testing.B, machines, jobs int) {
+	const perHire = 50
 	for range b.N {
 		flavors := []wire.Flavor{{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 50, Yards: []string{"a"}}}
 		cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 4, 18)
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -34,7 +34,8 @@
 	// the attempt anew if the worker has forgotten it: these are never reaped.
 	direct  map[attempt]bool
 	seen    view
-	grew    uint64 // the change, counted by the board, in which it last gained room or an image
+	grew    uint64 // the change, counted by the survey, in which it last gained room or an image
+	roomy   int    // its place among the survey's machines with room, from 1; 0: it has none
 	touched bool   // something about it changed since the last survey
 	kick    bool   // it is among those to be told at once
 }
@@ -64,9 +65,10 @@
 	hosts    map[*worker.Machine]*host
 	survey   survey
 	kicks    []*host
-	open     bool     // every machine the block may have is heard or surely gone
-	turns    [][]*Job // the open jobs of each rank by turn, as last sorted
-	turnsDue time.Time
+	open     bool      // every machine the block may have is heard or surely gone
+	turns    []level   // the open jobs by rank and turn, as last sorted
+	turnsAt  time.Time // when that was
+	resort   bool      // jobs have come or gone since
 	drawDue  time.Time
 	tried    int  // gangs that found no room in this draw
 	first    *Job // the gang before which no other of its rank is placed
@@ -405,8 +407,8 @@
 func (b *Board) Forget(now time.Time, m *worker.Machine) {
 	b.Lost(now, m, "machine gone")
 	b.clearQueues(now, m)
+	b.survey.forget(b.host(m))
 	delete(b.hosts, m)
-	b.survey.forget(m)
 }
 
 // clearQueues sends a machine's queued copies back to be drawn elsewhere.
@@ -469,6 +471,9 @@
 	h.high = append(h.high, t)
 	b.touch(h)
 	m.Promised = m.Promised.Add(t.Job.need)
+	if !m.FreeForMain().Fits(b.survey.least) {
+		b.survey.setRoomy(h, false)
+	}
 	b.book.Promise(t.Job.Spec.Crew, t.Job.need, 1)
 }
 
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -115,6 +115,16 @@
 		budget[j.Spec.Crew] = sum
 		return true
 	}
+	// Bins that have no room for any gang's task are passed over: thousands of
+	// gangs may wait.
+	least := quota.Unbounded()
+	for _, j := range b.order {
+		if j.Gang() || j.Standing() {
+			least = least.Min(j.need)
+		}
+	}
+	whole := slices.Clone(bins)
+	var hired []*bin
 	for _, j := range b.order {
 		n := j.held()
 		if now.Before(j.notBefore) || j.Gang() && len(j.tasks) > 0 || !j.Gang() && !j.Standing() {
@@ -123,12 +133,20 @@
 		if n == 0 || !admit(j, j.need.Times(float64(n))) {
 			continue
 		}
-		b.wholeDemand(j, n, &bins, open, func(yard string) bool {
+		whole = slices.DeleteFunc(whole, func(bn *bin) bool { return !bn.free.Fits(least) })
+		b.wholeDemand(j, n, &whole, func(j *Job, yard string) *bin {
+			bn := open(j, yard)
+			if bn != nil {
+				hired = append(hired, bn)
+			}
+			return bn
+		}, func(yard string) bool {
 			return slices.ContainsFunc(offers, func(o Offer) bool {
 				return o.Yard == yard && o.Left > 0 && j.allows(o.Build, o.Yard, o.Loaners) && o.Cap.Fits(j.need)
 			})
 		})
 	}
+	bins = append(bins, hired...)
 	b.arrayDemand(now, bins, open, admit)
 	return hires
 }
@@ -143,6 +161,9 @@
 		for range n {
 			var best *bin
 			for _, bn := range *bins {
+				if !bn.free.Fits(j.need) {
+					continue
+				}
 				free, ok := room[bn]
 				if !ok {
 					free = bn.free
@@ -239,6 +260,17 @@
 		}
 	}
 	spent := map[*bin]float64{}
+	// Bins that have nothing left for any array of a class are passed over: there
+	// may be thousands of both.
+	least := quota.Unbounded()
+	for _, l := range loads {
+		least = least.Min(l.j.need)
+	}
+	type kindOf struct {
+		lane    string
+		loaners bool
+	}
+	left := map[kindOf][]*bin{}
 	for _, l := range loads {
 		j := l.j
 		h := Horizon(b.facts.Objectives, j.Spec.Lane)
@@ -247,7 +279,7 @@
 		each := func(bn *bin) float64 { return dur / float64(max(1, bn.cap.Count(j.need, maxCount))) }
 		pour := func(bn *bin) {
 			// machine time this bin can give to the job within the horizon
-			if work <= 0 || !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) || bn.m != nil && j.avoids(bn.m) {
+			if !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) || bn.m != nil && j.avoids(bn.m) {
 				return
 			}
 			t := h - spent[bn]
@@ -266,18 +298,41 @@
 			spent[bn] += n * each(bn)
 			work -= n
 		}
+		full := func(bn *bin) bool {
+			t := h - spent[bn]
+			if bn.m != nil {
+				t -= committed[bn.m]
+			}
+			return t <= 0 && !bn.free.Fits(least)
+		}
 		for _, cheap := range []bool{true, false} {
-			for _, bn := range bins {
-				if bn.loaners == cheap {
-					pour(bn)
+			of := kindOf{j.Spec.Lane, cheap}
+			list, ok := left[of]
+			if !ok {
+				list = slices.DeleteFunc(slices.Clone(bins), func(bn *bin) bool { return bn.loaners != cheap })
+			}
+			kept := list[:0]
+			for i, bn := range list {
+				if work <= 0 {
+					kept = append(kept, list[i:]...)
+					break
+				}
+				if pour(bn); !full(bn) {
+					kept = append(kept, bn)
 				}
 			}
+			left[of] = kept
 		}
 		for work > tuning.HireRest && admit(j, j.need) {
 			bn := open(j, "")
 			if bn == nil {
 				break
 			}
+			for of := range left {
+				if of.loaners == bn.loaners {
+					left[of] = append(left[of], bn)
+				}
+			}
 			bins = append(bins, bn)
 			before := work
 			if pour(bn); work == before {
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -78,11 +78,18 @@
 	}
 	b.survey.changed = false
 	b.first, b.tried = nil, 0
-	for _, jobs := range b.byRank(now) {
+	for _, l := range b.byRank(now) {
 		for _, guaranteed := range []bool{true, false} {
+			if guaranteed && !b.book.Guarantees() {
+				continue
+			}
 			// room goes to a task whose image is there before one of a
 			// somewhat earlier turn that would have it fetched
 			for _, image := range []bool{true, false} {
+				jobs := l.all
+				if len(b.survey.roomy) == 0 {
+					jobs = l.gangs // work may give way to them
+				}
 				for _, j := range jobs {
 					b.drawJob(now, j, guaranteed, image)
 				}
@@ -104,7 +111,14 @@
 }
 
 func (b *Board) drawJob(now time.Time, j *Job, guaranteed, image bool) {
-	if now.Before(j.notBefore) || j.held() == 0 && !j.Gang() {
+	if j.closed || now.Before(j.notBefore) {
+		return
+	}
+	if j.Gang() {
+		if image {
+			return // where a gang's image is counts in its places' scores
+		}
+	} else if len(b.survey.roomy) == 0 || j.held() == 0 {
 		return
 	}
 	if !b.startable(j) {
@@ -115,9 +129,7 @@
 		return
 	}
 	if j.Gang() {
-		if !image { // where a gang's image is counts in its places' scores
-			b.drawGang(now, j, guaranteed)
-		}
+		b.drawGang(now, j, guaranteed)
 		return
 	}
 	if guaranteed && !b.book.Guaranteed(j.Spec.Crew, j.need) {
@@ -143,10 +155,10 @@
 	}
 	var cands []*host
 	kept := false
-	for _, h := range b.since(missed) {
+	for _, h := range b.survey.roomy {
 		m := h.m
 		switch {
-		case !m.Usable(now) || !fit(m) || !j.allows(m.Build, m.Yard, m.Loaners) || j.avoids(m):
+		case h.grew < missed || !m.Usable(now) || !fit(m) || !j.allows(m.Build, m.Yard, m.Loaners) || j.avoids(m):
 		case b.keptFor(now, j, m):
 			kept = true
 		default:
@@ -176,7 +188,7 @@
 		if m == nil {
 			b.waits(j, "no room")
 			if !kept {
-				j.missed[patient] = b.survey.next()
+				j.missed[patient] = b.survey.change + 1
 			}
 			return
 		}
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -122,25 +122,28 @@
 	return f != nil && f.starved(now) && !j.starved(now) && j.rank >= f.rank && f.allows(m.Build, m.Yard, m.Loaners) && m.Cap.Fits(f.need)
 }
 
-// fitGang finds a place for each task of a gang, in one zone if one is named.
+// cand is a machine that may have places for a gang, and what one there costs; at
+// least that much while it is not known what has to give way.
+type cand struct {
+	place
+	room  quota.Room
+	known bool
+}
+
+// fitGang finds a place for each task of a gang, in one zone if one is named, on
+// the cheapest machines. What has to give way is worked out only for as many of
+// them as it takes.
 func (b *Board) fitGang(now time.Time, j *Job, yard string, guaranteed bool) []place {
-	type cand struct {
-		place
-		room quota.Room
-	}
-	var cands []cand
+	var cands []*cand
 	k := j.kind(guaranteed)
+	places := b.survey.reaches[k].on // as counted when the gang was found reachable
 	for _, m := range b.reg.All() {
-		if !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || yard != "" && m.Yard != yard || j.avoids(m) {
+		if places[m] == 0 || !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || yard != "" && m.Yard != yard || j.avoids(m) {
 			continue
 		}
-		c := cand{place: place{m: m}, room: m.FreeForMain()}
-		if !c.room.Fits(j.need) {
-			c.stop, c.room, c.score = b.victims(now, k, m, c.room)
-			if !c.room.Fits(j.need) {
-				continue
-			}
-			c.score += tuning.ScorePreempt
+		c := &cand{place: place{m: m}, room: m.FreeForMain()}
+		if c.known = c.room.Fits(j.need); !c.known {
+			c.score = tuning.ScorePreempt
 		}
 		if _, ok := m.Images[j.Spec.Bundle]; !ok {
 			c.score += b.fetchScore(j, m)
@@ -150,11 +153,32 @@
 		}
 		cands = append(cands, c)
 	}
-	slices.SortStableFunc(cands, func(a, c cand) int { return cmp.Compare(a.score, c.score) })
+	byScore := func(a, c *cand) int { return cmp.Compare(a.score, c.score) }
+	slices.SortStableFunc(cands, byScore)
+	var sure []*cand // by score
+	for i := range cands {
+		if !j.Spec.Apart && b.enough(sure, j, cands[i].score) {
+			break
+		}
+		c := cands[i]
+		if !c.known {
+			cost := 0.0
+			c.stop, c.room, cost = b.victims(now, k, c.m, c.room)
+			c.score += cost
+		}
+		if c.room.Fits(j.need) {
+			at, _ := slices.BinarySearchFunc(sure, c.score, func(o *cand, score float64) int {
+				if o.score <= score {
+					return -1
+				}
+				return 1
+			})
+			sure = slices.Insert(sure, at, c)
+		}
+	}
 	var out []place
 	inYard := map[string]int{}
-	for i := range cands {
-		c := &cands[i]
+	for _, c := range sure {
 		for len(out) < j.Spec.Pieces && c.room.Fits(j.need) && j.zoneOK(c.m.Yard, inYard) {
 			c.room = c.room.Sub(j.need)
 			inYard[c.m.Yard]++
@@ -168,6 +192,19 @@
 	return out
 }
 
+// enough tells whether machines that cost no more than a score have places for a
+// whole gang.
+func (b *Board) enough(sure []*cand, j *Job, score float64) bool {
+	n := 0
+	for _, c := range sure {
+		if n >= j.Spec.Pieces || c.score > score {
+			break
+		}
+		n += c.room.Count(j.need, maxCount)
+	}
+	return n >= j.Spec.Pieces
+}
+
 // fetchTime estimates how many seconds a machine takes to fetch a job's image.
 func (j *Job) fetchTime(m *worker.Machine) float64 {
 	if _, ok := m.Images[j.Spec.Bundle]; ok || m.Fetch <= 0 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -68,6 +68,7 @@
 
 func (x *bench) job(team, shape, rank string, pieces int, gpus float64) *Job {
 	x.next++
+	x.now = x.now.Add(tuning.TurnsSoon)
 	return x.b.AddJob(x.now, wire.Submission{ID: fmt.Sprintf("job-%d", x.next), Crew: team, Lane: "l", Shape: shape, Rank: rank, Pieces: pieces,
 		Vcpus: 5, Gpus: gpus, MemGb: 30, Bundle: "img", AnyBuild: true, GuessS: 60}, x.now, uint64(x.next), false)
 }
--- a/internal/placement/survey.go
+++ b/internal/placement/survey.go
@@ -25,27 +25,54 @@
 // survey lets the cost of a draw grow with what has changed and not with
 // machines times jobs. It numbers the changes by which machines gained room or
 // images, so that a job that found no place looks at the machines changed since
-// then only, and it keeps count of the places that gangs of a kind could have.
+// then only; it knows which machines have room for the smallest of tasks, so that a
+// draw ends where there is none; and it keeps count of the places that gangs of a
+// kind could have.
 type survey struct {
 	touched []*host
-	grown   []*host // by change; the first one has the number base
-	base    uint64
-	beyond  uint64 // which teams are beyond their guarantees
+	change  uint64     // the newest change by which a machine gained something
+	least   quota.Room // no open array's task needs less, of anything
+	roomy   []*host    // usable machines with room for that
+	beyond  uint64     // which teams are beyond their guarantees
 	reaches map[kind]*reach
 	changed bool // jobs, limits or the order have changed since the last draw
 }
 
-func newSurvey() survey { return survey{base: 1, reaches: map[kind]*reach{}} }
-
-// next is the number of the next change.
-func (s *survey) next() uint64 { return s.base + uint64(len(s.grown)) }
+func newSurvey() survey { return survey{reaches: map[kind]*reach{}} }
 
 // again makes the next draw go through all jobs.
 func (s *survey) again() { s.changed = true }
 
-func (s *survey) forget(m *worker.Machine) {
+func (s *survey) forget(h *host) {
+	s.setRoomy(h, false)
 	for _, r := range s.reaches {
-		r.set(m, 0)
+		r.set(h.m, 0)
+	}
+}
+
+// setRoomy enters a machine among those with room, or takes it off.
+func (s *survey) setRoomy(h *host, roomy bool) {
+	switch {
+	case roomy && h.roomy == 0:
+		s.roomy = append(s.roomy, h)
+		h.roomy = len(s.roomy)
+	case !roomy && h.roomy != 0:
+		last := s.roomy[len(s.roomy)-1]
+		s.roomy[h.roomy-1], last.roomy = last, h.roomy
+		s.roomy = s.roomy[:len(s.roomy)-1]
+		h.roomy = 0
+	}
+}
+
+// need takes note of what the smallest tasks need.
+func (b *Board) need(now time.Time, least quota.Room) {
+	s := &b.survey
+	if least == s.least {
+		return
+	}
+	s.least = least
+	for _, m := range b.reg.All() {
+		s.setRoomy(b.host(m), m.Usable(now) && m.FreeForMain().Fits(least))
 	}
 }
 
@@ -83,42 +110,19 @@
 		v := view{m.Usable(now), m.FreeForMain(), len(m.Images), len(h.on) + len(h.high)}
 		if v.more(h.seen) {
 			gained = true
-			h.grew = s.next()
-			s.grown = append(s.grown, h)
+			s.change++
+			h.grew = s.change
 		}
 		h.seen = v
+		s.setRoomy(h, v.usable && v.free.Fits(s.least))
 		for k, r := range s.reaches {
 			r.set(m, b.places(now, k, m))
 		}
 	}
 	s.touched = s.touched[:0]
-	if drop := len(s.grown) - tuning.ChangesKept; drop > 0 {
-		drop += tuning.ChangesKept / 2
-		s.grown = slices.Delete(s.grown, 0, drop)
-		s.base += uint64(drop)
-	}
 	return gained
 }
 
-// since lists the machines that have gained something since a change, or all of
-// them if that was too long ago.
-func (b *Board) since(change uint64) []*host {
-	s := &b.survey
-	var out []*host
-	if change < s.base {
-		for _, m := range b.reg.All() {
-			out = append(out, b.host(m))
-		}
-		return out
-	}
-	for i := change; i < s.next(); i++ {
-		if h := s.grown[i-s.base]; h.grew == i {
-			out = append(out, h)
-		}
-	}
-	return out
-}
-
 // kind is all that decides where a gang could be placed, but for images and
 // past failures.
 type kind struct {
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -130,7 +130,12 @@
 func (j *Job) Located() int { return j.located }
 
 // WaitsFor says why the job's next task does not start, "" when none waits.
-func (j *Job) WaitsFor() string { return j.why }
+func (j *Job) WaitsFor() string {
+	if j.why == "" && j.held() > 0 {
+		return "its turn"
+	}
+	return j.why
+}
 
 // Complete tells whether every task has completed.
 func (j *Job) Complete() bool { return j.done.count == j.Spec.Pieces }
--- a/internal/placement/turns.go
+++ b/internal/placement/turns.go
@@ -7,34 +7,45 @@
 	"slices"
 	"time"
 
+	"juniperchute/internal/quota"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
 )
 
-// reorder makes the next draw sort the jobs anew.
+// level is the open jobs of a rank, in the order of their turns.
+type level struct {
+	all, gangs []*Job
+}
+
+// reorder makes the jobs be sorted anew.
 func (b *Board) reorder() {
-	b.turnsDue = time.Time{}
+	b.resort = true
 	b.survey.again()
 }
 
-// byRank lists the open jobs of each rank, first those within their team's
-// guarantee, in the order of their turns.
-func (b *Board) byRank(now time.Time) [][]*Job {
-	if now.Before(b.turnsDue) {
+// byRank lists the open jobs by rank and turn, as of a moment ago.
+func (b *Board) byRank(now time.Time) []level {
+	if since := now.Sub(b.turnsAt); since < tuning.TurnsEvery && (!b.resort || since < tuning.TurnsSoon) {
 		return b.turns
 	}
-	b.turnsDue = now.Add(tuning.TurnsEvery)
+	b.turnsAt, b.resort = now, false
 	b.turns = nil
 	levels := map[int][]*Job{}
+	least := quota.Unbounded()
 	for _, j := range b.order {
 		j.level = j.rank + b.raised(now, j)
 		levels[j.level] = append(levels[j.level], j)
+		if !j.Gang() {
+			least = least.Min(j.need)
+		}
 	}
+	b.need(now, least)
 	images := b.imageCounts()
 	for _, l := range slices.Backward(slices.Sorted(maps.Keys(levels))) {
 		jobs := b.byTurn(levels[l])
-		b.turns = append(b.turns, jobs)
+		gangs := slices.DeleteFunc(slices.Clone(jobs), func(j *Job) bool { return !j.Gang() })
+		b.turns = append(b.turns, level{jobs, gangs})
 		first, ahead := math.Inf(1), 0
 		for _, j := range jobs {
 			if j.held() > 0 && !j.Gang() {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -3,6 +3,8 @@
 package quota
 
 import (
+	"math"
+
 	"juniperchute/internal/config"
 )
 
@@ -24,6 +26,14 @@
 	return Room{r.CPUs - o.CPUs, r.GPUs - o.GPUs, r.MemGB - o.MemGB}
 }
 
+// Min returns the lesser of two rooms in each resource.
+func (r Room) Min(o Room) Room {
+	return Room{min(r.CPUs, o.CPUs), min(r.GPUs, o.GPUs), min(r.MemGB, o.MemGB)}
+}
+
+// Unbounded is more than any room there is.
+func Unbounded() Room { return Room{math.Inf(1), math.Inf(1), math.Inf(1)} }
+
 // Times returns a multiple of a room.
 func (r Room) Times(n float64) Room { return Room{r.CPUs * n, r.GPUs * n, r.MemGB * n} }
 
@@ -141,6 +151,16 @@
 	return within(t.CPUs, sum.CPUs) && within(t.GPUs, sum.GPUs)
 }
 
+// Guarantees tells whether any team has a guarantee.
+func (b *Book) Guarantees() bool {
+	for _, t := range b.teams {
+		if t.CPUs > 0 || t.GPUs > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Beyond tells whether a team uses more than its guarantee.
 func (b *Book) Beyond(name string) bool {
 	t := b.teams[name]
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -61,8 +61,9 @@
 	// RecordRetry is the pause after a failed write of a record.
 	RecordRetry = 300 * time.Millisecond
 	// StateCalls is how many calls to the state service may be under way at
-	// once, watches aside.
+	// once, StateExtra how many leases and watches may be beside them.
 	StateCalls = 8
+	StateExtra = 6
 )
 
 // WriteReserve is the part of a full write bucket that each class of calls,
@@ -97,8 +98,13 @@
 	SilentGrace   = 500 * time.Millisecond
 	// DoTimeout bounds a direct command, which normally takes milliseconds.
 	DoTimeout = 3 * time.Second
-	// DoCalls is how many direct commands may be under way at once.
+	// DoCalls is how many direct commands may be under way at once, or DoShare of
+	// the machine's sockets if that is more: a fifth of the machines may be cut
+	// off, and each command to one of them hangs for a second. DoIdle is how many
+	// connections are kept for further commands.
 	DoCalls = 16
+	DoShare = 0.025
+	DoIdle  = 16
 	// DeafMachines is how many machines must have reported lately, and
 	// DeafReports for how many report intervals none of them may have, for a
 	// holder to suspect that it is the one cut off: reports vary by a quarter.
@@ -195,9 +201,9 @@
 	// TurnsEvery is how often the jobs' turns are worked out anew: work drains
 	// within seconds.
 	TurnsEvery = 1 * time.Second
-	// ChangesKept is how many machines' changes are remembered for jobs that
-	// found no room: a few seconds' worth at a thousand machines.
-	ChangesKept = 4096
+	// TurnsSoon is the least time between two sorts when jobs come and go: a
+	// burst brings tens of them a second.
+	TurnsSoon = 100 * time.Millisecond
 	// GangKinds is for how many kinds of gangs places are counted.
 	GangKinds = 32
 	// SpareDraws is how many random machines are tried for a spare.
@@ -265,6 +271,12 @@
 	// FenceDemand is how long after a takeover nothing is hired while machines
 	// are still unheard: most answer within a second, the rest may be gone.
 	FenceDemand = 10 * time.Second
+	// FenceFew is how long after a takeover machines that have not been heard are
+	// returned if they are few, no more than one of FenceFewPart: whatever was
+	// begun before waits until the last of them is heard or gone, and most answer
+	// within a second.
+	FenceFew     = 4 * time.Second
+	FenceFewPart = 100
 	// HirePage is the most machines asked for in one hire.
 	HirePage = 20
 	// CapacityRetry is the pause after the cloud had none of a kind.
@@ -327,7 +339,7 @@
 	SyncShare = 0.3
 	// CountEvery is how often the counters of copies are logged.
 	CountEvery = 60 * time.Second
-	// EventBuffer is how many events may wait for the owner goroutine.
+	// EventBuffer is how many events of a sort may wait for the owner goroutine.
 	EventBuffer = 256
 	// PulseEvery is how often the controllers exchange what they know.
 	PulseEvery = 1 * time.Second
@@ -340,11 +352,21 @@
 	// CutAfter is how long the state service must have been silent to a node,
 	// while a peer hears it, for the node to call itself unhealthy.
 	CutAfter = 4 * time.Second
-	// HeaderTimeout and IdleTimeout bound what a client's connection may take.
+	// HeaderTimeout bounds what a client may take for a request, IdleTimeout how
+	// long one of this node's own connections is kept for the next call.
 	HeaderTimeout = 5 * time.Second
 	IdleTimeout   = 90 * time.Second
-	// SocketShare is the part of the socket limit given to clients.
-	SocketShare = 0.75
+	// IdleReports, in report intervals, and IdleLeast are how long a client's
+	// connection is kept without a request.
+	IdleReports = 4
+	IdleLeast   = 20 * time.Second
+	// OwnSockets are kept for listeners, operators and connections that are being
+	// closed, GuestsLeast given to clients however small the limit.
+	OwnSockets  = 60
+	GuestsLeast = 64
+	// ReportWait bounds how long a report waits for its turn: its worker turns to
+	// another node after 4 s.
+	ReportWait = 3 * time.Second
 	// DialTimeout bounds the making of a connection: one that takes longer
 	// leads into a cut.
 	DialTimeout = 1 * time.Second
