--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -278,7 +278,7 @@
 	FenceFew     = 4 * time.Second
 	FenceFewPart = 100
 	// HirePage is the most machines asked for in one hire.
-	HirePage = 20
+	HirePage = 50
 	// CapacityRetry is the pause after the cloud had none of a kind.
 	CapacityRetry = 10 * time.Second
 	// DeletePage is the most machines in one deletion, by the protocol.
