--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -670,16 +671,9 @@
 // demand compares the waiting work with the machines and hires the rest.
 func (s *Slice) demand(now time.Time) {
 	var offers []placement.Offer
-	have := 0
-	for _, m := range s.reg.All() {
-		if m.State != worker.Deleting {
-			have++
-		}
-	}
-	left := tuning.HirePage
-	if s.Set.MaxMachines > 0 {
-		left = min(left, s.Set.MaxMachines-have)
-	}
+	// as many as can be asked for by the time of the next look
+	left := tuning.HirePage * max(1, int(s.facts.Cloud.RPS*tuning.CloudShare*tuning.HireShare*tuning.DemandEvery.Seconds()))
+	room := s.room()
 	for _, name := range slices.Sorted(maps.Keys(s.flavors)) {
 		f := s.flavors[name]
 		for _, yard := range f.Yards {
@@ -689,7 +683,7 @@
 				if loaners {
 					o.Price = f.LowPrice
 				}
-				if now.Before(s.noneUntil[kindOf(f.Name, yard, loaners)]) || s.Set.Paused || left <= 0 {
+				if now.Before(s.noneUntil[kindOf(f.Name, yard, loaners)]) || s.Set.Paused || room == 0 {
 					o.Left = 0
 				}
 				offers = append(offers, o)
@@ -713,13 +707,41 @@
 			continue
 		}
 		o := offers[i]
-		s.seq++
-		h := &hire{name: fmt.Sprintf("b%d-%d-%d", s.block, s.baton, s.seq),
-			rec: HireRec{Build: o.Build, Yard: o.Yard, Loaners: o.Loaners, Number: n}}
-		s.file(h, 0)
-		s.hires[h.name] = h
-		s.log.Info("hiring", "name", h.name, "build", o.Build, "yard", o.Yard, "spot", o.Loaners, "number", n)
-		h.file.Set(h.rec)
-		h.file.Tick(now)
+		n = min(n, room)
+		room -= n
+		for ; n > 0; n -= tuning.HirePage {
+			s.hire(now, HireRec{Build: o.Build, Yard: o.Yard, Loaners: o.Loaners, Number: min(n, tuning.HirePage)})
+		}
+	}
+}
+
+// room is how many machines may still be hired by the operators' bound, which
+// counts those asked for and not yet granted.
+func (s *Slice) room() int {
+	if s.Set.MaxMachines <= 0 {
+		return math.MaxInt
 	}
+	room := s.Set.MaxMachines
+	for _, m := range s.reg.All() {
+		if m.State != worker.Deleting {
+			room--
+		}
+	}
+	for _, h := range s.hires {
+		if h.state == hireRecording || h.state == hireAsking {
+			room -= h.rec.Number
+		}
+	}
+	return max(0, room)
+}
+
+// hire makes a new hire's name durable; the cloud is asked afterwards.
+func (s *Slice) hire(now time.Time, rec HireRec) {
+	s.seq++
+	h := &hire{name: fmt.Sprintf("b%d-%d-%d", s.block, s.baton, s.seq), rec: rec}
+	s.file(h, 0)
+	s.hires[h.name] = h
+	s.log.Info("hiring", "name", h.name, "build", rec.Build, "yard", rec.Yard, "spot", rec.Loaners, "number", rec.Number)
+	h.file.Set(h.rec)
+	h.file.Tick(now)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -139,6 +139,41 @@
 	}
 }
 
+// A morning asks for hundreds of machines at once: in hires of the cloud's size, and
+// never more than the operators' bound, those not yet granted counted.
+func TestHireSizes(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		most, total int
+	}{
+		{"no bound", 0, 300},
+		{"the operators' bound", 70, 70},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			y := newYard(t)
+			y.s.Set.MaxMachines = c.most
+			y.board.AddJob(y.now, wire.Submission{ID: "job-1", Crew: "red", Lane: "l", Shape: wire.ShapeGang, Rank: "low", Pieces: 150,
+				Vcpus: 10, Gpus: 2, MemGb: 77, AnyBuild: true, Loaners: true}, y.now, 1, false)
+			y.board.AddJob(y.now, wire.Submission{ID: "job-2", Crew: "red", Lane: "l", Shape: wire.ShapeGang, Rank: "low", Pieces: 150,
+				Vcpus: 10, Gpus: 2, MemGb: 77, AnyBuild: true}, y.now, 2, false)
+			total := 0
+			for range 5 {
+				y.pass(tuning.DemandEvery)
+				y.durable()
+			}
+			for _, h := range y.s.sorted() {
+				total += h.rec.Number
+				if h.rec.Number < 1 || h.rec.Number > 50 {
+					t.Errorf("a hire of %d", h.rec.Number)
+				}
+			}
+			if total != c.total {
+				t.Errorf("%d machines asked for, want %d", total, c.total)
+			}
+		})
+	}
+}
+
 // What a successor makes of hire records: a name without an answer is asked for
 // again, only machines that were used are waited for.
 func TestLoad(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -254,7 +254,9 @@
 	// CloudPage is how many machines one call lists, the cloud's largest page.
 	CloudPage = 500
 	// CloudShare is the part of the cloud's rate that one holder uses.
-	CloudShare = 0.6
+	CloudShare = 0.9
+	// HireShare is the part of the holder's rate that hires may take at a time.
+	HireShare = 0.5
 	// CloudRetry is the pause after a failed call; it grows to CloudRetryMost
 	// while calls fail in a row, which keeps an outage's end from being missed
 	// for long.
