Questions to the state service do not wait behind writes

Now reads have slots of their own, and so has each class of writes; what a holder must write down before it goes on is a class. TestQuestionsBesideWrites, TestCommands.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,7 +148,7 @@
 		hires: map[string]*hire{}, by: map[string]*hire{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
 		listed: map[string]bool{}, missing: map[string]int{}, entered: map[string]bool{},
 	}
-	s.used = store.NewPages(UsedUnder(block), facts.State.ValueKB, tuning.UsedEvery, store.ClassUser, tenure, state, log, lost)
+	s.used = store.NewPages(UsedUnder(block), facts.State.ValueKB, tuning.UsedEvery, store.ClassTenure, tenure, state, log, lost)
 	return s
 }
 
@@ -169,7 +169,7 @@
 }
 
 func (s *Slice) file(h *hire, stamp uint64) {
-	h.file = store.NewRecord(Hires(s.block)+h.name, stamp, store.ClassUser, s.tenure, s.state, func(now time.Time, _ int) {
+	h.file = store.NewRecord(Hires(s.block)+h.name, stamp, store.ClassTenure, s.tenure, s.state, func(now time.Time, _ int) {
 		switch h.state {
 		case hireRecording:
 			s.set(h, hireAsking, "recorded")
@@ -405,7 +405,7 @@
 				continue
 			}
 			s.known[f.Name] = string(raw)
-			rec := store.NewRecord(underFlavors+f.Name, 0, store.ClassUser, s.tenure, s.state, func(time.Time, int) {}, s.lost)
+			rec := store.NewRecord(underFlavors+f.Name, 0, store.ClassTenure, s.tenure, s.state, func(time.Time, int) {}, s.lost)
 			rec.Set(all)
 			s.files = append(s.files, rec)
 			rec.Tick(now)
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"juniperchute/internal/config"
+	"juniperchute/internal/store"
 	"juniperchute/internal/tuning"
 )
 
@@ -23,11 +24,16 @@
 // clients get whatever the controller itself does not need.
 func newPools(l config.Limits, peers int) pools {
 	p := pools{do: max(tuning.DoCalls, int(float64(l.Sockets)*tuning.DoShare))}
-	own := 2*p.do + tuning.StateCalls + tuning.StateExtra + tuning.CloudCalls + 2*peers + tuning.OwnSockets
+	own := 2*p.do + stateConns() + tuning.CloudCalls + 2*peers + tuning.OwnSockets
 	p.guests = max(tuning.GuestsLeast, l.Sockets-own)
 	return p
 }
 
+// stateConns is how many connections to the state service there may be.
+func stateConns() int {
+	return tuning.StateReads + store.Classes*tuning.StateWrites + tuning.StateExtra
+}
+
 // guests is the listener for workers, users and health checks. It keeps their
 // connections within a limit: when that is reached, a new one takes the place of
 // the user's connection that has been idle longest, so that users push no worker
--- a/internal/node/conns_test.go
+++ b/internal/node/conns_test.go
@@ -28,7 +28,7 @@
 			if p.guests < c.machines+c.clients {
 				t.Errorf("%d connections for %d workers and %d users", p.guests, c.machines, c.clients)
 			}
-			own := 2*p.do + tuning.StateCalls + tuning.StateExtra + tuning.CloudCalls + 2*c.peers
+			own := 2*p.do + stateConns() + tuning.CloudCalls + 2*c.peers
 			if p.guests+own > c.sockets {
 				t.Errorf("%d and %d of its own are more than %d sockets", p.guests, own, c.sockets)
 			}
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -41,7 +41,8 @@
 	peers      *peer.Clients
 	budgetLock sync.Mutex
 	budget     *store.Budget
-	stateSlots chan struct{}
+	readSlots  chan struct{}
+	writeSlots [store.Classes]chan struct{}
 	cloudSlots chan struct{}
 	doSlots    chan struct{}
 	fenceSlots chan struct{}
@@ -69,18 +70,21 @@
 		events:     make(chan func(time.Time), tuning.EventBuffer),
 		reports:    make(chan func(time.Time), tuning.EventBuffer),
 		users:      make(chan func(time.Time), tuning.EventBuffer),
-		state:      store.NewClient(cfg.External.State, transport(tuning.StateCalls+tuning.StateExtra), time.Now),
+		state:      store.NewClient(cfg.External.State, transport(stateConns()), time.Now),
 		cloud:      fleet.NewClient(cfg.External.Cloud, transport(tuning.CloudCalls)),
 		workers:    &http.Client{Transport: transport(tuning.DoIdle)},
 		peers:      peer.NewClients(cfg.Known),
 		budget:     store.NewBudget(cfg.Facts.State.RPS, cfg.Facts.State.WriteRPS, len(cfg.Known)+1),
-		stateSlots: make(chan struct{}, tuning.StateCalls),
+		readSlots:  make(chan struct{}, tuning.StateReads),
 		cloudSlots: make(chan struct{}, tuning.CloudCalls),
 		doSlots:    make(chan struct{}, p.do),
 		fenceSlots: make(chan struct{}, p.do),
 		peerSlots:  make(chan struct{}, tuning.PeerCalls),
 		lat:        newLatencies(),
 	}
+	for i := range r.writeSlots {
+		r.writeSlots[i] = make(chan struct{}, tuning.StateWrites)
+	}
 	r.core = NewCore(cfg, tuning.Blocks, r, rng, time.Now, log)
 	return r
 }
@@ -191,9 +195,12 @@
 // State is part of Env.
 func (r *Runtime) State(c store.Call, then func(now time.Time, res store.Result)) {
 	go func() {
-		// leases and watches must not wait behind anything else
-		if c.Class != store.ClassLease {
-			defer enter(r.stateSlots)()
+		switch {
+		case c.Class == store.ClassLease: // leases and watches wait behind nothing
+		case len(c.Multi.Writes) > 0:
+			defer enter(r.writeSlots[c.Class])()
+		default:
+			defer enter(r.readSlots)()
 		}
 		for {
 			r.budgetLock.Lock()
--- /dev/null
+++ b/internal/node/runtime_test.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/store"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// effects is a runtime whose effects' results are caught.
+func effects(t *testing.T, state string) *Runtime {
+	cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10)
+	cfg.External = config.External{Cloud: "127.0.0.1:1", State: state}
+	cfg.Facts.State.WriteRPS = 0.1
+	cfg.Facts.Limits.Sockets = 2179
+	r := NewRuntime(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)), rand.New(rand.NewPCG(1, 1)))
+	r.ctx = t.Context()
+	t.Cleanup(func() { close(r.done) })
+	return r
+}
+
+// A question goes out although writes of every class wait for the service's rate:
+// users timed out behind a morning's submissions.
+func TestQuestionsBesideWrites(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"Epoch":1}`) }))
+	defer srv.Close()
+	r := effects(t, srv.Listener.Addr().String())
+	written := 0
+	for class := range store.Classes {
+		for range 3 * tuning.StateWrites {
+			r.State(store.Call{Op: store.OpMulti, Class: store.Class(class), Multi: wire.Multi{Writes: []wire.Write{store.Remove("a")}}},
+				func(time.Time, store.Result) { written++ })
+		}
+	}
+	read := false
+	r.State(store.Call{Op: store.OpChanges, Class: store.ClassUser, Under: "q/"}, func(_ time.Time, res store.Result) { read = res.OK() })
+	for !read {
+		(<-r.events)(time.Now())
+	}
+	if written >= store.Classes*tuning.StateWrites {
+		t.Errorf("%d writes came first", written)
+	}
+}
+
+// A command that could only be sent when the lease may be over is not sent, and one
+// that starts tasks does not wait behind questions to machines that hang.
+func TestCommands(t *testing.T) {
+	var asked []string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		raw, _ := io.ReadAll(req.Body)
+		asked = append(asked, string(raw))
+		fmt.Fprint(w, `{"Host":"i-1"}`)
+	}))
+	defer srv.Close()
+	hangs, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and never says anything
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hangs.Close()
+	r := effects(t, "127.0.0.1:1")
+	later := time.Now().Add(time.Hour)
+	hung := 0
+	for range 2 * r.pools.do {
+		r.Do(hangs.Addr().String(), wire.Do{Orders: []wire.Order{}}, later, func(time.Time, int, *wire.Report) { hung++ })
+	}
+	status := map[string]int{}
+	for name, by := range map[string]time.Time{"in time": later, "too late": time.Now()} {
+		r.Do(srv.Listener.Addr().String(), wire.Do{Orders: []wire.Order{{Verb: wire.VerbRun, Piece: name}}}, by,
+			func(_ time.Time, s int, _ *wire.Report) { status[name] = s })
+	}
+	for len(status) < 2 {
+		(<-r.events)(time.Now())
+	}
+	if status["in time"] != http.StatusOK || status["too late"] != NotSent || len(asked) != 1 || !strings.Contains(asked[0], "in time") {
+		t.Errorf("%v, asked %v", status, asked)
+	}
+	if hung > 0 {
+		t.Errorf("%d questions to hanging machines came first", hung)
+	}
+	if n := threads(t); n > 200 {
+		t.Errorf("%d threads with %d connections hanging", n, 2*r.pools.do)
+	}
+}
+
+// threads is how many threads this process has, 0 where that is not told.
+func threads(t *testing.T) (n int) {
+	raw, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		t.Skip("threads cannot be counted here")
+	}
+	_, rest, _ := strings.Cut(string(raw), "Threads:")
+	if _, err := fmt.Sscan(rest, &n); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
--- a/internal/store/budget.go
+++ b/internal/store/budget.go
@@ -15,7 +15,7 @@
 	calls  *rate.Limiter
 	writes *rate.Limiter
 	// kept back, in writes, from each class for the classes before it
-	reserve [ClassTally + 1]float64
+	reserve [Classes]float64
 }
 
 // NewBudget makes the budget of one of n nodes.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -28,9 +28,14 @@
 // Classes of calls, in the order in which they may spend the rate.
 const (
 	ClassLease Class = iota
+	// ClassTenure: what a holder has to write down before it can go on: hires,
+	// used machines, begun jobs.
+	ClassTenure
 	ClassUser
 	ClassFinal
 	ClassTally
+
+	Classes = int(ClassTally) + 1
 )
 
 // Call is one request to the state service.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -60,15 +60,18 @@
 	PagesMost = 10000
 	// RecordRetry is the pause after a failed write of a record.
 	RecordRetry = 300 * time.Millisecond
-	// StateCalls is how many calls to the state service may be under way at
-	// once, StateExtra how many leases and watches may be beside them.
-	StateCalls = 8
-	StateExtra = 6
+	// StateReads is how many questions to the state service may be under way at
+	// once, StateWrites how many writes of each class, StateExtra how many leases
+	// and watches may be beside them. A write may wait long for its rate: nothing
+	// else waits behind it.
+	StateReads  = 8
+	StateWrites = 8
+	StateExtra  = 6
 )
 
 // WriteReserve is the part of a full write bucket that each class of calls,
-// in order leases, users, finals, tallies, leaves for the ones before it.
-var WriteReserve = [...]float64{0, 0.1, 0.2, 0.4}
+// in order leases, tenures, users, finals, tallies, leaves for the ones before it.
+var WriteReserve = [...]float64{0, 0.1, 0.1, 0.2, 0.4}
 
 // Users.
 const (
