One call asks a block's holder about all jobs that questions wait for

Now one call at a time carries all that have come; pulses need no slot. Ruled out: state service (looks are shared already). TestProgressTogether.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -61,6 +61,7 @@
 	settings  admin.Settings
 	peers     map[string]*peerView
 	claims    map[int]*peerpb.Holding // the highest Baton that peers know of each block
+	asking    map[int]*asking
 	pulseDue  time.Time
 	timers    []timer
 }
@@ -79,7 +80,7 @@
 func NewCore(cfg *config.Config, blocks int, env Env, rng *rand.Rand, wall func() time.Time, log *slog.Logger) *Core {
 	c := &Core{cfg: cfg, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
 		tenures: map[int]*tenure{}, flavors: map[string]wire.Flavor{}, flavorRaw: map[string]string{},
-		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}, blockFor: map[string]int{}}
+		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}, blockFor: map[string]int{}, asking: map[int]*asking{}}
 	c.leader = leader.New(cfg.Member, blocks, wall, c.state, log, c.control)
 	c.open = store.NewMirror(submission.OpenUnder, c.state, func(now time.Time, _ string, it wire.Item, gone bool) {
 		for _, t := range c.tenures {
@@ -381,12 +382,52 @@
 		then(now, submission.Progress{})
 		return
 	}
-	c.env.Progress(holder, &peerpb.ProgressRequest{Block: int32(block), Job: id}, func(now time.Time, r *peerpb.ProgressReply, err error) {
-		if err != nil {
-			then(now, submission.Progress{})
-			return
+	a := c.asking[block]
+	if a == nil {
+		a = &asking{}
+		c.asking[block] = a
+	}
+	a.waiting = append(a.waiting, question{id, then})
+	c.ask(now, block, a)
+}
+
+// asking is the questions about a block's jobs that its holder has to be asked. One
+// call at a time carries all that have come by then: thousands of jobs are asked
+// about every few seconds, at every node.
+type asking struct {
+	busy    bool
+	waiting []question
+}
+
+type question struct {
+	job  string
+	then func(now time.Time, p submission.Progress)
+}
+
+func (c *Core) ask(now time.Time, block int, a *asking) {
+	if a.busy || len(a.waiting) == 0 {
+		return
+	}
+	n := min(len(a.waiting), tuning.ProgressJobs)
+	batch := a.waiting[:n:n]
+	a.waiting = a.waiting[n:]
+	m := &peerpb.ProgressRequest{Block: int32(block)}
+	for _, q := range batch {
+		m.Jobs = append(m.Jobs, q.job)
+	}
+	holder, _, _ := c.holder(block)
+	a.busy = true
+	c.env.Progress(holder, m, func(now time.Time, r *peerpb.ProgressReply, err error) {
+		a.busy = false
+		for i, q := range batch {
+			p := submission.Progress{}
+			if err == nil && len(r.Jobs) == n {
+				j := r.Jobs[i]
+				p = submission.Progress{Known: j.Known, Done: int(j.Done), Running: int(j.Running)}
+			}
+			q.then(now, p)
 		}
-		then(now, submission.Progress{Known: r.Known, Done: int(r.Done), Running: int(r.Running)})
+		c.ask(now, block, a)
 	})
 }
 
@@ -400,11 +441,14 @@
 
 // Progress answers a peer's question.
 func (c *Core) Progress(m *peerpb.ProgressRequest) *peerpb.ProgressReply {
+	out := &peerpb.ProgressReply{}
 	if t := c.tenures[int(m.Block)]; t != nil && t.state != tenureOver {
-		p := t.progress(m.Job)
-		return &peerpb.ProgressReply{Known: p.Known, Done: int64(p.Done), Running: int64(p.Running)}
+		for _, id := range m.Jobs {
+			p := t.progress(id)
+			out.Jobs = append(out.Jobs, &peerpb.JobProgress{Known: p.Known, Done: int64(p.Done), Running: int64(p.Running)})
+		}
 	}
-	return &peerpb.ProgressReply{}
+	return out
 }
 
 // Users is the slice that answers users.
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -1,14 +1,17 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
 	"juniperchute/internal/config"
 	"juniperchute/internal/peer/peerpb"
+	"juniperchute/internal/submission"
 	"juniperchute/internal/wire"
 )
 
@@ -45,3 +48,50 @@
 		})
 	}
 }
+
+// heldCalls is an Env that keeps the calls for progress.
+type heldCalls struct {
+	Env
+	asked []*peerpb.ProgressRequest
+	then  []func(now time.Time, r *peerpb.ProgressReply, err error)
+}
+
+func (e *heldCalls) Progress(_ string, m *peerpb.ProgressRequest, then func(now time.Time, r *peerpb.ProgressReply, err error)) {
+	e.asked, e.then = append(e.asked, m), append(e.then, then)
+}
+
+// A holder answers about thousands of jobs every few seconds: all that is asked
+// while one call is under way goes with the next, and each gets its own answer.
+func TestProgressTogether(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10)
+	cfg.Member, cfg.Known = "n0", []config.Known{{Member: "n1"}}
+	env := &heldCalls{}
+	core := NewCore(cfg, 1, env, rand.New(rand.NewPCG(1, 1)), func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	core.Pulse(now, &peerpb.PulseMessage{Member: "n1", Holdings: []*peerpb.Holding{{Baton: 4, Holder: "n1"}}})
+	const questions = 90
+	got := map[int]submission.Progress{}
+	for i := range questions {
+		core.progress(now, 0, fmt.Sprintf("job-%d", i), func(_ time.Time, p submission.Progress) { got[i] = p })
+	}
+	for i := 0; i < len(env.then); i++ {
+		r := &peerpb.ProgressReply{}
+		for _, id := range env.asked[i].Jobs {
+			n, _ := strconv.ParseInt(id[len("job-"):], 10, 64)
+			r.Jobs = append(r.Jobs, &peerpb.JobProgress{Known: true, Done: n})
+		}
+		if i == 0 {
+			env.then[i](now, nil, errCut)
+			continue
+		}
+		env.then[i](now, r, nil)
+	}
+	if len(env.asked) != 2 || len(got) != questions {
+		t.Fatalf("%d calls, %d of %d answered", len(env.asked), len(got), questions)
+	}
+	for i, p := range got {
+		if p.Known != (i > 0) || i > 0 && p.Done != i {
+			t.Errorf("question %d got %+v", i, p)
+		}
+	}
+}
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -258,8 +258,7 @@
 
 // Pulse is part of Env.
 func (r *Runtime) Pulse(member string, m *peerpb.PulseMessage, then func(now time.Time, res *peerpb.PulseMessage, err error)) {
-	go func() {
-		defer enter(r.peerSlots)()
+	go func() { // one a second and peer: no slot, so that it waits behind nothing
 		ctx, cancel := context.WithTimeout(r.ctx, tuning.PulseTimeout)
 		defer cancel()
 		res, err := r.peers.Peer(member).Pulse(ctx, m)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -352,6 +352,8 @@
 	// user waits 2 s for an answer.
 	PulseTimeout    = 800 * time.Millisecond
 	ProgressTimeout = 400 * time.Millisecond
+	// ProgressJobs is about how many jobs one call asks a block's holder.
+	ProgressJobs = 500
 	// PeerCalls is how many calls to peers may be under way at once.
 	PeerCalls = 32
 	// CutAfter is how long the state service must have been silent to a node,
