--- /dev/null
+++ b/internal/placement/reports.go
@@ -0,0 +1,219 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
+)
+
+// Reported brings the board up to date with a machine's newest account.
+func (b *Board) Reported(now time.Time, m *worker.Machine, v worker.Verdict, checkin bool) {
+	h := b.host(m)
+	b.touch(h)
+	if v == worker.Renewed {
+		b.Lost(now, m, "worker's session is a new one")
+		h.direct = nil // commands of an earlier session are void
+		m.Images = map[string]time.Time{}
+	}
+	shown := make(map[string]*wire.Piece, len(m.Pieces))
+	for i := range m.Pieces {
+		p := &m.Pieces[i]
+		shown[p.Piece] = p
+	}
+	for _, t := range slices.Clone(h.on) {
+		if t.at != m {
+			continue // an earlier one took its whole gang along
+		}
+		p := shown[t.Name()]
+		if p != nil && p.Try == t.try {
+			b.saw(now, m, t, p)
+			continue
+		}
+		// Absent. An attempt that was once reported is gone. One that never
+		// was may still be on its way: in the answer to the last report,
+		// unless a later report shows that the worker dropped that answer;
+		// or in a direct command that nobody answered.
+		if t.reported {
+			b.gone(now, t, 0, "no longer reported")
+		} else if t.phase == Stopping && t.openDo == 0 && (!t.ordered || checkin && (t.tally == 0 || m.Tally > t.tally)) {
+			b.gone(now, t, 0, "never started")
+		}
+	}
+	b.unexplained(now, m, shown)
+}
+
+// saw handles a task that its machine reports.
+func (b *Board) saw(now time.Time, m *worker.Machine, t *Task, p *wire.Piece) {
+	t.reported = true
+	if p.Stage != wire.PieceExited {
+		if p.Stage != wire.PieceFetching {
+			m.Images[t.Job.Spec.Bundle] = now
+		}
+		if p.Stage == wire.PieceRunning && t.runFrom.IsZero() {
+			t.runFrom = now
+		}
+		if t.stage != p.Stage {
+			b.log.Debug("task stage", "task", p.Piece, "try", p.Try, "host", m.Host, "stage", p.Stage)
+		}
+		t.stage = p.Stage
+		if t.phase == Sent {
+			b.setPhase(now, t, Live, p.Stage)
+		}
+		return
+	}
+	j := t.Job
+	b.log.Debug("task exited", "task", p.Piece, "try", p.Try, "host", m.Host, "cause", p.Cause, "stored", p.Stored)
+	switch {
+	case p.Cause == wire.CauseDone && j.Standing():
+		b.gone(now, t, tuning.RetryPause, "a service's task ended")
+		return
+	}
+	switch p.Cause {
+	case wire.CauseDone:
+		b.finish(now, t)
+		if j.Gang() {
+			b.finishGang(now, j)
+		}
+	case wire.CauseError:
+		b.failed(now, m, t)
+		b.gone(now, t, tuning.RetryPause, p.Cause)
+	case wire.CauseNoRoom, wire.CauseInUse, wire.CauseUnknown:
+		b.log.Info("start refused", "task", p.Piece, "host", m.Host, "cause", p.Cause)
+		b.gone(now, t, tuning.RefusedPause, p.Cause)
+	default:
+		b.gone(now, t, 0, p.Cause)
+	}
+}
+
+// finishGang completes a gang: if one of its tasks is done, every one is. Those
+// whose own exit has not been reported stay on their machines until it is, but
+// never start again, even when they are lost instead.
+func (b *Board) finishGang(now time.Time, j *Job) {
+	for _, t := range j.sorted() {
+		if t.phase == Idle {
+			b.unqueue(t)
+			delete(j.tasks, t.N)
+		}
+	}
+	for n := range j.Spec.Pieces {
+		j.done.add(n)
+	}
+	if !j.closed {
+		b.finished(now, j)
+	}
+}
+
+// failed looks for who is to blame for a task that failed: its machine, when
+// it has failed several jobs or a job that runs well elsewhere; else the job,
+// which then waits longer each time.
+func (b *Board) failed(now time.Time, m *worker.Machine, t *Task) {
+	j := t.Job
+	b.Count.Failed++
+	j.errors++
+	j.failedOn[m.Host]++
+	j.missed = [2]uint64{}
+	m.Blames[j.Spec.ID]++
+	well := false
+	for h := range j.wellOn {
+		well = well || h != m.Host
+	}
+	jobs := 0
+	for id := range m.Blames {
+		if o := b.jobs[id]; o == nil || len(o.failedOn) < tuning.BadJobMachines || len(o.wellOn) > 0 {
+			jobs++
+		}
+	}
+	if jobs >= tuning.FaultyJobs || well && m.Blames[j.Spec.ID] >= tuning.FaultyErrors {
+		if !m.Faulty {
+			b.log.Info("machine is faulty", "host", m.Host, "jobs", jobs)
+		}
+		m.Faulty = true
+	}
+	if len(j.failedOn) >= tuning.BadJobMachines && len(j.wellOn) == 0 {
+		pause := tuning.RetryPause << min(j.errors, tuning.RetryDoublings)
+		j.notBefore = now.Add(pause)
+		b.log.Info("job fails everywhere", "job", j.Spec.ID, "pause", pause)
+	}
+}
+
+// unexplained handles what a machine reports that the board does not expect
+// there: tasks that an earlier tenure started, and the remains of jobs that
+// are over.
+func (b *Board) unexplained(now time.Time, m *worker.Machine, shown map[string]*wire.Piece) {
+	delete(b.strays, m)
+	m.Stranger = false
+	for _, p := range m.Pieces {
+		id, n, ok := wire.ParsePiece(p.Piece)
+		var j *Job
+		if ok {
+			j = b.jobs[id]
+		}
+		if j != nil && n < j.Spec.Pieces {
+			if t := j.tasks[n]; t != nil && t.at == m && t.try == p.Try {
+				continue
+			}
+		} else {
+			j = nil
+		}
+		if p.Stage == wire.PieceExited {
+			if j != nil && p.Cause == wire.CauseDone && !j.Standing() && !j.done.has(n) {
+				b.foundDone(now, j, n)
+			}
+			continue
+		}
+		if j != nil && !j.closed && !j.done.has(n) {
+			if t := j.tasks[n]; t == nil || t.phase == Idle {
+				b.adopt(now, j, n, m, p)
+				continue
+			}
+		}
+		b.log.Info("stray task", "task", p.Piece, "try", p.Try, "host", m.Host)
+		b.strays[m] = append(b.strays[m], p)
+		m.Stranger = m.Stranger || j == nil
+	}
+}
+
+// foundDone records a completion that an earlier tenure did not get to.
+func (b *Board) foundDone(now time.Time, j *Job, n int) {
+	t := j.tasks[n]
+	if t == nil {
+		t = &Task{Job: j, N: n}
+	}
+	if t.phase >= Sent && t.phase <= Stopping {
+		// a copy of a completed task: it will be stopped as a stray
+		b.stop(now, t, 0, "completed elsewhere")
+		if j.done.add(n) && !j.closed {
+			b.finished(now, j)
+		}
+		return
+	}
+	b.finish(now, t)
+	if j.Gang() {
+		b.finishGang(now, j)
+	}
+}
+
+// adopt takes over a task that an earlier tenure started.
+func (b *Board) adopt(now time.Time, j *Job, n int, m *worker.Machine, p wire.Piece) {
+	t := j.tasks[n]
+	if t == nil {
+		t = &Task{Job: j, N: n}
+		j.tasks[n] = t
+	}
+	b.unqueue(t)
+	b.hand(now, t, m, p.Try, false, "adopted")
+	t.ordered = true
+	b.saw(now, m, t, &p)
+	if !j.Gang() {
+		return
+	}
+	switch {
+	case j.try == 0 || j.located == 1:
+		j.try = p.Try
+	case j.try != p.Try:
+		b.breakGang(now, j, "two attempts found")
+	}
+}
