--- a/internal/fleet/returns.go
+++ b/internal/fleet/returns.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -99,13 +100,8 @@
 }
 
 func (s *Slice) delete(now time.Time) {
-	var hosts []string
-	for h := range s.deleting {
-		if len(hosts) < tuning.DeletePage {
-			hosts = append(hosts, h)
-		}
-	}
-	slices.Sort(hosts)
+	hosts := slices.Sorted(maps.Keys(s.deleting))
+	hosts = hosts[:min(len(hosts), tuning.DeletePage)]
 	s.delBusy = true
 	s.call(Call{Op: OpDelete, Hosts: hosts}, func(now time.Time, r Result) {
 		s.delBusy = false
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -26,8 +26,8 @@
 	// its outcome has arrived before the next.
 	ElectionPause = 50 * time.Millisecond
 	// Blocks is the number of machine blocks: one packs best, keeps quotas exact and
-	// is carried by one holder up to 1,850 machines, with an average of 0.16 of its
-	// share of a processor (docs/design.md).
+	// is carried by one holder up to 1,850 machines, with an average of a fifth of its
+	// share of a processor at most (docs/design.md).
 	Blocks = 1
 	// RenewMargin is kept of the time for a cancellation when a holder that
 	// lost touch with the state service goes on renewing workers.
