--- a/internal/fleet/returns.go
+++ b/internal/fleet/returns.go
@@ -63,7 +63,7 @@
 		if m.Closing {
 			return "its work went elsewhere"
 		}
-		if !m.Wanted && m.Promised == (quota.Room{}) && now.Sub(m.IdleFrom) > s.Set.IdleReturn*map[bool]time.Duration{true: 4, false: 1}[m.Loaners] {
+		if !m.Wanted && m.Promised == (quota.Room{}) && now.Sub(m.IdleFrom) > s.Set.IdleReturn {
 			return "idle"
 		}
 	case worker.Silent:
