--- a/internal/node/world_run_test.go
+++ b/internal/node/world_run_test.go
@@ -30,6 +30,7 @@
 // accepted job ends once the troubles are over. Seeds are fixed.
 func TestRandomDays(t *testing.T) {
 	small := []config.Team{{Name: "red", GPUs: 4, GPUsMax: 10}, {Name: "blue", GPUs: 6, GPUsMax: 12}, {Name: "free"}}
+	wide := []config.Team{{Name: "red", GPUs: 80, GPUsMax: 200}, {Name: "blue", GPUs: 120, GPUsMax: 240}, {Name: "free"}}
 	one := []wire.Flavor{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Yards: []string{"a"}}}
 	two := []wire.Flavor{
 		{Name: "g4", Vcpus: 16, Gpus: 4, MemGb: 128, FetchGbPerS: 1, Price: 9, LowPrice: 4, BootS: 5, Yards: []string{"a", "b"}},
@@ -44,11 +45,13 @@
 		report  float64
 		lease   float64
 		seeds   int
+		scale   int
 	}{
-		{"one zone, short leases", []string{"a"}, small, one, 1, 1.5, 10, 6},
-		{"one zone, long leases", []string{"a"}, small, one, 1, 3, 18, 4},
-		{"two zones, two types, wide gangs", []string{"a", "b"}, small, two, 1, 1.5, 10, 6},
-		{"three blocks", []string{"a", "b"}, small, two, 3, 1.5, 10, 4},
+		{"one zone, short leases", []string{"a"}, small, one, 1, 1.5, 10, 6, 1},
+		{"one zone, long leases", []string{"a"}, small, one, 1, 3, 18, 4, 1},
+		{"two zones, two types, wide gangs", []string{"a", "b"}, small, two, 1, 1.5, 10, 6, 1},
+		{"three blocks", []string{"a", "b"}, small, two, 3, 1.5, 10, 4, 1},
+		{"a fleet: a tenth and more of the machines hit at a time", []string{"a", "b"}, wide, two, 1, 5, 26.5, 2, 20},
 	} {
 		for seed := range day.seeds * seedFactor() {
 			t.Run(fmt.Sprintf("%s/%d", day.name, seed), func(t *testing.T) {
@@ -56,12 +59,12 @@
 				w := newWorld(t, uint64(seed), facts(day.zones, day.teams, day.report, day.lease), day.blocks, day.flavors)
 				for _, f := range day.flavors {
 					for _, y := range f.Yards {
-						w.cloud.room[roomKey(f.Name, y, true)] = 5
-						w.cloud.room[roomKey(f.Name, y, false)] = 8
+						w.cloud.room[roomKey(f.Name, y, true)] = 5 * day.scale
+						w.cloud.room[roomKey(f.Name, y, false)] = 8 * day.scale
 					}
 				}
 				w.cloud.never = 0.02
-				w.chaos = true
+				w.chaos, w.scale = true, day.scale
 				play(w, day.zones, day.flavors)
 				if len(w.broken) > 0 {
 					t.Fatalf("seed %d: %s", seed, w.broken[0])
@@ -153,6 +156,9 @@
 			s.Yard = "b"
 		}
 	}
+	if s.Shape == wire.ShapeBatch {
+		s.Pieces *= w.scale
+	}
 	j := w.add(s, time.Duration(2+w.rng.IntN(20))*time.Second)
 	j.bad = w.rng.IntN(25) == 0
 	if w.rng.IntN(6) == 0 {
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -38,6 +38,7 @@
 	order   []*simJob
 	broken  []string
 	chaos   bool
+	scale   int // how many times the usual size jobs and troubles have; 0: once
 }
 
 // begin is the time of day at which simulated days begin.
@@ -624,6 +625,21 @@
 	return w.workers[ids[w.rng.IntN(len(ids))]]
 }
 
+// someWorkers are those that one trouble hits.
+func (w *world) someWorkers() []*workerHost {
+	n := 1
+	if w.scale > 1 {
+		n += w.rng.IntN(w.scale)
+	}
+	var out []*workerHost
+	for range n {
+		if h := w.someWorker(); h != nil && !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // trouble makes one random trouble, which passes by itself.
 func (w *world) trouble() {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
@@ -666,12 +682,12 @@
 		n.cutCloud = true
 		w.clk.in(span, func() { n.cutCloud = false })
 	case 10, 11:
-		if h := w.someWorker(); h != nil {
+		for _, h := range w.someWorkers() {
 			h.cut = true
 			w.clk.in(span, func() { h.cut = false; w.release(h) })
 		}
 	case 12, 13:
-		if h := w.someWorker(); h != nil {
+		for _, h := range w.someWorkers() {
 			h.hung = true
 			w.clk.in(span, func() { h.hung = false; w.release(h) })
 		}
@@ -684,11 +700,11 @@
 			w.clk.in(8*time.Second, func() { w.cloud.remove(h.host.ID) })
 		}
 	case 15:
-		if h := w.someWorker(); h != nil {
+		for _, h := range w.someWorkers() {
 			w.cloud.remove(h.host.ID)
 		}
 	case 16, 17:
-		if h := w.someWorker(); h != nil {
+		for _, h := range w.someWorkers() {
 			h.mute = true
 			w.clk.in(2*span, func() { h.mute = false })
 		}
