--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -473,3 +473,42 @@
 		})
 	}
 }
+
+// A machine is lost under a gang while work of lower rank waits: the gang goes on
+// whole, under a new attempt, as soon as there is room for all of it, and what the
+// other work took meanwhile gives way.
+func TestLossOfAMachine(t *testing.T) {
+	x := newBench(t, 2)
+	g := x.job("blue", wire.ShapeGang, "normal", 2, 2)
+	x.b.Draw(x.now)
+	m0, m1 := x.reg.All()[0], x.reg.All()[1]
+	x.report(m0)
+	x.report(m1)
+	before := g.try
+	low := x.job("blue", wire.ShapeBatch, "low", 8, 1)
+	x.b.Lost(x.now, m0, "lease surely over")
+	x.reg.Set(x.now, m0, worker.Lapsed, "test")
+	mate := x.b.host(m1).on[0]
+	if o := x.verbs(x.report(m1)); o != "stop "+mate.Name()+";" {
+		t.Fatalf("its mate is told: %s", o)
+	}
+	x.report(m1, wire.Piece{Piece: mate.Name(), Stage: wire.PieceExited, Cause: wire.CauseMatesGone})
+	x.report(m1)
+	if g.located != 0 || low.located != 2 {
+		t.Fatalf("%d of the gang and %d of the rest run on the machine left", g.located, low.located)
+	}
+	m2 := x.reg.Add(x.now, "i-2", worker.Booting)
+	m2.Cap, m2.Used, m2.Build, m2.Yard = m0.Cap, true, "g2", "a"
+	x.report(m2)
+	if len(g.tasks) != 2 || g.located != 0 || low.located != 2 {
+		t.Fatalf("the gang has %d places, %d of it run beside %d", len(g.tasks), g.located, low.located)
+	}
+	var gone []wire.Piece
+	for _, v := range x.b.host(m1).on {
+		gone = append(gone, wire.Piece{Piece: v.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
+	}
+	x.report(m1, gone...)
+	if g.located != 2 || low.located != 0 || g.try <= before || g.tasks[0].try != g.tasks[1].try {
+		t.Errorf("%d of the gang under %d (before: %d), %d of the rest", g.located, g.try, before, low.located)
+	}
+}
