--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -11,8 +11,6 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"sort"
 	"syscall"
 	"text/tabwriter"
@@ -24,7 +22,6 @@
 	"juniperchute/internal/node"
 	"juniperchute/internal/peer"
 	"juniperchute/internal/peer/peerpb"
-	"juniperchute/internal/tuning"
 )
 
 // version is the service's own.
@@ -99,9 +96,7 @@
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(1)
-	debug.SetGCPercent(tuning.GCPercent)
-	debug.SetMemoryLimit(int64(cfg.Facts.Limits.MemoryMB * (1 << 20) * tuning.MemoryShare))
+	node.LimitProcess(cfg.Facts.Limits)
 	var seed [16]byte
 	if _, err := crand.Read(seed[:]); err != nil {
 		return err
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -234,6 +234,9 @@
 func (c *Core) pulse(now time.Time) {
 	for _, k := range c.cfg.Known {
 		name := k.Member
+		if name < c.cfg.Member {
+			continue // it asks: one exchange tells both all there is to tell
+		}
 		c.env.Pulse(name, c.pulseMessage(now), func(now time.Time, r *peerpb.PulseMessage, err error) {
 			if err == nil {
 				c.heardPeer(now, name, r)
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -65,18 +65,30 @@
 	answer(w, resp.Status, resp.Body, resp.RetryAfter)
 }
 
-// body reads a request body of at most the protocol's size.
+// body reads a request body of at most the protocol's size. One that says that it is
+// larger is refused unread, and a small one that says its size is read into just that;
+// what a client only claims to send takes no memory.
 func body(w http.ResponseWriter, req *http.Request) ([]byte, bool) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, tuning.BodyBytes))
-	if err == nil {
-		return raw, true
-	}
-	var big *http.MaxBytesError
-	why := "body cannot be read"
-	if errors.As(err, &big) {
-		why = "body is too large"
+	if req.ContentLength <= tuning.BodyBytes {
+		in := http.MaxBytesReader(w, req.Body, tuning.BodyBytes)
+		var raw []byte
+		var err error
+		if n := req.ContentLength; n >= 0 && n <= tuning.BodyAtOnce {
+			raw = make([]byte, n)
+			_, err = io.ReadFull(in, raw)
+		} else {
+			raw, err = io.ReadAll(in)
+		}
+		if err == nil {
+			return raw, true
+		}
+		var big *http.MaxBytesError
+		if !errors.As(err, &big) {
+			answer(w, http.StatusBadRequest, submission.Problem{Error: "body cannot be read"}, 0)
+			return nil, false
+		}
 	}
-	answer(w, http.StatusBadRequest, submission.Problem{Error: why}, 0)
+	answer(w, http.StatusBadRequest, submission.Problem{Error: "body is too large"}, 0)
 	return nil, false
 }
 
@@ -108,13 +120,17 @@
 }
 
 func (r *Runtime) submit(w http.ResponseWriter, req *http.Request) {
+	if len(r.users) == cap(r.users) {
+		respond(w, submission.Busy()) // before the work of reading it
+		return
+	}
 	raw, ok := body(w, req)
 	if !ok {
 		return
 	}
 	spec, err := wire.ParseSubmission(raw)
 	if err != nil {
-		r.log.Info("submission refused", "error", err)
+		r.log.Debug("submission refused", "error", err)
 		answer(w, http.StatusBadRequest, submission.Problem{Error: err.Error()}, 0)
 		return
 	}
@@ -144,8 +160,8 @@
 		return
 	}
 	var rep wire.Report
-	if err := json.Unmarshal(raw, &rep); err != nil || rep.Host == "" || rep.Stint == 0 {
-		r.log.Info("report refused", "from", req.RemoteAddr, "error", err)
+	if err := wire.ParseReport(raw, &rep); err != nil || rep.Host == "" || rep.Stint == 0 {
+		r.log.Debug("report refused", "from", req.RemoteAddr, "error", err)
 		answer(w, http.StatusBadRequest, submission.Problem{Error: "not a report"}, 0)
 		return
 	}
@@ -154,23 +170,30 @@
 	report := func(now time.Time) {
 		r.core.Report(now, &rep, func(status int, body any) { ch <- submission.Response{Status: status, Body: body} })
 	}
-	// A worker has one report in hand, so it waits for its turn: refused, it would
-	// go to another node, be sent back and ask again, when there is most to do.
+	if !offer(r.reports, report) && !r.wait(w, req, report) {
+		return
+	}
+	select {
+	case s := <-ch:
+		respond(w, s)
+	case <-req.Context().Done():
+	}
+}
+
+// wait hands a report to the owner whose buffer is full. A worker has one report in
+// hand, so it waits for its turn: refused, it would go to another node, be sent back
+// and ask again, when there is most to do.
+func (r *Runtime) wait(w http.ResponseWriter, req *http.Request, report func(now time.Time)) bool {
 	late := time.NewTimer(tuning.ReportWait)
 	defer late.Stop()
 	select {
 	case r.reports <- report:
+		return true
 	case <-late.C:
 		respond(w, submission.Unable("too many reports at once"))
-		return
-	case <-req.Context().Done():
-		return
-	}
-	select {
-	case s := <-ch:
-		respond(w, s)
 	case <-req.Context().Done():
 	}
+	return false
 }
 
 // show tells whether a worker answers.
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +54,14 @@
 	healthy    atomic.Bool // as of the last tick: health is answered without the owner
 }
 
+// LimitProcess keeps this process within the machine's share of one core and its
+// memory.
+func LimitProcess(l config.Limits) {
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(tuning.GCPercent)
+	debug.SetMemoryLimit(int64(l.MemoryMB * (1 << 20) * tuning.MemoryShare))
+}
+
 func transport(conns int) *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: tuning.DialTimeout, KeepAlive: -1}).DialContext,
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -389,25 +389,36 @@
 // that a holder they can reach renews their leases in time. Keeping it would
 // lose every task, and return every machine as silent.
 func (t *tenure) listen(now time.Time) {
+	w := t.c.cfg.Facts.Workers
 	var last time.Time
-	var addrs []string
-	for _, m := range t.reg.All() {
-		if m.State != worker.Up && m.State != worker.Silent || now.Sub(m.Checked) > config.Seconds(t.c.cfg.Facts.Workers.LeaseS) {
-			continue
+	machines := 0
+	each := func(f func(m *worker.Machine)) {
+		for _, m := range t.reg.All() {
+			if (m.State == worker.Up || m.State == worker.Silent) && now.Sub(m.Checked) <= config.Seconds(w.LeaseS) {
+				f(m)
+			}
 		}
+	}
+	each(func(m *worker.Machine) {
+		machines++
 		if m.Checked.After(last) {
 			last = m.Checked
 		}
-		addrs = append(addrs, m.Address)
-	}
-	t.deaf = len(addrs) >= tuning.DeafMachines && now.Sub(last) > config.Seconds(t.c.cfg.Facts.Workers.ReportS*tuning.DeafReports)+tuning.SilentGrace
+	})
+	t.deaf = machines >= tuning.DeafMachines && now.Sub(last) > config.Seconds(w.ReportS*tuning.DeafReports)+tuning.SilentGrace
 	if !t.deaf || now.Before(t.probeDue) {
 		return
 	}
 	t.probeDue = now.Add(tuning.ProbeTimeout + tuning.ProgressTimeout)
-	t.log.Info("no worker is heard any more", "machines", len(addrs), "for", now.Sub(last))
+	t.log.Info("no worker is heard any more", "machines", machines, "for", now.Sub(last))
+	var addrs []string
+	each(func(m *worker.Machine) {
+		if len(addrs) < tuning.ProbeWorkers {
+			addrs = append(addrs, m.Address)
+		}
+	})
 	for _, k := range t.c.cfg.Known {
-		t.c.env.Probe(k.Member, &peerpb.ProbeRequest{Addresses: addrs[:min(len(addrs), tuning.ProbeWorkers)]}, func(now time.Time, r *peerpb.ProbeReply, err error) {
+		t.c.env.Probe(k.Member, &peerpb.ProbeRequest{Addresses: addrs}, func(now time.Time, r *peerpb.ProbeReply, err error) {
 			if err == nil && r.Answered > 0 && t.deaf && t.state != tenureOver {
 				t.end(now, "only this node does not hear the workers")
 				t.c.after(now)
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -33,6 +33,9 @@
 	loaners bool
 	cap     quota.Room
 	free    quota.Room // now, for gangs
+
+	committed float64 // machine time that what runs there will still take, seconds
+	spent     float64 // machine time given to waiting work
 }
 
 // Horizon is how long an array's work may wait and run in all for its class's
@@ -74,7 +77,7 @@
 		if m.Faulty || m.Mute(now, config.Seconds(b.facts.Workers.LeaseS)) || m.Closing || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting && m.State != worker.Silent {
 			continue
 		}
-		bn := &bin{m: m, build: m.Build, yard: m.Yard, loaners: m.Loaners, cap: m.Cap, free: m.FreeForMain()}
+		bn := &bin{m: m, build: m.Build, committed: b.committed(now, m), yard: m.Yard, loaners: m.Loaners, cap: m.Cap, free: m.FreeForMain()}
 		if m.State == worker.Silent {
 			// takes nothing now, but is not replaced while its lease may stand:
 			// after a cut of the holder all of them are silent for a while
@@ -229,6 +232,16 @@
 	return ab && !cb
 }
 
+// committed is how much machine time what is on a machine will still take.
+func (b *Board) committed(now time.Time, m *worker.Machine) float64 {
+	sum := 0.0
+	for _, t := range b.host(m).on {
+		left := b.Expect(t.Job) - now.Sub(t.sentAt).Seconds()
+		sum += max(left, tuning.LeastRun.Seconds()) * t.Job.need.Share(m.Cap)
+	}
+	return sum
+}
+
 // arrayDemand pours the arrays' waiting work, as machine time within the
 // class's horizon, into what the gangs leave.
 func (b *Board) arrayDemand(now time.Time, bins []*bin, open func(*Job, string) *bin, admit func(*Job, quota.Room) bool) {
@@ -252,14 +265,6 @@
 		}
 	}
 	slices.SortStableFunc(loads, func(a, c load) int { return cmp.Compare(c.j.rank, a.j.rank) })
-	committed := map[*worker.Machine]float64{}
-	for _, m := range b.reg.All() {
-		for _, t := range b.host(m).on {
-			left := b.Expect(t.Job) - now.Sub(t.sentAt).Seconds()
-			committed[m] += max(left, tuning.LeastRun.Seconds()) * t.Job.need.Share(m.Cap)
-		}
-	}
-	spent := map[*bin]float64{}
 	// Bins that have nothing left for any array of a class are passed over: there
 	// may be thousands of both.
 	least := quota.Unbounded()
@@ -282,12 +287,9 @@
 			if !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) || bn.m != nil && j.avoids(bn.m) {
 				return
 			}
-			t := h - spent[bn]
-			if bn.m != nil {
-				t -= committed[bn.m]
-			}
+			t := h - bn.spent - bn.committed
 			// what is free now takes tasks at once, however long they run
-			t = max(t, dur*float64(bn.free.Count(j.need, maxCount))*j.need.Share(bn.cap)-spent[bn])
+			t = max(t, dur*float64(bn.free.Count(j.need, maxCount))*j.need.Share(bn.cap)-bn.spent)
 			n := min(work, t/each(bn))
 			if n <= 0 {
 				return
@@ -295,15 +297,11 @@
 			if bn.m != nil {
 				bn.m.Wanted = true
 			}
-			spent[bn] += n * each(bn)
+			bn.spent += n * each(bn)
 			work -= n
 		}
 		full := func(bn *bin) bool {
-			t := h - spent[bn]
-			if bn.m != nil {
-				t -= committed[bn.m]
-			}
-			return t <= 0 && !bn.free.Fits(least)
+			return h-bn.spent-bn.committed <= 0 && !bn.free.Fits(least)
 		}
 		for _, cheap := range []bool{true, false} {
 			of := kindOf{j.Spec.Lane, cheap}
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -56,7 +56,7 @@
 }
 
 // Busy is the answer when a stage is full.
-func Busy() Response { return refuse(429, "too many requests at once", tuning.RetryAfterBusy) }
+func Busy() Response { return refuse(503, "too many requests at once", tuning.RetryAfterBusy) }
 
 // Unable is the answer while a node cannot decide.
 func Unable(why string) Response { return refuse(503, why, tuning.RetryAfterUnable) }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -90,6 +90,9 @@
 	CancelTries = 3
 	// BodyBytes is the largest request body, by the protocol.
 	BodyBytes = 64 << 10
+	// BodyAtOnce is the size up to which a body gets all its memory before it has
+	// come: most reports and all usual submissions are smaller.
+	BodyAtOnce = 4 << 10
 )
 
 // Workers.
