--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -128,28 +128,34 @@
 	r.log.Info("serving", "api", r.cfg.APIAddr, "peers", r.cfg.PeerBind)
 	tick := time.NewTicker(tuning.TickEvery)
 	defer tick.Stop()
+	last := time.Now()
 	turn := func(now time.Time) {
+		if late := now.Sub(last) - tuning.TickEvery; late > tuning.LateTick {
+			r.log.Warn("too little processor time", "late", late, "goroutines", runtime.NumGoroutine(),
+				"events", len(r.events), "reports", len(r.reports), "requests", len(r.users))
+		}
+		last = now
 		r.core.Tick(now)
 		r.healthy.Store(r.core.Healthy(now))
 	}
-	turn(time.Now())
+	r.carry("tick", turn)
 	for {
 		select {
 		case f := <-r.events:
 			// a lease's renewal must not wait behind a thousand reports
-			f(time.Now())
+			r.carry("event", f)
 			continue
 		default:
 		}
 		select {
 		case f := <-r.events:
-			f(time.Now())
+			r.carry("event", f)
 		case f := <-r.reports:
-			f(time.Now())
+			r.carry("report", f)
 		case f := <-r.users:
-			f(time.Now())
+			r.carry("request", f)
 		case <-tick.C:
-			turn(time.Now())
+			r.carry("tick", turn)
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
@@ -158,6 +164,16 @@
 	}
 }
 
+// carry has the owner do one thing, and tells of one that took long: on a starved
+// machine that is what makes leases and reports late.
+func (r *Runtime) carry(what string, f func(now time.Time)) {
+	start := time.Now()
+	f(start)
+	if took := time.Since(start); took > tuning.SlowTurn {
+		r.log.Warn("the owner was busy", "with", what, "for", took, "events", len(r.events), "reports", len(r.reports), "requests", len(r.users))
+	}
+}
+
 // post hands an event to the owner, waiting for room.
 func (r *Runtime) post(f func(now time.Time)) {
 	select {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -328,6 +328,12 @@
 const (
 	// TickEvery is how often slices look for what is due.
 	TickEvery = 100 * time.Millisecond
+	// SlowTurn is how long the owner may be busy with one thing before it is logged:
+	// a tenth of a member's lease.
+	SlowTurn = 350 * time.Millisecond
+	// LateTick is how late a tick may come before it is logged: past a member's
+	// renewal it is on the way to losing its lease.
+	LateTick = 1 * time.Second
 	// TallyEvery is how long completions gather before they are written.
 	TallyEvery = 1500 * time.Millisecond
 	// TallyBits is how many bits of a tally go into one byte of a value's
