--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -89,7 +89,7 @@
 	hold     uint64
 	deadline time.Time // until then this process may act for its lease
 	heard    time.Time
-	touching bool
+	touching int // renewals under way
 	touchDue time.Time
 	retry    time.Time
 	busy     bool // an election or assignment transaction is under way
@@ -304,29 +304,34 @@
 			s.retry = now.Add(tuning.MemberRetry)
 			return
 		}
-		s.hold, s.deadline = r.Hold, until(r.Sent)
+		s.hold, s.deadline, s.touching = r.Hold, until(r.Sent), 0
 		s.touchDue = r.Sent.Add(tuning.MemberTouch)
 		s.set(memberJoining, "lease granted")
 		s.Tick(now)
 	})
 }
 
+// touch renews the lease. The next renewal does not wait for the answer to the one
+// before: on a starved machine an answer may take longer than a renewal is due, and
+// one that comes late still counts from when it was asked for.
 func (s *Slice) touch(now time.Time) {
-	if s.touching || now.Before(s.touchDue) {
+	if s.touching == tuning.TouchesAtOnce || now.Before(s.touchDue) {
 		return
 	}
-	s.touching = true
+	s.touching++
+	s.touchDue = now.Add(tuning.MemberTouch)
 	hold := s.hold
 	s.call(store.Call{Op: store.OpTouch, Hold: hold}, func(now time.Time, r store.Result) {
-		s.touching = false
 		if s.hold != hold {
 			return
 		}
+		s.touching--
 		switch {
 		case r.OK():
 			s.heard = now
-			s.deadline = until(r.Sent)
-			s.touchDue = r.Sent.Add(tuning.MemberTouch)
+			if d := until(r.Sent); d.After(s.deadline) {
+				s.deadline = d
+			}
 		case r.Status == 404:
 			s.lapse("lease ended")
 		default:
--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -62,6 +62,8 @@
 	for _, s := range labSizes {
 		b.Run(s.name, func(b *testing.B) {
 			w := leanWorld(s)
+			first := w.longest
+			w.longest = 0
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
@@ -71,6 +73,8 @@
 			}
 			b.StopTimer()
 			b.ReportMetric(float64(len(w.workers)), "machines")
+			b.ReportMetric(float64(w.longest.Microseconds()), "us/longest-turn")
+			b.ReportMetric(float64(first.Microseconds()), "us/longest-turn-at-first")
 			if w.holder() == nil {
 				b.Fatal("no holder")
 			}
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -140,9 +140,16 @@
 	}
 	r.carry("tick", turn)
 	for {
+		// a lease's renewal must wait neither behind a thousand reports nor behind
+		// the results of all that the block needs
+		select {
+		case <-tick.C:
+			r.carry("tick", turn)
+			continue
+		default:
+		}
 		select {
 		case f := <-r.events:
-			// a lease's renewal must not wait behind a thousand reports
 			r.carry("event", f)
 			continue
 		default:
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -39,7 +39,8 @@
 	order   []*simJob
 	broken  []string
 	chaos   bool
-	scale   int // how many times the usual size jobs and troubles have; 0: once
+	longest time.Duration // that one controller was busy with one thing, in real time
+	scale   int           // how many times the usual size jobs and troubles have; 0: once
 }
 
 // begin is the time of day at which simulated days begin.
@@ -77,10 +78,14 @@
 
 func (w *world) logger(name string) *slog.Logger {
 	var out io.Writer = io.Discard
+	level := slog.LevelDebug
+	if w.t == nil {
+		level = slog.LevelInfo // a benchmark logs what a controller does
+	}
 	if os.Getenv("WORLD_LOG") != "" {
 		out = os.Stderr
 	}
-	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug,
+	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level,
 		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
 			if a.Key == slog.TimeKey {
 				a.Value = slog.DurationValue(w.clk.now.Sub(begin))
@@ -160,7 +165,9 @@
 // when carries on once the process does not stand still, if it is still there.
 func (n *simNode) when(f func()) {
 	if !n.w.clk.now.Before(n.thaw) {
+		start := time.Now()
 		f()
+		n.w.longest = max(n.w.longest, time.Since(start))
 		return
 	}
 	gen := n.gen
@@ -253,11 +260,7 @@
 		r.Sent = sent
 		e.n.when(func() { then(w.clk.now, r) })
 	}
-	limit := tuning.StateTimeout
-	if c.Op == store.OpChanges {
-		limit += time.Duration(c.WaitMs) * time.Millisecond
-	}
-	w.clk.in(limit, func() { finish(store.Result{}) })
+	w.clk.in(c.Limit(), func() { finish(store.Result{}) })
 	arrive := func() {
 		if e.n.refused && (c.Op != store.OpChanges || c.WaitMs == 0) {
 			w.clk.in(w.lag(), func() { finish(store.Result{Status: 503}) })
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -71,6 +71,8 @@
 	resort   bool      // jobs have come or gone since
 	drawDue  time.Time
 	tried    int  // gangs that found no room in this draw
+	fitted   int  // gangs placed in this draw
+	drawn    int  // arrays' tasks queued in this draw
 	first    *Job // the gang before which no other of its rank is placed
 	strays   map[*worker.Machine][]wire.Piece
 	pace     map[string]float64 // by class: run time over the owner's estimate
--- a/internal/placement/close.go
+++ b/internal/placement/close.go
@@ -92,7 +92,8 @@
 	for _, t := range b.host(m).on {
 		j := t.Job
 		i := slices.IndexFunc(to, func(o *worker.Machine) bool {
-			if o == m || o.Closing || !o.FreeForMain().Sub(got[o]).Sub(mine[o]).Fits(j.need) || !j.allows(o.Build, o.Yard, o.Loaners) || j.avoids(o) {
+			// most have no room at all: that is asked first
+			if !o.FreeForMain().Fits(j.need) || o == m || o.Closing || !o.FreeForMain().Sub(got[o]).Sub(mine[o]).Fits(j.need) || !j.allows(o.Build, o.Yard, o.Loaners) || j.avoids(o) {
 				return false
 			}
 			_, ok := o.Images[j.Spec.Bundle]
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -283,11 +283,15 @@
 		work := float64(l.n)
 		each := func(bn *bin) float64 { return dur / float64(max(1, bn.cap.Count(j.need, maxCount))) }
 		pour := func(bn *bin) {
-			// machine time this bin can give to the job within the horizon
+			// machine time this bin can give to the job within the horizon; most have
+			// none left and no room, which is quickly told
+			t := h - bn.spent - bn.committed
+			if t <= 0 && !bn.free.Fits(j.need) {
+				return
+			}
 			if !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) || bn.m != nil && j.avoids(bn.m) {
 				return
 			}
-			t := h - bn.spent - bn.committed
 			// what is free now takes tasks at once, however long they run
 			t = max(t, dur*float64(bn.free.Count(j.need, maxCount))*j.need.Share(bn.cap)-bn.spent)
 			n := min(work, t/each(bn))
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -25,7 +25,7 @@
 // avoids tells whether the job has failed on a machine, and not so widely that
 // the job itself must be at fault.
 func (j *Job) avoids(m *worker.Machine) bool {
-	return j.failedOn[m.Host] > 0 && len(j.failedOn) < tuning.BadJobMachines
+	return len(j.failedOn) > 0 && j.failedOn[m.Host] > 0 && len(j.failedOn) < tuning.BadJobMachines
 }
 
 // yards counts a job's tasks by zone: those on machines, and with queued also
@@ -77,7 +77,7 @@
 		return
 	}
 	b.survey.changed = false
-	b.first, b.tried = nil, 0
+	b.first, b.tried, b.drawn, b.fitted = nil, 0, 0, 0
 	for _, l := range b.byRank(now) {
 		for _, guaranteed := range []bool{true, false} {
 			if guaranteed && !b.book.Guarantees() {
@@ -111,14 +111,15 @@
 }
 
 func (b *Board) drawJob(now time.Time, j *Job, guaranteed, image bool) {
-	if j.closed || now.Before(j.notBefore) {
-		return
-	}
+	// most jobs have nothing waiting: that is told first
 	if j.Gang() {
 		if image {
 			return // where a gang's image is counts in its places' scores
 		}
-	} else if len(b.survey.roomy) == 0 || j.held() == 0 {
+	} else if j.held() == 0 || len(b.survey.roomy) == 0 {
+		return
+	}
+	if j.closed || now.Before(j.notBefore) {
 		return
 	}
 	if !b.startable(j) {
@@ -153,7 +154,7 @@
 	fit := func(m *worker.Machine) bool {
 		return m.FreeForMain().Fits(j.need) && (spread == nil || j.zoneOK(m.Yard, spread)) && (patient == 0 || b.hasImage(m, j.Spec.Bundle))
 	}
-	var cands []*host
+	var cands []cell
 	kept := false
 	for _, h := range b.survey.roomy {
 		m := h.m
@@ -162,13 +163,17 @@
 		case b.keptFor(now, j, m):
 			kept = true
 		default:
-			cands = append(cands, h)
+			cands = append(cands, cell{m, b.tier(j, m)})
 		}
 	}
 	if len(cands) > 0 && !b.mayBegin(now, j) {
 		return
 	}
 	for n := 0; j.held() > 0; n++ {
+		if b.drawn == tuning.DrawTasks {
+			b.survey.again() // what else there is to do goes first
+			return
+		}
 		if j.level >= wire.Ranks+j.rank && n == tuning.BeginTasks {
 			return // it has begun; the rest waits for its turn
 		}
@@ -179,13 +184,8 @@
 			b.waits(j, "team's limit")
 			return
 		}
-		m := b.pick(cands, func(m *worker.Machine) (int, bool) {
-			if !fit(m) {
-				return 0, false
-			}
-			return b.tier(j, m), true
-		})
-		if m == nil {
+		at := b.pick(cands)
+		if at < 0 {
 			b.waits(j, "no room")
 			if !kept {
 				j.missed[patient] = b.survey.change + 1
@@ -198,11 +198,21 @@
 			return
 		}
 		j.why = ""
+		m := cands[at].m
 		t := &Task{Job: j, N: n}
 		j.tasks[n] = t
 		b.queueMain(now, t, m)
+		b.drawn++
 		if spread != nil {
 			spread[m.Yard]++
+			cands = slices.DeleteFunc(cands, func(c cell) bool { return !fit(c.m) })
+			for i := range cands {
+				cands[i].tier = b.tier(j, cands[i].m)
+			}
+		} else if fit(m) {
+			cands[at].tier = b.tier(j, m)
+		} else {
+			cands = slices.Delete(cands, at, at+1)
 		}
 		if !j.Standing() {
 			b.drawSpare(now, t)
@@ -235,25 +245,33 @@
 	return slices.ContainsFunc(h.on, has) || slices.ContainsFunc(h.high, has)
 }
 
-// pick chooses at random among the machines of the lowest tier.
-func (b *Board) pick(among []*host, fit func(m *worker.Machine) (int, bool)) *worker.Machine {
-	var best *worker.Machine
+// cell is a machine that has room for a task, and its tier.
+type cell struct {
+	m    *worker.Machine
+	tier int
+}
+
+// pick chooses at random among the machines of the lowest tier, -1 if there is none.
+func (b *Board) pick(among []cell) int {
 	low, n := 0, 0
-	for _, h := range among {
-		tier, ok := fit(h.m)
-		if !ok || best != nil && tier > low {
-			continue
-		}
-		if best == nil || tier < low {
-			best, low, n = h.m, tier, 1
-			continue
-		}
-		n++
-		if b.rng.IntN(n) == 0 {
-			best = h.m
+	for i := range among {
+		switch tier := among[i].tier; {
+		case n == 0 || tier < low:
+			low, n = tier, 1
+		case tier == low:
+			n++
 		}
 	}
-	return best
+	if n == 0 {
+		return -1
+	}
+	n = b.rng.IntN(n)
+	return slices.IndexFunc(among, func(c cell) bool {
+		if c.tier == low {
+			n--
+		}
+		return n < 0
+	})
 }
 
 // drawSpare queues a task's spare low at another random worker whose whole
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -49,6 +49,10 @@
 		b.noRoom(now, j)
 		return
 	}
+	if b.fitted == tuning.DrawGangs {
+		b.survey.again() // what else there is to do goes first
+		return
+	}
 	// before the places are chosen: thousands may wait for their marks
 	if !b.mayBegin(now, j) {
 		return
@@ -74,6 +78,7 @@
 		b.noRoom(now, j)
 		return
 	}
+	b.fitted++
 	b.Count.GangsPlaced++
 	j.why = ""
 	hurry := b.hurry(now, j, best)
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -28,10 +28,7 @@
 
 // Do carries out a call. It blocks until the answer or the call's time limit.
 func (c *Client) Do(ctx context.Context, call Call) Result {
-	limit := tuning.StateTimeout
-	if call.Op == OpChanges {
-		limit = time.Duration(call.WaitMs)*time.Millisecond + tuning.StateTimeout
-	}
+	limit := call.Limit()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	method, path, body := call.request()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"time"
 
+	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 )
 
@@ -53,6 +54,17 @@
 	WaitMs int           // OpChanges
 }
 
+// Limit is how long a call may take.
+func (c Call) Limit() time.Duration {
+	switch c.Op {
+	case OpChanges:
+		return time.Duration(c.WaitMs)*time.Millisecond + tuning.StateTimeout
+	case OpTouch:
+		return tuning.TouchTimeout
+	}
+	return tuning.StateTimeout
+}
+
 // Result is what came of a call.
 type Result struct {
 	Status int // the HTTP status; 0 when no response came
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -15,6 +15,10 @@
 	// MemberTouch is how long after a renewal the next is sent: three may be
 	// lost before the lease ends.
 	MemberTouch = 1000 * time.Millisecond
+	// TouchesAtOnce is how many renewals may be under way, and TouchTimeout how long
+	// one may take: an answer later than the lease is of no use.
+	TouchesAtOnce = 3
+	TouchTimeout  = 3 * time.Second
 	// MemberRetry is the pause after a failed renewal or grant.
 	MemberRetry = 250 * time.Millisecond
 	// LeaseGuard is how long before its lease may end a holder stops acting:
@@ -176,6 +180,11 @@
 	// GangsTried is how many gangs may find no room in one draw before the rest
 	// is not tried: with thousands waiting the first have not been placed.
 	GangsTried = 200
+	// DrawTasks is how many arrays' tasks one draw queues, DrawGangs how many gangs it
+	// places; the next draw goes on. A draw that placed all of a burst kept
+	// a holder with a twentieth of a core from its lease for a second.
+	DrawTasks = 64
+	DrawGangs = 8
 	// BeginBy is after how long a job of which nothing has started goes first,
 	// with BeginTasks of its tasks: the largest jobs too should begin within
 	// four minutes, whatever the burst.
