--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -182,3 +182,39 @@
 		t.Error("acts for a lease that has ended")
 	}
 }
+
+// Renewals go on while the answers to earlier ones are late, and a late answer counts
+// from when its renewal was sent: a holder short of processor time waited for one
+// answer until its lease was over, and was deposed.
+func TestLateRenewals(t *testing.T) {
+	e := newElect()
+	e.join(t)
+	sent := e.now
+	e.now = e.now.Add(tuning.MemberTouch)
+	touches := func() (n int) {
+		for _, c := range e.sent {
+			if c.Op == store.OpTouch {
+				n++
+			}
+		}
+		return n
+	}
+	for i := range 4 {
+		e.s.Tick(e.now)
+		if want := min(i+1, tuning.TouchesAtOnce); touches() != want {
+			t.Fatalf("%d renewals under way after %v, want %d", touches(), e.now.Sub(sent), want)
+		}
+		e.now = e.now.Add(tuning.MemberTouch)
+	}
+	// the second was sent 2 s after the grant and is answered first
+	at, then := sent.Add(2*tuning.MemberTouch), e.then[len(e.then)-2]
+	then(e.now, store.Result{Status: 200, Sent: at})
+	if got := e.s.Deadline(); !got.Equal(until(at)) {
+		t.Errorf("the lease stands until %v after the renewal, want %v", got.Sub(at), until(at).Sub(at))
+	}
+	// an earlier one's answer does not shorten it
+	e.then[len(e.then)-3](e.now, store.Result{Status: 200, Sent: sent.Add(tuning.MemberTouch)})
+	if got := e.s.Deadline(); !got.Equal(until(at)) {
+		t.Errorf("an earlier answer moved the end to %v", got.Sub(at))
+	}
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -310,6 +310,13 @@
 	c.redirect(b, reply)
 }
 
+// Waited tells how long the next report has waited for its turn.
+func (c *Core) Waited(d time.Duration) {
+	for _, t := range c.tenures {
+		t.reg.Behind = d
+	}
+}
+
 // blockOf finds the block of a machine: the one whose hire records name it;
 // machines that nobody expected go to the first block.
 func (c *Core) blockOf(host string) int {
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -167,7 +167,9 @@
 	}
 	isWorker(req)
 	ch := make(chan submission.Response, 1)
+	came := time.Now()
 	report := func(now time.Time) {
+		r.core.Waited(now.Sub(came))
 		r.core.Report(now, &rep, func(status int, body any) { ch <- submission.Response{Status: status, Body: body} })
 	}
 	if !offer(r.reports, report) && !r.wait(w, req, report) {
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -62,9 +62,9 @@
 	debug.SetMemoryLimit(int64(l.MemoryMB * (1 << 20) * tuning.MemoryShare))
 }
 
-func transport(conns int) *http.Transport {
+func transport(conns int, dial time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: tuning.DialTimeout, KeepAlive: -1}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dial, KeepAlive: -1}).DialContext,
 		MaxIdleConns:        conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     tuning.IdleTimeout,
@@ -80,9 +80,9 @@
 		events:     make(chan func(time.Time), tuning.EventBuffer),
 		reports:    make(chan func(time.Time), tuning.EventBuffer),
 		users:      make(chan func(time.Time), tuning.EventBuffer),
-		state:      store.NewClient(cfg.External.State, transport(stateConns()), time.Now),
-		cloud:      fleet.NewClient(cfg.External.Cloud, transport(tuning.CloudCalls)),
-		workers:    &http.Client{Transport: transport(tuning.DoIdle)},
+		state:      store.NewClient(cfg.External.State, transport(stateConns(), tuning.DialTimeout), time.Now),
+		cloud:      fleet.NewClient(cfg.External.Cloud, transport(tuning.CloudCalls, tuning.DialTimeout)),
+		workers:    &http.Client{Transport: transport(tuning.DoIdle, tuning.WorkerDial)},
 		peers:      peer.NewClients(cfg.Known),
 		budget:     store.NewBudget(cfg.Facts.State.RPS, cfg.Facts.State.WriteRPS, len(cfg.Known)+1),
 		readSlots:  make(chan struct{}, tuning.StateReads),
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -107,8 +107,13 @@
 	// not reported for so long gets no new work.
 	SilentReports = 1.6
 	SilentGrace   = 500 * time.Millisecond
-	// DoTimeout bounds a direct command, which normally takes milliseconds.
-	DoTimeout = 3 * time.Second
+	// DoTimeout bounds a direct command, which normally takes milliseconds. An answer
+	// that a holder short of processor time is too slow to read would count against
+	// the machine, which is returned: with 3 s a starved one returned one after the
+	// other. Machines that cannot be reached are told by WorkerDial, how long the
+	// making of a connection to a worker may take, for the same reason not too short.
+	DoTimeout  = 8 * time.Second
+	WorkerDial = 2 * time.Second
 	// DoCalls is how many direct commands may be under way at once, or DoShare of
 	// the machine's sockets if that is more: a fifth of the machines may be cut
 	// off, and each command to one of them hangs for a second. DoIdle is how many
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -115,6 +115,9 @@
 	order  []*Machine      // in the order in which they became known
 	gone   map[string]bool // machines whose deletion was answered
 	expiry time.Duration
+	// Behind is how long the newest report handled had waited for its turn: while
+	// that is long, machines that seem silent have their reports waiting here.
+	Behind time.Duration
 }
 
 // NewRegistry makes an empty registry.
@@ -267,7 +270,7 @@
 	for _, m := range r.order {
 		switch m.State {
 		case Up:
-			if now.Sub(m.Heard) > r.silence() {
+			if now.Sub(m.Heard) > r.silence()+r.Behind {
 				r.Set(now, m, Silent, "no report")
 			}
 		case Silent, Deleting:
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -114,3 +114,32 @@
 		})
 	}
 }
+
+// A holder that is behind with its reports does not take the machines for silent
+// whose reports wait for their turn: short of processor time, it took all of them for
+// silent at once, and stopped giving them work.
+func TestBehind(t *testing.T) {
+	silence := registry().silence()
+	for _, c := range []struct {
+		name   string
+		after  time.Duration
+		behind time.Duration
+		want   State
+	}{
+		{"reports in time", silence - time.Millisecond, 0, Up},
+		{"stopped reporting", silence + time.Millisecond, 0, Silent},
+		{"its report may be waiting here", silence + time.Millisecond, time.Second, Up},
+		{"silent for longer than that", silence + 1001*time.Millisecond, time.Second, Silent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := registry()
+			m := r.Add(time.Unix(0, 0), "i-1", Booting)
+			r.Absorb(time.Unix(0, 0), m, &wire.Report{Host: "i-1", Stint: 1, Tally: 1}, true)
+			r.Behind = c.behind
+			r.Quiet(time.Unix(0, 0).Add(c.after), time.Time{})
+			if m.State != c.want {
+				t.Errorf("%v, want %v", m.State, c.want)
+			}
+		})
+	}
+}
