--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -67,6 +67,9 @@
 			if err != nil {
 				return err
 			}
+			for _, why := range cfg.Facts.Limits.Small() {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: warning: %s\n", args[0], why)
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: fine: member %s of %d, %d teams\n", args[0], cfg.Member, len(cfg.Known)+1, len(cfg.Facts.Teams))
 			return nil
 		},
@@ -96,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	for _, why := range cfg.Facts.Limits.Small() {
+		log.Warn("a small machine", "why", why)
+	}
 	node.LimitProcess(cfg.Facts.Limits)
 	var seed [16]byte
 	if _, err := crand.Read(seed[:]); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"juniperchute/internal/tuning"
 )
 
 // Known is another controller node.
@@ -65,6 +67,25 @@
 	Sockets  int     `toml:"sockets"`
 }
 
+// Small names the fields that are smaller than any this service was measured with:
+// it runs, as the fleet may be small too, but nobody has seen it keep up.
+func (l Limits) Small() []string {
+	var out []string
+	for _, f := range []struct {
+		name         string
+		value, least float64
+	}{
+		{"cpu", l.CPU, tuning.MeasuredCPU},
+		{"memory_mb", l.MemoryMB, tuning.MeasuredMemoryMB},
+		{"sockets", float64(l.Sockets), tuning.MeasuredSockets},
+	} {
+		if f.value < f.least {
+			out = append(out, fmt.Sprintf("facts.machine_limits.%s: %g is below %g, the least measured", f.name, f.value, f.least))
+		}
+	}
+	return out
+}
+
 // Facts describe the deployment.
 type Facts struct {
 	Nodes       int         `toml:"nodes"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -63,6 +63,10 @@
 		{"negative lease", "lease_s = 10.0", "lease_s = -1.0", "facts.workers.lease_s"},
 		{"wrong type", "rps = 200.0", `rps = "many"`, "line "},
 		{"not TOML", "[external]", "[external", "line "},
+		{"no processor share", "cpu = 0.12", "", "facts.machine_limits.cpu"},
+		{"no memory", "memory_mb = 98.0", "memory_mb = 0.0", "facts.machine_limits.memory_mb"},
+		{"memory that is no number", "memory_mb = 98.0", "memory_mb = nan", "facts.machine_limits.memory_mb"},
+		{"negative sockets", "sockets = 900", "sockets = -1", "facts.machine_limits.sockets"},
 		{"negative limit", "gpus_max = 8.0", "gpus_max = -8.0", "facts.teams[0]"},
 		{"whole numbers as amounts", "lease_s = 10.0", "lease_s = 10", ""},
 	} {
@@ -83,3 +87,28 @@
 		})
 	}
 }
+
+// A machine smaller than any measured is warned of, field by field, and is no error.
+func TestSmall(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		limits Limits
+		names  []string
+	}{
+		{"the least measured", Limits{CPU: 0.036, MemoryMB: 65, Sockets: 900}, nil},
+		{"half its share", Limits{CPU: 0.018, MemoryMB: 65, Sockets: 900}, []string{"cpu"}},
+		{"less of all", Limits{CPU: 0.01, MemoryMB: 20, Sockets: 100}, []string{"cpu", "memory_mb", "sockets"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := c.limits.Small()
+			if len(got) != len(c.names) {
+				t.Fatalf("%q, want %q named", got, c.names)
+			}
+			for i, n := range c.names {
+				if !strings.Contains(got[i], "facts.machine_limits."+n+":") {
+					t.Errorf("%q does not name %q", got[i], n)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/placement/draw_test.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// A burst is drawn in several goes, each of them short, and the next ones go on
+// although nothing has changed in between: a draw that placed all of a burst kept a
+// starved holder from its lease for a second.
+func TestDrawsAreShort(t *testing.T) {
+	const machines = 3 * tuning.DrawTasks
+	for _, c := range []struct {
+		name   string
+		jobs   int
+		shape  string
+		pieces int
+		gpus   float64
+		most   int // tasks in one go
+	}{
+		{"a large array", 1, wire.ShapeBatch, 2 * machines, 0, tuning.DrawTasks},
+		{"many arrays", machines, wire.ShapeBatch, 2, 0, tuning.DrawTasks},
+		{"many gangs", 3 * tuning.DrawGangs, wire.ShapeGang, 2, 0, 2 * tuning.DrawGangs},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newBench(t, machines)
+			var jobs []*Job
+			for range c.jobs {
+				j := x.job("blue", c.shape, "normal", c.pieces, c.gpus)
+				jobs = append(jobs, j)
+			}
+			x.now = x.now.Add(time.Second)
+			drawn := func() (n int) {
+				for _, j := range jobs {
+					n += len(j.tasks)
+				}
+				return n
+			}
+			all := c.jobs * c.pieces
+			for goes := 0; drawn() < all; goes++ {
+				before := drawn()
+				x.b.Draw(x.now)
+				if n := drawn() - before; n == 0 || n > c.most {
+					t.Fatalf("go %d drew %d tasks, %d of %d before; want 1 to %d", goes, n, before, all, c.most)
+				}
+			}
+		})
+	}
+}
+
+// The choice is among the machines of the lowest tier, and each of them may be it.
+func TestPick(t *testing.T) {
+	b := newBench(t, 0).b
+	for _, c := range []struct {
+		name  string
+		tiers []int
+		want  []int
+	}{
+		{"none", nil, []int{-1}},
+		{"one", []int{5}, []int{0}},
+		{"the lowest, wherever it is", []int{3, 1, 2}, []int{1}},
+		{"any of the lowest", []int{2, 1, 4, 1, 1}, []int{1, 3, 4}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var among []cell
+			for _, tier := range c.tiers {
+				among = append(among, cell{tier: tier})
+			}
+			got := map[int]bool{}
+			for range 200 {
+				got[b.pick(among)] = true
+			}
+			for _, i := range c.want {
+				if !got[i] {
+					t.Errorf("%d was never chosen, only %v", i, got)
+				}
+			}
+			if len(got) != len(c.want) {
+				t.Errorf("chosen: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -413,6 +413,12 @@
 	OrdersMost = 300
 	// StatusJobs bounds the jobs in a status.
 	StatusJobs = 200
+	// MeasuredCPU, in cores, MeasuredMemoryMB and MeasuredSockets are the smallest
+	// machine on which the service was seen to keep up with a fleet, of up to 260
+	// simulated machines (docs/operations.md); below them it warns.
+	MeasuredCPU      = 0.036
+	MeasuredMemoryMB = 65
+	MeasuredSockets  = 900
 	// GCPercent lets the heap grow several times over what is live before it is
 	// collected: what is live is small, and the memory limit bounds the rest.
 	GCPercent = 400
