--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -10,10 +10,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"juniperchute/internal/config"
+	"juniperchute/internal/peer"
+	"juniperchute/internal/peer/peerpb"
 	"juniperchute/internal/wire"
 )
 
@@ -119,6 +122,13 @@
 			`"Bundle":"img-07","ImageGb":6.2,"Builds":["g8"],"Yard":null,"Together":true,"Apart":false,"Loaners":true,"GuessS":240.0,"BookmarkS":30.0,"StowS":4.0,"DueS":900.0}`, n)
 	}
 	ask(b, http.StatusCreated, http.MethodPost, "/submissions", job(1))
+	line, err := peer.Dial(r.cfg.PeerBind)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer line.Close()
+	peers := peerpb.NewPeerClient(line)
+	many := slices.Repeat([]string{"job-000001"}, 100)
 	rep := wire.Report{Host: "i-999999", Address: "127.0.0.1:1", Build: "g8", Yard: "a", Stint: 1, Baton: 1}
 	for i := range 8 {
 		rep.Pieces = append(rep.Pieces, wire.Piece{Piece: fmt.Sprintf("job-%06d/%d", 1, i), Try: 1<<20 + uint64(i), Stage: wire.PieceRunning})
@@ -135,6 +145,16 @@
 		{"question", func(b *testing.B) { ask(b, http.StatusOK, http.MethodGet, "/submissions/job-000001", nil) }},
 		{"submission again", func(b *testing.B) { ask(b, http.StatusOK, http.MethodPost, "/submissions", job(1)) }},
 		{"malformed", func(b *testing.B) { ask(b, http.StatusBadRequest, http.MethodPost, "/submissions", job(1)[1:]) }},
+		{"pulse of a peer", func(b *testing.B) {
+			if _, err := peers.Pulse(b.Context(), &peerpb.PulseMessage{Member: "node-1", Holdings: []*peerpb.Holding{{Baton: 1, Holder: "node-0"}}}); err != nil {
+				b.Fatal(err)
+			}
+		}},
+		{"peer's question about 100 jobs", func(b *testing.B) {
+			if _, err := peers.Progress(b.Context(), &peerpb.ProgressRequest{Jobs: many}); err != nil {
+				b.Fatal(err)
+			}
+		}},
 		{"health", func(b *testing.B) { ask(b, http.StatusOK, http.MethodGet, "/healthz", nil) }},
 	} {
 		b.Run(c.name, func(b *testing.B) {
