Cancellation horizon: a holder renews only while it knows all that users were told

Cause: a holder cut off from the state service went on renewing workers for as long as its peers said that the service answers nobody, on the ground that nobody could have taken a cancellation. One confirmed before the outage and never read was overlooked.

Now each node passes what it told to the block's holder, at once and with each pulse, until the holder under the newest token has it; a holder's horizon moves on with its own reads or when every peer vouches for its own process; past the horizon reports go unanswered, and known cancellations are stopped past the lease's end too. The stand-in's refusal of one node now holds that node's watches, as the protocol says.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -145,6 +145,9 @@
 	return s.mirror.Heard()
 }
 
+// Fresh is the moment up to which all changes of the control records are known.
+func (s *Slice) Fresh() time.Time { return s.mirror.Fresh() }
+
 // Inc is this process's incarnation, 0 while it has no lease.
 func (s *Slice) Inc() uint64 { return s.hold }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -117,7 +117,7 @@
 // Status tells an operator what this controller knows.
 func (c *Core) Status(now time.Time, lat map[string]int64) *peerpb.StatusReply {
 	names, lead := c.leader.Members()
-	out := &peerpb.StatusReply{Member: c.cfg.Member, Leader: lead, Members: names, Blocks: c.pulseMessage(now).Holdings}
+	out := &peerpb.StatusReply{Member: c.cfg.Member, Leader: lead, Members: names, Blocks: c.holdings()}
 	for b := range c.blocks {
 		if t := c.tenures[b]; t != nil {
 			out.Held = append(out.Held, t.status(lat))
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -63,12 +63,19 @@
 	claims    map[int]*peerpb.Holding // the highest Baton that peers know of each block
 	asking    map[int]*asking
 	pulseDue  time.Time
+	process   uint64    // drawn at the start: tells this process from others of its name
+	born      time.Time // of its first tick
+	told      *submission.Told
+	passing   map[string]bool // holders that a cancellation is being passed to
 	timers    []timer
 }
 
 type peerView struct {
-	heard  time.Time     // when it last said so
-	silent time.Duration // since the state service answered it
+	heard   time.Time     // when it last said so
+	silent  time.Duration // since the state service answered it
+	process uint64        // of its newest message
+	mark    int64         // its clock's in that message
+	owed    []string      // cancellations that it passed on and has not been told of having
 }
 
 type timer struct {
@@ -80,7 +87,8 @@
 func NewCore(cfg *config.Config, blocks int, env Env, rng *rand.Rand, wall func() time.Time, log *slog.Logger) *Core {
 	c := &Core{cfg: cfg, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
 		tenures: map[int]*tenure{}, flavors: map[string]wire.Flavor{}, flavorRaw: map[string]string{},
-		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}, blockFor: map[string]int{}, asking: map[int]*asking{}}
+		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}, blockFor: map[string]int{}, asking: map[int]*asking{},
+		process: rng.Uint64() | 1, told: submission.NewTold(blocks, config.Seconds(cfg.Facts.Workers.CancelS)), passing: map[string]bool{}}
 	c.leader = leader.New(cfg.Member, blocks, wall, c.state, log, c.control)
 	c.open = store.NewMirror(submission.OpenUnder, c.state, func(now time.Time, _ string, it wire.Item, gone bool) {
 		for _, t := range c.tenures {
@@ -91,7 +99,7 @@
 	})
 	c.hires = store.NewMirror(fleet.UnderHires, c.state, c.hired)
 	c.users = submission.New(cfg.Facts, blocks, wall, c.state, log,
-		c.types, c.open, c.progress)
+		c.types, c.open, c.progress, c.tell)
 	for _, k := range cfg.Known {
 		c.peers[k.Member] = &peerView{}
 	}
@@ -185,6 +193,9 @@
 
 // Tick starts what is due.
 func (c *Core) Tick(now time.Time) {
+	if c.born.IsZero() {
+		c.born = now
+	}
 	c.leader.Tick(now)
 	for i := 0; i < len(c.timers); {
 		if tm := c.timers[i]; !now.Before(tm.at) {
@@ -221,40 +232,133 @@
 	return now.Sub(c.leader.Heard())
 }
 
-func (c *Core) pulseMessage(now time.Time) *peerpb.PulseMessage {
-	m := &peerpb.PulseMessage{Member: c.cfg.Member, StateSilentMs: c.silent(now).Milliseconds()}
+// tokens are the highest fencing tokens known, by block.
+func (c *Core) tokens() []uint64 {
+	out := make([]uint64, c.blocks)
+	for b := range out {
+		_, out[b], _ = c.holder(b)
+	}
+	return out
+}
+
+// holdings tells who holds the blocks, as far as this node knows.
+func (c *Core) holdings() (out []*peerpb.Holding) {
 	for b := range c.blocks {
 		if holder, baton, _ := c.holder(b); baton > 0 {
-			m.Holdings = append(m.Holdings, &peerpb.Holding{Block: int32(b), Baton: baton, Holder: holder})
+			out = append(out, &peerpb.Holding{Block: int32(b), Baton: baton, Holder: holder})
 		}
 	}
+	return out
+}
+
+// pulseMessage is what a peer is told.
+func (c *Core) pulseMessage(now time.Time, to string) *peerpb.PulseMessage {
+	m := &peerpb.PulseMessage{Member: c.cfg.Member, StateSilentMs: c.silent(now).Milliseconds(), Process: c.process}
+	if !c.born.IsZero() {
+		up := now.Sub(c.born)
+		m.UpMs, m.MarkNs = up.Milliseconds(), int64(up)
+	}
+	m.Holdings = c.holdings()
+	m.Withdrawn, m.Vouches = c.told.Pending(now, c.tokens())
+	if p := c.peers[to]; p != nil {
+		m.EchoProcess, m.EchoNs, m.Have = p.process, p.mark, p.owed
+		p.owed = nil
+	}
 	return m
 }
 
 func (c *Core) pulse(now time.Time) {
 	for _, k := range c.cfg.Known {
-		name := k.Member
-		if name < c.cfg.Member {
+		if k.Member < c.cfg.Member {
 			continue // it asks: one exchange tells both all there is to tell
 		}
-		c.env.Pulse(name, c.pulseMessage(now), func(now time.Time, r *peerpb.PulseMessage, err error) {
-			if err == nil {
-				c.heardPeer(now, name, r)
-			}
-		})
+		c.exchange(now, k.Member, func(time.Time) {})
+	}
+}
+
+// exchange tells a peer what this node knows and hears the same of it.
+func (c *Core) exchange(now time.Time, member string, then func(now time.Time)) {
+	c.env.Pulse(member, c.pulseMessage(now, member), func(now time.Time, r *peerpb.PulseMessage, err error) {
+		if err == nil {
+			c.heardPeer(now, member, r)
+		}
+		then(now)
+	})
+}
+
+// tell takes note of a cancellation that a user is about to be told of, and passes it
+// to the block's holder at once: one that cannot read it in the state service would go
+// on renewing the leases of its tasks' machines. The user's answer does not wait.
+func (c *Core) tell(now time.Time, id string) {
+	c.told.Add(now, id)
+	for b := range c.blocks {
+		if t := c.tenures[b]; t != nil && t.state != tenureOver {
+			t.withdrawn(now, id)
+			c.told.Had([]string{id}, b, t.Baton)
+		}
+		if holder, _, live := c.holder(b); live {
+			c.pass(now, holder)
+		}
+	}
+}
+
+// pass sends a holder what it has not said it has. One message at a time: what comes
+// up meanwhile goes with the next.
+func (c *Core) pass(now time.Time, holder string) {
+	if c.peers[holder] == nil || c.passing[holder] {
+		return
 	}
+	before, _ := c.told.Pending(now, c.tokens())
+	if len(before) == 0 {
+		return
+	}
+	c.passing[holder] = true
+	c.exchange(now, holder, func(now time.Time) {
+		c.passing[holder] = false
+		if left, _ := c.told.Pending(now, c.tokens()); len(left) > 0 && left[len(left)-1] != before[len(before)-1] {
+			c.pass(now, holder)
+		}
+	})
 }
 
 func (c *Core) heardPeer(now time.Time, name string, m *peerpb.PulseMessage) {
-	if p := c.peers[name]; p != nil {
+	p := c.peers[name]
+	if p != nil {
 		p.heard, p.silent = now, time.Duration(m.StateSilentMs)*time.Millisecond
+		if p.process != m.Process || m.MarkNs > p.mark {
+			p.process, p.mark = m.Process, m.MarkNs
+		}
+		p.owed = append(p.owed, m.Withdrawn...)
+		p.owed = p.owed[max(0, len(p.owed)-tuning.ToldAtOnce):]
+	}
+	for _, t := range c.tenures {
+		for _, id := range m.Withdrawn {
+			if t.state != tenureOver {
+				t.withdrawn(now, id)
+			}
+		}
 	}
 	for _, h := range m.Holdings {
+		if h.Holder == m.Member {
+			c.told.Had(m.Have, int(h.Block), h.Baton)
+		}
 		if old := c.claims[int(h.Block)]; old == nil || h.Baton > old.Baton {
 			c.claims[int(h.Block)] = h
 		}
-		if t := c.tenures[int(h.Block)]; t != nil && t.state != tenureOver && h.Baton > t.Baton {
+		t := c.tenures[int(h.Block)]
+		if t == nil || t.state == tenureOver {
+			continue
+		}
+		if h.Baton > t.Baton {
 			t.end(now, "a peer knows a higher Baton")
+			continue
+		}
+		// A peer that knows of another holder passes on what that one lacks. One that
+		// echoes what this process sent has made its message after that was sent;
+		// any other message may have been held back.
+		if p != nil && h.Baton == t.Baton && m.Vouches && m.EchoProcess == c.process && t.state != tenureLoading {
+			up := time.Duration(m.UpMs) * time.Millisecond
+			t.horizon.Vouch(name, m.Process, now.Add(-up+time.Duration(float64(up)*2*tuning.ClockDrift)), c.born.Add(time.Duration(m.EchoNs)))
 		}
 	}
 }
@@ -262,19 +366,7 @@
 // Pulse answers a peer's pulse.
 func (c *Core) Pulse(now time.Time, m *peerpb.PulseMessage) *peerpb.PulseMessage {
 	c.heardPeer(now, m.Member, m)
-	return c.pulseMessage(now)
-}
-
-// outage tells whether every other controller has just said that the state
-// service does not answer it either: then no one can have taken a cancellation
-// or a block.
-func (c *Core) outage(now time.Time) bool {
-	for _, p := range c.peers {
-		if p.heard.IsZero() || now.Sub(p.heard) > 2*tuning.PulseEvery+tuning.PulseTimeout || p.silent < 2*tuning.PulseEvery {
-			return false
-		}
-	}
-	return len(c.peers) > 0
+	return c.pulseMessage(now, m.Member)
 }
 
 // Healthy tells whether this node can take requests. A node that alone lost
--- a/internal/node/standin_worker_test.go
+++ b/internal/node/standin_worker_test.go
@@ -19,7 +19,7 @@
 	sick     bool
 	cut      bool     // its network is cut
 	only     *simNode // the one node it can reach; nil: all
-	mute     bool     // its reports arrive, but no answer or command reaches it
+	deaf     bool     // its reports arrive, but no answer or command reaches it
 	late     []func() // messages held back by the cut or the hang
 	stint    uint64
 	tally    uint64
@@ -217,7 +217,7 @@
 		}
 	})
 	reply := func(status int, body any) {
-		if h.mute {
+		if h.deaf {
 			return
 		}
 		h.w.deliver(h, nd, func() {
@@ -253,7 +253,7 @@
 	}
 	h.w.deliver(h, nd, func() {
 		if !nd.alive {
-			if !h.mute {
+			if !h.deaf {
 				after()
 			}
 			return
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -53,29 +53,36 @@
 	board *placement.Board
 	fleet *fleet.Slice
 
-	tallies  tallies
-	begun    *store.Pages // jobs that may have tasks on machines
-	found    []wire.Item  // tallies, used machines and begun jobs as read, before they are taken over
-	used     []wire.Item
-	marks    []wire.Item
-	reading  int // reads that are still under way
-	tallyDue time.Time
-	countDue time.Time
-	deaf     bool // no worker is heard any more
-	probeDue time.Time
-	dirty    map[string]*placement.Job
-	finals   map[string]bool // jobs whose end is being written
-	finalDue map[string]time.Time
-	fenceDue map[string]time.Time
-	stints   map[string]uint64 // sessions learned while fencing
+	tallies   tallies
+	begun     *store.Pages // jobs that may have tasks on machines
+	found     []wire.Item  // tallies, used machines and begun jobs as read, before they are taken over
+	used      []wire.Item
+	marks     []wire.Item
+	reading   int // reads that are still under way
+	tallyDue  time.Time
+	countDue  time.Time
+	deaf      bool // no worker is heard any more
+	probeDue  time.Time
+	dirty     map[string]*placement.Job
+	finals    map[string]bool // jobs whose end is being written
+	finalDue  map[string]time.Time
+	fenceDue  map[string]time.Time
+	stints    map[string]uint64 // sessions learned while fencing
+	horizon   *leader.Horizon   // of the cancellations known here
+	calledOff map[string]bool   // jobs that a node has told of as cancelled and that may still be read as open
 }
 
 func newTenure(now time.Time, c *Core, l leader.Tenure, inc uint64) *tenure {
 	t := &tenure{
 		Tenure: l, c: c, inc: inc, since: now, log: c.log.With("block", l.Block, "baton", l.Baton),
 		dirty:  map[string]*placement.Job{},
-		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, stints: map[string]uint64{},
+		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, stints: map[string]uint64{}, calledOff: map[string]bool{},
 	}
+	var peers []string
+	for _, k := range c.cfg.Known {
+		peers = append(peers, k.Member)
+	}
+	t.horizon = leader.NewHorizon(peers)
 	t.reg = worker.NewRegistry(c.cfg.Facts.Workers, t.log)
 	t.book = quota.NewBook(c.cfg.Facts.Teams, l.Block, c.blocks)
 	t.board = placement.NewBoard(c.cfg.Facts, l.Baton, t.book, t.reg, c.rng, t.log, t.finished)
@@ -215,11 +222,37 @@
 	t.fleet.Set = fleet.Settings{MaxMachines: s.MaxMachines, Paused: s.HirePaused, IdleReturn: s.IdleReturn}
 }
 
-// renewBound is how long after its own lease's end a holder goes on renewing
-// workers: what it cannot know to be cancelled must be gone in time.
+// renewBound is how long past its horizon a holder goes on renewing workers: what it
+// cannot know to be cancelled must be gone in time.
 func (t *tenure) renewBound() time.Duration {
 	w := t.c.cfg.Facts.Workers
-	return max(0, config.Seconds(w.CancelS)-t.reg.Expiry()-tuning.RenewMargin)
+	return max(tuning.RenewLeast, config.Seconds(w.CancelS)-t.reg.Expiry()-tuning.RenewMargin)
+}
+
+// knows is the moment up to which this holder surely knows all cancellations. A node
+// that reads jobs but not the control records might read on after its block is
+// another's: the older of the two counts.
+func (t *tenure) knows(now time.Time) time.Time {
+	read := t.c.open.Fresh()
+	if f := t.c.leader.Fresh(); f.Before(read) {
+		read = f
+	}
+	t.horizon.Read(read)
+	return t.horizon.At(now)
+}
+
+// withdrawn is told of a cancellation that a node has told a user of. The state service
+// may not tell of it for long, so it counts before it is read there, and the entry
+// that was read as open earlier is one no more.
+func (t *tenure) withdrawn(now time.Time, id string) {
+	if t.calledOff[id] {
+		return
+	}
+	if len(t.calledOff) >= tuning.FinalsKept {
+		clear(t.calledOff) // long read by now
+	}
+	t.calledOff[id] = true
+	t.over(now, id)
 }
 
 // unheardUntil is when the lease of a machine that this tenure has not heard
@@ -246,7 +279,7 @@
 		t.log.Error("job entry cannot be read", "key", it.Path, "error", err)
 		return
 	}
-	if rec.Block != t.Block {
+	if rec.Block != t.Block || t.calledOff[id] {
 		return
 	}
 	// The predecessor started nothing after its lease ended, and that was
@@ -311,7 +344,8 @@
 }
 
 func (t *tenure) over(now time.Time, id string) {
-	t.board.CloseJob(now, id)
+	// Not known before, so not told before the horizon.
+	t.board.CloseJob(now, id, t.horizon.At(now).Add(config.Seconds(t.c.cfg.Facts.Workers.CancelS)))
 	t.tallies.drop(id)
 	t.begun.Drop(id)
 	delete(t.dirty, id)
@@ -491,8 +525,14 @@
 		return
 	}
 	entitled := t.c.leader.Entitled(now)
-	if !entitled && now.After(t.c.leader.Deadline().Add(t.renewBound())) && !t.c.outage(now) {
-		reply(http.StatusServiceUnavailable, submission.Problem{Error: "lease is over"})
+	if now.After(t.knows(now).Add(t.renewBound())) {
+		// A worker's lease counts from when it sent its report: however late this
+		// answer is, no lease that it renews ends later than one renewed now.
+		reply(http.StatusServiceUnavailable, submission.Problem{Error: "what is cancelled is not known"})
+		return
+	}
+	if t.state == tenureLoading && t.unread(rep) {
+		reply(http.StatusServiceUnavailable, submission.Problem{Error: "jobs are being read"})
 		return
 	}
 	stale := func() {
@@ -516,6 +556,11 @@
 			m.Answered = now
 			t.fleet.Entering(now, m, rep)
 		}
+		if t.state != tenureLoading {
+			// What is over may be stopped whatever has happened since: the answer
+			// that renews a cancelled task's lease must not leave it running.
+			out.Orders = append(out.Orders, t.board.Halts(rep.Pieces)...)
+		}
 		reply(http.StatusOK, out)
 		return
 	}
@@ -528,9 +573,21 @@
 		stale()
 		return
 	}
-	if entitled && t.state != tenureLoading {
+	if t.board.Overdue(m, now.Add(t.reg.Expiry()+tuning.RenewMargin)) {
+		// A cancelled job's start may still be on its way to the machine, and no
+		// stop can reach it before: only the end of the session voids it.
+		reply(http.StatusServiceUnavailable, submission.Problem{Error: "a start of a cancelled task is not accounted for"})
+		return
+	}
+	switch {
+	case t.state == tenureLoading:
+	case entitled:
 		t.board.Draw(now)
 		out.Orders = append(out.Orders, t.board.Orders(now, m, true)...)
+	default:
+		// past the lease's end nothing starts, but what is over still stops: under a
+		// superseded token that has no effect
+		out.Orders = append(out.Orders, t.board.Halts(m.Pieces)...)
 	}
 	m.Answered = now
 	reply(http.StatusOK, out)
@@ -539,6 +596,20 @@
 	}
 }
 
+// unread tells whether a report shows a task of a job that this node has not read as
+// open. While the records are being read it cannot be stopped, so its lease is not
+// renewed: the job may have been called off long ago.
+func (t *tenure) unread(rep *wire.Report) bool {
+	return slices.ContainsFunc(rep.Pieces, func(p wire.Piece) bool {
+		id, _, ok := wire.ParsePiece(p.Piece)
+		if !ok || p.Stage == wire.PieceExited {
+			return false
+		}
+		_, open := t.c.open.Get(submission.OpenKey(id))
+		return !open || t.calledOff[id]
+	})
+}
+
 // settle draws, and sends at once what should not wait for a report.
 func (t *tenure) settle(now time.Time) {
 	if t.state == tenureLoading || t.state == tenureOver || !t.c.leader.Entitled(now) {
--- a/internal/node/trouble_test.go
+++ b/internal/node/trouble_test.go
@@ -13,8 +13,10 @@
 )
 
 // calm is a deployment without chance troubles, with work under way.
-func calm(t *testing.T, machines, jobs int) *world {
-	w := newWorld(t, 11, facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10), 1,
+func calm(t *testing.T, machines, jobs int) *world { return calmSeed(t, 11, machines, jobs) }
+
+func calmSeed(t *testing.T, seed uint64, machines, jobs int) *world {
+	w := newWorld(t, seed, facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10), 1,
 		[]wire.Flavor{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Yards: []string{"a"}}})
 	w.cloud.room[roomKey("g2", "a", false)] = machines
 	for i := range jobs {
@@ -41,6 +43,35 @@
 	return nil
 }
 
+// settled waits until every job has ended, with no trouble left, and fails the test if
+// one has not, or if a rule was broken.
+func (w *world) settled() {
+	w.t.Helper()
+	for range 20 {
+		w.runFor(15 * time.Second)
+		left := 0
+		for _, j := range w.order {
+			if j.told != wire.JobDone && j.told != wire.JobWithdrawn {
+				left++
+			}
+			if w.clk.now.Sub(j.answered) > 75*time.Second {
+				w.fail("forgotten: %s", j.spec.ID)
+			}
+		}
+		if left == 0 || len(w.broken) > 0 {
+			break
+		}
+	}
+	for _, j := range w.order {
+		if j.told != wire.JobDone && j.told != wire.JobWithdrawn {
+			w.fail("%s never ended", j.spec.ID)
+		}
+	}
+	if len(w.broken) > 0 {
+		w.t.Fatal(w.broken[0])
+	}
+}
+
 // The troubles that a random day may or may not hold, one by one, each with what
 // must come of it beyond the rules.
 func TestTroubles(t *testing.T) {
@@ -50,7 +81,7 @@
 	}{
 		{"no answer reaches a machine any more: it is returned, and its work runs elsewhere", func(w *world) {
 			h := w.someWorker()
-			h.mute = true
+			h.deaf = true
 			w.runFor(60 * time.Second)
 			if w.workers[h.host.ID] != nil {
 				w.fail("%s is still rented", h.host.ID)
@@ -61,8 +92,8 @@
 			for range 5 {
 				for _, id := range before {
 					if h := w.workers[id]; h != nil {
-						h.mute = true
-						w.clk.in(1600*time.Millisecond, func() { h.mute = false })
+						h.deaf = true
+						w.clk.in(1600*time.Millisecond, func() { h.deaf = false })
 					}
 				}
 				w.runFor(9 * time.Second)
@@ -250,29 +281,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			w := calm(t, 6, 8)
 			c.play(w)
-			for range 20 {
-				w.runFor(15 * time.Second)
-				left := 0
-				for _, j := range w.order {
-					if j.told != wire.JobDone && j.told != wire.JobWithdrawn {
-						left++
-					}
-					if w.clk.now.Sub(j.answered) > 75*time.Second {
-						w.fail("forgotten: %s", j.spec.ID)
-					}
-				}
-				if left == 0 || len(w.broken) > 0 {
-					break
-				}
-			}
-			for _, j := range w.order {
-				if j.told != wire.JobDone && j.told != wire.JobWithdrawn {
-					w.fail("%s never ended", j.spec.ID)
-				}
-			}
-			if len(w.broken) > 0 {
-				t.Fatal(w.broken[0])
-			}
+			w.settled()
 		})
 	}
 }
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -38,6 +38,7 @@
 	jobs    map[string]*simJob
 	order   []*simJob
 	broken  []string
+	looked  time.Time // when the holders' horizons were last checked
 	chaos   bool
 	longest time.Duration // that one controller was busy with one thing, in real time
 	scale   int           // how many times the usual size jobs and troubles have; 0: once
@@ -267,7 +268,8 @@
 			return
 		}
 		w.state.call(c, func(r store.Result) {
-			if e.n.cutState {
+			// a refused node's watches wait as in an outage, those opened before too
+			if e.n.cutState || e.n.refused && c.Op == store.OpChanges {
 				return
 			}
 			w.clk.in(w.lag(), func() {
@@ -356,7 +358,7 @@
 	if h == nil {
 		return
 	}
-	if h.mute {
+	if h.deaf {
 		return
 	}
 	w.deliver(h, e.n, func() {
@@ -527,6 +529,30 @@
 	}
 }
 
+// checkHorizons checks, as only a stand-in can, that each holder knows what it says it
+// does: every cancellation that a user was told of before its horizon.
+func (w *world) checkHorizons() {
+	for _, n := range w.nodes {
+		if !n.alive {
+			continue
+		}
+		for _, t := range n.core.tenures {
+			if t.state == tenureLoading || t.state == tenureOver {
+				continue
+			}
+			at := t.knows(w.clk.now)
+			if at.After(w.clk.now) {
+				w.fail("%s: horizon %v ahead of its clock", n.name, at.Sub(w.clk.now))
+			}
+			for _, j := range w.order {
+				if j.told == wire.JobWithdrawn && j.cancelled.Before(at) && t.board.Job(j.spec.ID) != nil {
+					w.fail("%s does not know that %s was cancelled at %v, with its horizon at %v", n.name, j.spec.ID, j.cancelled.Sub(begin), at.Sub(begin))
+				}
+			}
+		}
+	}
+}
+
 // ask sends a user's request to some node; no answer comes from a dead one.
 func (w *world) ask(f func(n *simNode, reply func(submission.Response)), then func(submission.Response)) {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
@@ -623,6 +649,10 @@
 	for !w.clk.q[0].at.After(end) && len(w.broken) == 0 {
 		w.clk.step()
 		w.check()
+		if w.clk.now.Sub(w.looked) > 500*time.Millisecond {
+			w.looked = w.clk.now
+			w.checkHorizons()
+		}
 	}
 	w.clk.now = end
 }
@@ -715,8 +745,8 @@
 		}
 	case 16, 17:
 		for _, h := range w.someWorkers() {
-			h.mute = true
-			w.clk.in(2*span, func() { h.mute = false })
+			h.deaf = true
+			w.clk.in(2*span, func() { h.deaf = false })
 		}
 	case 19, 20: // stands still while its clocks run on, wherever it is
 		n.stall, n.stallIn = time.Duration(200+w.rng.IntN(30000))*time.Millisecond, []string{"", "state", "command", "return"}[w.rng.IntN(4)]
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -191,13 +191,13 @@
 }
 
 // CloseJob ends a job, done or cancelled: none of its tasks starts any more,
-// and those on machines are told to stop.
-func (b *Board) CloseJob(now time.Time, id string) {
+// and those on machines are told to stop. They must be gone by a time.
+func (b *Board) CloseJob(now time.Time, id string, goneBy time.Time) {
 	j := b.jobs[id]
 	if j == nil || j.closed {
 		return
 	}
-	j.closed = true
+	j.closed, j.goneBy = true, goneBy
 	if i := slices.Index(b.order, j); i >= 0 {
 		b.order = slices.Delete(b.order, i, i+1)
 		b.reorder()
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -154,6 +154,32 @@
 	return out
 }
 
+// Halts are the stops for those of a machine's tasks whose jobs are over. They may be
+// given at any time, by whoever knows of the end.
+func (b *Board) Halts(pieces []wire.Piece) []wire.Order {
+	var out []wire.Order
+	zero := 0.0
+	for _, p := range pieces {
+		id, _, ok := wire.ParsePiece(p.Piece)
+		if !ok || p.Stage == wire.PieceExited || len(out) == tuning.OrdersMost {
+			continue
+		}
+		if j := b.jobs[id]; j == nil || j.closed {
+			out = append(out, wire.Order{Verb: wire.VerbStop, Piece: p.Piece, Try: p.Try, WindDownS: &zero})
+		}
+	}
+	return out
+}
+
+// Overdue tells whether a closed job's start may still reach a machine when none of
+// its tasks may be left any more, if the machine's lease lasts until then. Direct
+// commands that were not answered may be carried out minutes later.
+func (b *Board) Overdue(m *worker.Machine, until time.Time) bool {
+	return slices.ContainsFunc(b.host(m).on, func(t *Task) bool {
+		return t.Job.closed && t.openDo > 0 && !t.reported && until.After(t.Job.goneBy)
+	})
+}
+
 // Answered settles a direct command: executed or surely not.
 func (b *Board) Answered(m *worker.Machine, orders []wire.Order) {
 	for _, t := range b.host(m).on {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -334,7 +334,7 @@
 			if c.settled {
 				x.b.Answered(m, orders)
 			}
-			x.b.CloseJob(x.now, j.Spec.ID)
+			x.b.CloseJob(x.now, j.Spec.ID, x.now.Add(time.Minute))
 			rep := &wire.Report{Host: m.Host, Build: "g2", Yard: "a", Stint: 1, Tally: m.Tally + 1}
 			x.b.Reported(x.now, m, x.reg.Absorb(x.now, m, rep, c.checkin), c.checkin)
 			if got := m.Busy == 0; got != c.gone {
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -79,6 +79,7 @@
 	level  int // the rank, raised for age
 	need   quota.Room
 	closed bool
+	goneBy time.Time // of a closed job: when none of its tasks may be left
 
 	tasks    map[int]*Task // queued or on a machine
 	next     int           // the first task never taken up
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -37,6 +37,8 @@
 	synced bool
 	epoch  uint64
 	heard  time.Time
+	fresh  time.Time // all that was written by then has been taken in
+	listed time.Time // when the first call of the list under way was sent
 	retry  time.Time
 	items  map[string]wire.Item
 	seen   map[string]bool // keys listed in this round
@@ -61,6 +63,9 @@
 // Heard is when the state service last answered this mirror.
 func (m *Mirror) Heard() time.Time { return m.heard }
 
+// Fresh is the moment up to which all changes have surely been taken in.
+func (m *Mirror) Fresh() time.Time { return m.fresh }
+
 // Sync brings the mirror up to whatever the service holds by now and then tells
 // so. Calls that come while one is under way share the next one: the one under
 // way may be older than they are. Two begin no sooner than gap after each other.
@@ -102,6 +107,11 @@
 
 // took takes in the changes up to a revision.
 func (m *Mirror) took(now time.Time, r Result) {
+	defer func() {
+		if r.Sent.After(m.fresh) {
+			m.fresh = r.Sent
+		}
+	}()
 	if r.Epoch <= m.epoch {
 		return // another answer, sent later, was here first
 	}
@@ -165,7 +175,7 @@
 		}
 		m.heard = now
 		if m.base == 0 {
-			m.base = r.Epoch
+			m.base, m.listed = r.Epoch, r.Sent
 		}
 		last := after
 		for _, it := range r.Items {
@@ -184,6 +194,9 @@
 			}
 		}
 		m.seen, m.epoch, m.synced = nil, m.base, true
+		if m.listed.After(m.fresh) {
+			m.fresh = m.listed
+		}
 		m.follow(now)
 	})
 }
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -78,6 +78,7 @@
 	open     *store.Mirror
 	gap      time.Duration // between two looks at the open jobs
 	progress func(now time.Time, block int, id string, then func(now time.Time, p Progress))
+	told     func(now time.Time, id string) // of a cancellation that a user is about to be told of
 
 	inHand  int // submissions and cancellations under way
 	queries int // questions under way
@@ -87,12 +88,13 @@
 // New makes the slice.
 func New(facts config.Facts, blocks int, wall func() time.Time, call store.Caller, log *slog.Logger,
 	flavors func() map[string]wire.Flavor, open *store.Mirror,
-	progress func(now time.Time, block int, id string, then func(now time.Time, p Progress))) *Slice {
+	progress func(now time.Time, block int, id string, then func(now time.Time, p Progress)),
+	told func(now time.Time, id string)) *Slice {
 	gap := time.Duration(0)
 	if facts.State.RPS > 0 {
 		gap = time.Duration(float64(max(1, facts.Nodes)) / (facts.State.RPS * tuning.SyncShare) * float64(time.Second))
 	}
-	return &Slice{facts: facts, blocks: blocks, wall: wall, call: call, log: log, flavors: flavors, open: open, gap: gap, progress: progress,
+	return &Slice{facts: facts, blocks: blocks, wall: wall, call: call, log: log, flavors: flavors, open: open, gap: gap, progress: progress, told: told,
 		finals: finals{m: map[string]wire.JobState{}}}
 }
 
@@ -117,6 +119,14 @@
 	f.m[s.ID] = s
 }
 
+// final remembers how a job ended, before any user is told of it.
+func (s *Slice) final(now time.Time, st wire.JobState) {
+	if st.Stage == wire.JobWithdrawn {
+		s.told(now, st.ID)
+	}
+	s.finals.put(st)
+}
+
 // block chooses the block of a new job.
 func (s *Slice) block(spec *wire.Submission) int {
 	if quota.Limited(s.facts.Teams, spec.Crew) {
@@ -253,7 +263,7 @@
 			s.log.Error("job record cannot be read", "job", id)
 			then(found{})
 		default:
-			s.finals.put(wire.JobState{ID: id, Stage: rec.Stage, Done: rec.Done})
+			s.final(now, wire.JobState{ID: id, Stage: rec.Stage, Done: rec.Done})
 			then(found{sure: true, stage: rec.Stage, done: rec.Done})
 		}
 	})
@@ -385,7 +395,7 @@
 			switch {
 			case r.OK():
 				s.log.Debug("job cancelled", "job", id)
-				s.finals.put(wire.JobState{ID: id, Stage: wire.JobWithdrawn})
+				s.final(now, wire.JobState{ID: id, Stage: wire.JobWithdrawn})
 				reply(Response{Status: 200, Body: wire.Accepted{ID: id, Stage: wire.JobWithdrawn}})
 			case (r.Status == 409 || r.Status == 0) && tries < tuning.CancelTries:
 				// changed under us, or perhaps written: look again
--- a/internal/submission/submission_test.go
+++ b/internal/submission/submission_test.go
@@ -21,6 +21,7 @@
 	open  *store.Mirror
 	calls []store.Call
 	then  []func(time.Time, store.Result)
+	told  []string // cancellations of which users are told
 }
 
 func newDesk(flavors map[string]wire.Flavor) *desk {
@@ -36,7 +37,7 @@
 	d.s = New(facts, 1, func() time.Time { return now }, call, slog.New(slog.NewTextHandler(io.Discard, nil)), func() map[string]wire.Flavor { return flavors }, d.open,
 		func(now time.Time, _ int, _ string, then func(time.Time, Progress)) {
 			then(now, Progress{Known: true, Done: 3, Running: 2})
-		})
+		}, func(_ time.Time, id string) { d.told = append(d.told, id) })
 	return d
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -36,6 +36,10 @@
 	// RenewMargin is kept of the time for a cancellation when a holder that
 	// lost touch with the state service goes on renewing workers.
 	RenewMargin = 5 * time.Second
+	// RenewLeast is how long past its horizon a holder answers reports at least: a
+	// watch without news and the wait for the next take so long. Only where a lease
+	// is nearly as long as a cancellation has does it matter.
+	RenewLeast = 6 * time.Second
 )
 
 // The state service.
@@ -92,6 +96,13 @@
 	ReadsInHand = 128
 	// CancelTries is how often a cancellation looks again after a conflict.
 	CancelTries = 3
+	// ToldCancels is for how many times the time that a cancelled job's tasks have a
+	// node keeps note of having told of it: after once they are gone, whoever holds
+	// their block. ToldKept is how many it notes, ToldAtOnce how many it passes on
+	// with one message, far below what one may hold.
+	ToldCancels = 2
+	ToldKept    = 4096
+	ToldAtOnce  = 512
 	// BodyBytes is the largest request body, by the protocol.
 	BodyBytes = 64 << 10
 	// BodyAtOnce is the size up to which a body gets all its memory before it has
