--- a/internal/node/standin_cloud_test.go
+++ b/internal/node/standin_cloud_test.go
@@ -20,6 +20,7 @@
 	hosts   map[string]*cloudHost
 	seq     int
 	down    bool
+	atOnce  bool    // machines are up within two seconds
 	never   float64 // part of the boots that never end
 	history []snapshot
 	page    int // machines a list shows at most
@@ -89,7 +90,11 @@
 			if c.rng.Float64() < c.never {
 				continue
 			}
-			c.clk.in(time.Duration(1+c.rng.IntN(8))*time.Second, func() {
+			boot := time.Duration(1+c.rng.IntN(8)) * time.Second
+			if c.atOnce {
+				boot = time.Duration(c.rng.IntN(2000)) * time.Millisecond
+			}
+			c.clk.in(boot, func() {
 				if c.hosts[id] == ch {
 					ch.Stage = wire.HostRunning
 					c.booted(ch)
--- a/internal/node/standin_worker_test.go
+++ b/internal/node/standin_worker_test.go
@@ -6,6 +6,7 @@
 
 	"juniperchute/internal/config"
 	"juniperchute/internal/quota"
+	"juniperchute/internal/submission"
 	"juniperchute/internal/wire"
 )
 
@@ -20,6 +21,7 @@
 	cut      bool     // its network is cut
 	only     *simNode // the one node it can reach; nil: all
 	deaf     bool     // its reports arrive, but no answer or command reaches it
+	mute     bool     // it reaches no controller, while direct commands reach it
 	late     []func() // messages held back by the cut or the hang
 	stint    uint64
 	tally    uint64
@@ -175,6 +177,7 @@
 		if !gang {
 			p.job.done[p.n] = true
 			h.exit(p, wire.CauseDone, false)
+			h.w.ending(p.job)
 			return
 		}
 		for _, m := range h.w.mates(p) {
@@ -186,6 +189,22 @@
 			m.p.job.done[m.p.n] = true
 			m.h.exit(m.p, wire.CauseDone, false)
 		}
+		h.w.ending(p.job)
+	}
+}
+
+// ending may have a user call a job off as its last task ends, and look at it closely.
+func (w *world) ending(j *simJob) {
+	if !j.complete() || w.rng.Float64() >= w.odds.cancelAtEnd {
+		return
+	}
+	w.clk.in(time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { w.cancel(j) })
+	for range 4 {
+		w.clk.in(time.Duration(w.rng.IntN(1500))*time.Millisecond, func() {
+			told := j.told
+			w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Query(w.clk.now, j.spec.ID, reply) }, func(r submission.Response) { w.answered(j, told, r) })
+			w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Submit(w.clk.now, j.spec, reply) }, func(r submission.Response) { w.answered(j, told, r) })
+		})
 	}
 }
 
@@ -217,6 +236,9 @@
 		}
 	})
 	reply := func(status int, body any) {
+		if o, ok := body.(wire.Orders); ok {
+			h.w.ordered(nd, o.Orders)
+		}
 		if h.deaf {
 			return
 		}
@@ -251,6 +273,10 @@
 			}
 		})
 	}
+	if h.mute {
+		after() // no connection can be made
+		return
+	}
 	h.w.deliver(h, nd, func() {
 		if !nd.alive {
 			if !h.deaf {
@@ -260,9 +286,14 @@
 		}
 		nd.when(func() { nd.core.Report(h.w.clk.now, rep, reply) })
 	})
-	if h.w.chaos && h.w.rng.IntN(50) == 0 {
+	if h.w.chaos && h.w.rng.IntN(50) == 0 || h.w.rng.Float64() < h.w.odds.lateReports {
 		h.w.copyLate(rep)
 	}
+	if h.w.rng.Float64() < h.w.odds.nextReports && len(h.w.kept) < 100 {
+		copied := *rep
+		copied.Pieces = slices.Clone(rep.Pieces)
+		h.w.kept = append(h.w.kept, &copied)
+	}
 }
 
 // copyLate delivers a copy of a report to some node, seconds to well over a
--- a/internal/node/world_run_test.go
+++ b/internal/node/world_run_test.go
@@ -90,8 +90,14 @@
 			w.trouble()
 		}
 	}
-	w.chaos = false
+	w.ends()
+}
+
+// ends lets the troubles pass and waits for every job's end.
+func (w *world) ends() {
+	w.chaos, w.odds = false, odds{}
 	w.runFor(30 * time.Second) // the last troubles pass
+	w.calm = w.clk.now
 	for _, j := range w.order {
 		if j.bad || j.spec.Shape == wire.ShapeStanding {
 			w.cancel(j) // these end only so
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -42,6 +42,25 @@
 	chaos   bool
 	longest time.Duration // that one controller was busy with one thing, in real time
 	scale   int           // how many times the usual size jobs and troubles have; 0: once
+	odds    odds
+	seq     int            // counts odd requests
+	kept    []*wire.Report // copies of reports, for the next leader
+	leads   uint64         // the highest token seen in a tenure
+	calm    time.Time      // since when there are no troubles; zero: there are
+	apart   string         // a zone that is cut off: its machines and controllers reach each other only
+}
+
+// odds are the shares of messages to which something happens, besides chaos.
+type odds struct {
+	lateWrites  float64       // transactions that get no answer and are carried out 2 to 12 s later
+	lostAnswers float64       // transactions that are carried out at once and get no answer
+	lateReports float64       // reports of which a copy comes again, from 2 s to well over a lease later
+	nextReports float64       // reports of which a copy comes to every controller when the next leader begins
+	heldCommand float64       // direct commands, or their answers, that are held up for seconds
+	cancelAtEnd float64       // jobs that are called off as they end
+	closeLooks  bool          // all nodes are asked within milliseconds of each news
+	slowState   time.Duration // the state service's answers take up to so long
+	slowLinks   time.Duration // messages between machines and controllers take up to so long
 }
 
 // begin is the time of day at which simulated days begin.
@@ -54,7 +73,9 @@
 	done      []bool
 	told      string // newest state its user was told
 	accepted  bool
-	asked     bool // its user has asked to cancel it
+	asked     bool      // its user has asked to cancel it
+	never     bool      // it can never run: nothing but 422 or 503 may come
+	idle      time.Time // since when it could start and none of its tasks is anywhere
 	cancelled time.Time
 	answered  time.Time // when a question about it was last answered
 }
@@ -65,6 +86,7 @@
 type simNode struct {
 	w     *world
 	name  string
+	zone  string
 	core  *Core
 	alive bool
 	gen   int
@@ -109,7 +131,7 @@
 		}
 	}
 	for i := range 3 {
-		n := &simNode{w: w, name: fmt.Sprintf("node-%d", i)}
+		n := &simNode{w: w, name: fmt.Sprintf("node-%d", i), zone: cfg.Facts.Zones[i%len(cfg.Facts.Zones)]}
 		w.nodes = append(w.nodes, n)
 	}
 	for _, n := range w.nodes {
@@ -193,13 +215,17 @@
 // deliver carries a message between a worker and a node, either way. A cut
 // holds it back or loses it.
 func (w *world) deliver(h *workerHost, n *simNode, f func()) {
-	if h.cut || n.cutWorkers || h.hung || h.only != nil && h.only != n {
+	if h.cut || n.cutWorkers || h.hung || h.only != nil && h.only != n || w.apart != "" && (w.apart == h.host.Yard) != (w.apart == n.zone) {
 		if w.rng.IntN(2) == 0 {
 			h.late = append(h.late, f)
 		}
 		return
 	}
-	w.clk.in(w.lag(), func() {
+	lag := w.lag()
+	if w.odds.slowLinks > 0 {
+		lag += time.Duration(w.rng.Int64N(int64(w.odds.slowLinks)))
+	}
+	w.clk.in(lag, func() {
 		if h.hung {
 			h.late = append(h.late, f)
 			return
@@ -269,7 +295,7 @@
 		}
 		w.state.call(c, func(r store.Result) {
 			// a refused node's watches wait as in an outage, those opened before too
-			if e.n.cutState || e.n.refused && c.Op == store.OpChanges {
+			if e.n.cutState || w.apart != "" && w.apart == e.n.zone || e.n.refused && c.Op == store.OpChanges {
 				return
 			}
 			w.clk.in(w.lag(), func() {
@@ -279,9 +305,19 @@
 			})
 		})
 	}
+	if w.odds.slowState > 0 {
+		sooner, lag := arrive, time.Duration(w.rng.Int64N(int64(w.odds.slowState)))
+		arrive = func() { w.clk.in(lag, sooner) }
+	}
 	roll := w.rng.IntN(1000)
+	odd := w.rng.Float64()
+	multi := c.Op == store.OpMulti && len(c.Multi.Writes) > 0
 	switch {
-	case e.n.cutState:
+	case multi && odd < w.odds.lateWrites:
+		w.clk.in(time.Duration(2000+w.rng.IntN(10000))*time.Millisecond, func() { w.state.call(c, func(store.Result) {}) })
+	case multi && odd < w.odds.lateWrites+w.odds.lostAnswers && !e.n.cutState && !e.n.refused:
+		w.clk.in(w.lag(), func() { w.state.call(c, func(store.Result) {}) })
+	case e.n.cutState || w.apart != "" && w.apart == e.n.zone:
 		if w.rng.IntN(2) == 0 {
 			e.n.held = append(e.n.held, arrive) // comes late, even from a process that has ended
 		}
@@ -361,10 +397,24 @@
 	if h.deaf {
 		return
 	}
+	var there, back time.Duration // for which it is held up on its way
+	if w.rng.Float64() < w.odds.heldCommand {
+		there, back = time.Duration(w.rng.IntN(20000))*time.Millisecond, time.Duration(w.rng.IntN(5000))*time.Millisecond
+	}
+	w.ordered(e.n, d.Orders)
 	w.deliver(h, e.n, func() {
 		if h.dead {
 			return
 		}
+		if there > 0 {
+			w.clk.in(there, func() {
+				if !h.dead {
+					status, rep := h.command(d)
+					w.clk.in(back, func() { finish(status, rep) })
+				}
+			})
+			return
+		}
 		status, rep := h.command(d)
 		w.deliver(h, e.n, func() { finish(status, rep) })
 		if w.chaos && w.rng.IntN(20) == 0 { // a repeat of a command that was carried out
@@ -381,7 +431,7 @@
 	w := e.n.w
 	i := slices.IndexFunc(w.nodes, func(o *simNode) bool { return o.name == member })
 	w.clk.in(w.lag(), func() {
-		if i < 0 || e.n.cutPeers || w.nodes[i].cutPeers || !w.nodes[i].alive {
+		if i < 0 || e.n.cutPeers || w.nodes[i].cutPeers || !w.nodes[i].alive || w.apart != "" && (w.apart == e.n.zone) != (w.apart == w.nodes[i].zone) {
 			w.clk.in(tuning.ProgressTimeout, fail)
 			return
 		}
@@ -553,9 +603,113 @@
 	}
 }
 
+// nextLeader lets the copies of old reports that were kept for the next leader arrive
+// everywhere as soon as there is one.
+func (w *world) nextLeader() {
+	for _, n := range w.nodes {
+		if !n.alive {
+			continue
+		}
+		for _, t := range n.core.tenures {
+			if t.Baton <= w.leads {
+				continue
+			}
+			w.leads = t.Baton
+			kept := w.kept
+			w.kept = nil
+			for _, rep := range kept {
+				for _, o := range w.nodes {
+					w.clk.in(time.Duration(w.rng.IntN(1500))*time.Millisecond, func() {
+						if o.alive {
+							o.when(func() { o.core.Report(w.clk.now, rep, func(int, any) {}) })
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// checkWaits checks that once troubles are over no job waits for 90 s while there are
+// machines that fit with room for it and its team is under its limit.
+func (w *world) checkWaits() {
+	if w.calm.IsZero() {
+		return
+	}
+	used, on := map[string]quota.Room{}, map[*simJob]int{}
+	for _, h := range w.workers {
+		for _, p := range h.pieces {
+			if p.on() {
+				s := p.job.spec
+				used[s.Crew] = used[s.Crew].Add(quota.Room{CPUs: s.Vcpus, GPUs: s.Gpus})
+				on[p.job]++
+			}
+		}
+	}
+	for _, j := range w.order {
+		if j.accepted && !j.asked && !j.bad && j.told != wire.JobDone && on[j] == 0 && w.fits(j, used[j.spec.Crew]) {
+			if j.idle.IsZero() {
+				j.idle = w.clk.now
+			}
+			if w.clk.now.Sub(j.idle) > 90*time.Second {
+				w.fail("%s has waited for 90 s while there was room for it", j.spec.ID)
+			}
+			continue
+		}
+		j.idle = time.Time{}
+	}
+}
+
+// fits tells whether a job, or one task of an array, could start now.
+func (w *world) fits(j *simJob, used quota.Room) bool {
+	s := j.spec
+	need := 1
+	if s.Shape != wire.ShapeBatch {
+		need = s.Pieces
+	}
+	for _, t := range w.cfg.Facts.Teams {
+		if t.Name == s.Crew && (t.CPUsMax > 0 && used.CPUs+float64(need)*s.Vcpus > t.CPUsMax || t.GPUsMax > 0 && used.GPUs+float64(need)*s.Gpus > t.GPUsMax) {
+			return false
+		}
+	}
+	places := map[string]int{}
+	for _, h := range w.workers {
+		if h.hung || h.cut || h.deaf || h.mute || h.sick || h.dead || !h.recall.IsZero() || s.Yard != "" && s.Yard != h.host.Yard ||
+			h.host.Loaners && !s.Loaners || !s.AnyBuild && !slices.Contains(s.Builds, h.host.Build) {
+			continue
+		}
+		free := h.cap
+		for _, p := range h.pieces {
+			if p.on() {
+				free = free.Sub(quota.Room{CPUs: p.job.spec.Vcpus, GPUs: p.job.spec.Gpus, MemGB: p.job.spec.MemGb})
+			}
+		}
+		for one := (quota.Room{CPUs: s.Vcpus, GPUs: s.Gpus, MemGB: s.MemGb}); free.Fits(one); free = free.Sub(one) {
+			places[h.host.Yard]++
+			if one == (quota.Room{}) {
+				break
+			}
+		}
+	}
+	total, most := 0, 0
+	for _, n := range places {
+		if s.Apart {
+			n = min(n, (s.Pieces+1)/2)
+		}
+		total, most = total+n, max(most, n)
+	}
+	if s.Together {
+		total = most
+	}
+	return total >= need
+}
+
 // ask sends a user's request to some node; no answer comes from a dead one.
 func (w *world) ask(f func(n *simNode, reply func(submission.Response)), then func(submission.Response)) {
-	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	w.askAt(w.nodes[w.rng.IntN(len(w.nodes))], f, then)
+}
+
+func (w *world) askAt(n *simNode, f func(n *simNode, reply func(submission.Response)), then func(submission.Response)) {
 	w.clk.in(w.lag(), func() {
 		if !n.alive {
 			return
@@ -582,13 +736,117 @@
 		w.fail("went_back: %s was never cancelled", j.spec.ID)
 	}
 	j.answered = w.clk.now
+	if j.never {
+		w.fail("%s was accepted, though it can never run", j.spec.ID)
+	}
 	if final(j.told) {
 		return
 	}
+	news := !j.accepted || final(stage)
 	if stage == wire.JobWithdrawn {
 		j.cancelled = w.clk.now
 	}
 	j.accepted, j.told = true, stage
+	if news && w.odds.closeLooks {
+		w.look(j)
+	}
+}
+
+// look asks all nodes about a job, again and again within milliseconds, repeats its
+// submission, and now and then its cancellation.
+func (w *world) look(j *simJob) {
+	for range 3 {
+		for _, n := range w.nodes {
+			w.clk.in(time.Duration(w.rng.IntN(60000))*time.Microsecond, func() {
+				told := j.told
+				switch w.rng.IntN(3) {
+				case 0, 1:
+					w.askAt(n, func(n *simNode, reply func(submission.Response)) { n.core.Users().Query(w.clk.now, j.spec.ID, reply) }, func(r submission.Response) { w.answered(j, told, r) })
+				case 2:
+					w.askAt(n, func(n *simNode, reply func(submission.Response)) { n.core.Users().Submit(w.clk.now, j.spec, reply) }, func(r submission.Response) { w.answered(j, told, r) })
+				}
+			})
+		}
+	}
+	if !j.asked && w.rng.IntN(4) == 0 {
+		w.clk.in(time.Duration(w.rng.IntN(60000))*time.Microsecond, func() { w.cancel(j) })
+	}
+}
+
+// answered takes in an answer about a job that was accepted before the request.
+func (w *world) answered(j *simJob, told string, r submission.Response) {
+	switch r.Status {
+	case 200:
+		switch b := r.Body.(type) {
+		case wire.JobState:
+			w.tell(j, b.Stage, told)
+		case wire.Accepted:
+			w.tell(j, b.Stage, told)
+		}
+	case 429, 503:
+	default:
+		w.fail("forgotten: %s, accepted before, answered %d %v", j.spec.ID, r.Status, r.Body)
+	}
+}
+
+// ordered checks the orders that a controller gives: none may start a task of a job
+// whose user was told of its cancellation longer ago than a holder may be without news.
+func (w *world) ordered(n *simNode, orders []wire.Order) {
+	for _, o := range orders {
+		id, _, _ := wire.ParsePiece(o.Piece)
+		if j := w.jobs[id]; o.Verb == wire.VerbRun && j != nil && j.told == wire.JobWithdrawn &&
+			w.clk.now.Sub(j.cancelled) > tuning.MemberLease+tuning.WatchWait+tuning.StateTimeout {
+			w.fail("%s orders a start of %s, cancelled %v ago", n.name, o.Piece, w.clk.now.Sub(j.cancelled))
+		}
+	}
+}
+
+// odd makes a request that users should not make, and checks what it gets.
+func (w *world) odd() {
+	w.seq++
+	expect := func(what string, allowed ...int) func(submission.Response) {
+		return func(r submission.Response) {
+			if r.Status != 429 && r.Status != 503 && !slices.Contains(allowed, r.Status) {
+				w.fail("%s answered %d %v", what, r.Status, r.Body)
+			}
+		}
+	}
+	unknown := fmt.Sprintf("job-9%06d", w.seq)
+	switch w.rng.IntN(4) {
+	case 0:
+		w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Query(w.clk.now, unknown, reply) }, expect("a question about nothing", 404))
+	case 1:
+		w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Cancel(w.clk.now, unknown, reply) }, expect("a cancellation of nothing", 404))
+	case 2:
+		s := wire.Submission{ID: unknown, Crew: "red", Lane: "sweep", Shape: wire.ShapeGang, Rank: "low", Pieces: 1, Vcpus: 1, Gpus: 1, MemGb: 1, Bundle: "img", AnyBuild: true}
+		switch w.rng.IntN(4) {
+		case 0:
+			s.Crew = "nobody"
+		case 1:
+			s.MemGb = 1e6
+		case 2:
+			s.AnyBuild = false
+		case 3:
+			s.Pieces = 5000
+		}
+		if s.Pieces == 5000 && w.cfg.Facts.Teams[0].GPUsMax == 0 {
+			s.Yard = "nowhere"
+		}
+		w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Submit(w.clk.now, s, reply) }, expect("a job that can never run", 422))
+	case 3:
+		if len(w.order) == 0 {
+			return
+		}
+		j := w.order[w.rng.IntN(len(w.order))]
+		if !j.accepted {
+			return
+		}
+		told := j.told
+		w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Submit(w.clk.now, j.spec, reply) }, func(r submission.Response) { w.answered(j, told, r) })
+		if j.told == wire.JobDone {
+			w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Cancel(w.clk.now, j.spec.ID, reply) }, func(r submission.Response) { w.answered(j, told, r) })
+		}
+	}
 }
 
 func (w *world) submit(j *simJob) {
@@ -652,6 +910,8 @@
 		if w.clk.now.Sub(w.looked) > 500*time.Millisecond {
 			w.looked = w.clk.now
 			w.checkHorizons()
+			w.checkWaits()
+			w.nextLeader()
 		}
 	}
 	w.clk.now = end
