Look for a job before refusing it for its size; an answer is not older than its own node knows

A repeat of an accepted job that the limits no longer allow got 400: its size is now checked like all else, after the look. A question whose job ended while the holder was asked answered with the state before.

--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -53,30 +53,29 @@
 	board *placement.Board
 	fleet *fleet.Slice
 
-	tallies   tallies
-	begun     *store.Pages // jobs that may have tasks on machines
-	found     []wire.Item  // tallies, used machines and begun jobs as read, before they are taken over
-	used      []wire.Item
-	marks     []wire.Item
-	reading   int // reads that are still under way
-	tallyDue  time.Time
-	countDue  time.Time
-	deaf      bool // no worker is heard any more
-	probeDue  time.Time
-	dirty     map[string]*placement.Job
-	finals    map[string]bool // jobs whose end is being written
-	finalDue  map[string]time.Time
-	fenceDue  map[string]time.Time
-	stints    map[string]uint64 // sessions learned while fencing
-	horizon   *leader.Horizon   // of the cancellations known here
-	calledOff map[string]bool   // jobs that a node has told of as cancelled and that may still be read as open
+	tallies  tallies
+	begun    *store.Pages // jobs that may have tasks on machines
+	found    []wire.Item  // tallies, used machines and begun jobs as read, before they are taken over
+	used     []wire.Item
+	marks    []wire.Item
+	reading  int // reads that are still under way
+	tallyDue time.Time
+	countDue time.Time
+	deaf     bool // no worker is heard any more
+	probeDue time.Time
+	dirty    map[string]*placement.Job
+	finals   map[string]bool // jobs whose end is being written
+	finalDue map[string]time.Time
+	fenceDue map[string]time.Time
+	stints   map[string]uint64 // sessions learned while fencing
+	horizon  *leader.Horizon   // of the cancellations known here
 }
 
 func newTenure(now time.Time, c *Core, l leader.Tenure, inc uint64) *tenure {
 	t := &tenure{
 		Tenure: l, c: c, inc: inc, since: now, log: c.log.With("block", l.Block, "baton", l.Baton),
 		dirty:  map[string]*placement.Job{},
-		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, stints: map[string]uint64{}, calledOff: map[string]bool{},
+		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, stints: map[string]uint64{},
 	}
 	var peers []string
 	for _, k := range c.cfg.Known {
@@ -242,17 +241,12 @@
 }
 
 // withdrawn is told of a cancellation that a node has told a user of. The state service
-// may not tell of it for long, so it counts before it is read there, and the entry
-// that was read as open earlier is one no more.
+// may not tell of it for long, so it counts before it is read there. While the records
+// are being read there is nothing to end: what is read then is newer.
 func (t *tenure) withdrawn(now time.Time, id string) {
-	if t.calledOff[id] {
-		return
-	}
-	if len(t.calledOff) >= tuning.FinalsKept {
-		clear(t.calledOff) // long read by now
+	if t.board.Job(id) != nil {
+		t.over(now, id)
 	}
-	t.calledOff[id] = true
-	t.over(now, id)
 }
 
 // unheardUntil is when the lease of a machine that this tenure has not heard
@@ -279,7 +273,7 @@
 		t.log.Error("job entry cannot be read", "key", it.Path, "error", err)
 		return
 	}
-	if rec.Block != t.Block || t.calledOff[id] {
+	if rec.Block != t.Block {
 		return
 	}
 	// The predecessor started nothing after its lease ended, and that was
@@ -606,7 +600,7 @@
 			return false
 		}
 		_, open := t.c.open.Get(submission.OpenKey(id))
-		return !open || t.calledOff[id]
+		return !open
 	})
 }
 
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -193,6 +193,15 @@
 		reply(Busy())
 		return
 	}
+	refusal := 422
+	if !spec.AnyBuild && why == "" && !undecided {
+		// names of no type would only take room in the record
+		spec.Builds = slices.DeleteFunc(slices.Clone(spec.Builds), func(b string) bool { _, ok := s.flavors()[b]; return !ok })
+	}
+	rec := OpenRec{Spec: spec, At: s.wall().UnixMilli(), Block: s.block(&spec)}
+	if raw, err := json.Marshal(rec); why == "" && (err != nil || s.facts.State.ValueKB > 0 && len(raw) > int(s.facts.State.ValueKB*1024*tuning.PageFill)) {
+		why, refusal = "too large to be kept", 400
+	}
 	if why != "" || undecided {
 		// A job that was accepted stays accepted, whatever the settings or
 		// the machine types say by the time its user asks again.
@@ -205,20 +214,11 @@
 			case !f.sure || undecided:
 				reply(Unable("cannot tell yet"))
 			default:
-				reply(refuse(422, why, 0))
+				reply(refuse(refusal, why, 0))
 			}
 		})
 		return
 	}
-	if !spec.AnyBuild {
-		// names of no type would only take room in the record
-		spec.Builds = slices.DeleteFunc(slices.Clone(spec.Builds), func(b string) bool { _, ok := s.flavors()[b]; return !ok })
-	}
-	rec := OpenRec{Spec: spec, At: s.wall().UnixMilli(), Block: s.block(&spec)}
-	if raw, err := json.Marshal(rec); err != nil || s.facts.State.ValueKB > 0 && len(raw) > int(s.facts.State.ValueKB*1024*tuning.PageFill) {
-		reply(refuse(400, "too large to be kept", 0))
-		return
-	}
 	s.inHand++
 	s.write(now, rec, 0, func(r Response) {
 		s.inHand--
@@ -324,8 +324,7 @@
 			answer(Unable("state service does not answer"))
 			return
 		}
-		it, open := s.open.Get(OpenKey(id))
-		if !open {
+		ended := func(now time.Time) {
 			s.end(now, id, func(f found) {
 				switch {
 				case !f.sure:
@@ -336,12 +335,21 @@
 					answer(Response{Status: 200, Body: wire.JobState{ID: id, Stage: f.stage, Done: f.done}})
 				}
 			})
+		}
+		it, open := s.open.Get(OpenKey(id))
+		if !open {
+			ended(now)
 			return
 		}
 		// an entry that cannot be read is still an open job
 		var rec struct{ Block int }
 		_ = json.Unmarshal(it.Value, &rec)
 		s.progress(now, rec.Block, id, func(now time.Time, p Progress) {
+			if _, open := s.open.Get(OpenKey(id)); !open {
+				// it ended while its holder was asked, and somebody may have been told
+				ended(now)
+				return
+			}
 			st := wire.JobState{ID: id, Stage: wire.JobPending, Done: p.Done, Running: p.Running}
 			if p.Running > 0 {
 				st.Stage = wire.JobRunning
