--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -155,7 +155,7 @@
 	defer w.Flush()
 	fmt.Fprintf(w, "asked\t%s\nleader\t%s\nmembers\t%v\n", s.Member, s.Leader, s.Members)
 	for _, b := range s.Blocks {
-		fmt.Fprintf(w, "block %d\theld by %s\tbaton %d\n", b.Block, b.Holder, b.Baton)
+		fmt.Fprintf(w, "block %d\theld by %s\ttoken %d\n", b.Block, b.Holder, b.Token)
 	}
 	for _, b := range s.Held {
 		fmt.Fprintf(w, "\nblock %d\t%s\n", b.Block, b.State)
@@ -168,15 +168,15 @@
 			if m.Recalled {
 				notes += "recalled"
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%s\t%d\t%s\n", m.Host, m.Build, m.Yard, m.Spot, m.State, m.Tasks, notes)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%s\t%d\t%s\n", m.Host, m.Type, m.Zone, m.Spot, m.State, m.Tasks, notes)
 		}
 		fmt.Fprintln(w, "\nteam\tcpus\tof\tgpus\tof")
 		for _, t := range b.Teams {
 			fmt.Fprintf(w, "%s\t%g\t%g\t%g\t%g\n", t.Name, t.CpusUsed, t.CpusMax, t.GpusUsed, t.GpusMax)
 		}
-		fmt.Fprintln(w, "\njob\tclass\tteam\trank\ttasks\tdone\ton machines\twaits for")
+		fmt.Fprintln(w, "\njob\tclass\tteam\tpriority\ttasks\tdone\ton machines\twaits for")
 		for _, j := range b.Jobs {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", j.Id, j.Class, j.Team, j.Rank, j.Pieces, j.Done, j.OnMachines, j.WaitsFor)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", j.Id, j.Class, j.Team, j.Priority, j.Tasks, j.Done, j.OnMachines, j.WaitsFor)
 		}
 		fmt.Fprintln(w)
 		for _, k := range sorted(b.Counters) {
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -20,18 +20,18 @@
 
 // The calls of the cloud.
 const (
-	OpFlavors Op = iota
-	OpHire
+	OpMachineTypes Op = iota
+	OpRent
 	OpDelete
 	OpList
 )
 
 // Call is one request to the cloud.
 type Call struct {
-	Op    Op
-	Hire  wire.Hire
-	Hosts []string // OpDelete
-	After string   // OpList
+	Op     Op
+	Rental wire.Rental
+	Hosts  []string // OpDelete
+	After  string   // OpList
 	// By is until when the call may be made; zero: any time. A process that stood
 	// still must not return machines on what it believed before.
 	By time.Time
@@ -39,11 +39,11 @@
 
 // Result is what came of a call.
 type Result struct {
-	Status  int // the HTTP status; 0 when no response came
-	Error   string
-	Flavors []wire.Flavor
-	Hosts   []string
-	Page    wire.HostPage
+	Status       int // the HTTP status; 0 when no response came
+	Error        string
+	MachineTypes []wire.MachineType
+	Hosts        []string
+	Page         wire.HostPage
 }
 
 // NoCapacity is the cloud's word for a refusal that says: none available.
@@ -71,9 +71,9 @@
 	method, path := http.MethodGet, "/flavors"
 	var body []byte
 	switch call.Op {
-	case OpHire:
+	case OpRent:
 		method, path = http.MethodPost, "/machines"
-		body, _ = json.Marshal(call.Hire)
+		body, _ = json.Marshal(call.Rental)
 	case OpDelete:
 		method, path = http.MethodPost, "/machines/delete"
 		body, _ = json.Marshal(wire.HostNames{Hosts: call.Hosts})
@@ -110,11 +110,11 @@
 		return res
 	}
 	switch call.Op {
-	case OpFlavors:
-		var f wire.Flavors
+	case OpMachineTypes:
+		var f wire.MachineTypes
 		err = json.Unmarshal(raw, &f)
-		res.Flavors = f.Builds
-	case OpHire:
+		res.MachineTypes = f.Types
+	case OpRent:
 		var h wire.HostNames
 		err = json.Unmarshal(raw, &h)
 		res.Hosts = h.Hosts
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,17 +31,17 @@
 // Key prefixes: all blocks' hires, and the machine types among the control
 // records.
 const (
-	UnderHires   = "h/"
-	underFlavors = "c/f/"
+	UnderRentals      = "h/"
+	underMachineTypes = "c/f/"
 )
 
 // Hires is the key prefix of a block's hire records.
-func Hires(block int) string { return fmt.Sprintf("%s%d/", UnderHires, block) }
+func Rentals(block int) string { return fmt.Sprintf("%s%d/", UnderRentals, block) }
 
-// FlavorRec is a machine type as recorded for all nodes. Each tells how many there
+// MachineTypeRec is a machine type as recorded for all nodes. Each tells how many there
 // are: until a node knows them all, it cannot say that a job fits none.
-type FlavorRec struct {
-	wire.Flavor
+type MachineTypeRec struct {
+	wire.MachineType
 	Of int
 }
 
@@ -50,56 +50,56 @@
 // before its first task, so a successor need not wait for one that is not named.
 func UsedUnder(block int) string { return fmt.Sprintf("u/%d/", block) }
 
-// FlavorName tells whether a control key holds a machine type, and which.
-func FlavorName(key string) (string, bool) { return strings.CutPrefix(key, underFlavors) }
+// MachineTypeName tells whether a control key holds a machine type, and which.
+func MachineTypeName(key string) (string, bool) { return strings.CutPrefix(key, underMachineTypes) }
 
 // Slice is a block's part in the cloud during one tenure.
 type Slice struct {
-	Set     Settings
-	Deaf    bool // no worker is heard: silence says nothing about a machine
-	block   int
-	baton   uint64
-	tenure  wire.Cond
-	facts   config.Facts
-	cloud   Caller
-	state   store.Caller
-	log     *slog.Logger
-	reg     *worker.Registry
-	board   *placement.Board
-	lost    func(now time.Time)
-	gone    func(now time.Time, m *worker.Machine)
-	foreign func(host string) bool
-	flavors map[string]wire.Flavor
-	known   map[string]string // machine types as recorded for all nodes
-	files   []*store.Record   // of the machine types
-	used    *store.Pages
-	entered map[string]bool // machines that are being, or have been, entered as used
-	limit   *rate.Limiter
-	back    *backoff.ExponentialBackOff // of calls that fail in a row
-	born    time.Time
+	Set          Settings
+	Deaf         bool // no worker is heard: silence says nothing about a machine
+	block        int
+	token        uint64
+	tenure       wire.Cond
+	facts        config.Facts
+	cloud        Caller
+	state        store.Caller
+	log          *slog.Logger
+	reg          *worker.Registry
+	board        *placement.Board
+	lost         func(now time.Time)
+	gone         func(now time.Time, m *worker.Machine)
+	foreign      func(host string) bool
+	machineTypes map[string]wire.MachineType
+	known        map[string]string // machine types as recorded for all nodes
+	files        []*store.Record   // of the machine types
+	used         *store.Pages
+	entered      map[string]bool // machines that are being, or have been, entered as used
+	limit        *rate.Limiter
+	back         *backoff.ExponentialBackOff // of calls that fail in a row
+	born         time.Time
 
-	hires     map[string]*hire
-	by        map[string]*hire // machines by their hires
+	rentals   map[string]*rental
+	by        map[string]*rental // machines by their hires
 	seq       int
 	noneUntil map[string]time.Time
 	deleting  map[string]bool
 	delBusy   bool
 	delRetry  time.Time
 
-	flavorsDue time.Time
-	listDue    time.Time
-	listBusy   bool
-	demandDue  time.Time
-	listed     map[string]bool // hosts seen in some list
-	missing    map[string]int  // lists in a row that a once listed host was not in
-	page       []wire.Host
-	few        bool // so few machines are unheard that what waits for them is worth more
+	machineTypesDue time.Time
+	listDue         time.Time
+	listBusy        bool
+	demandDue       time.Time
+	listed          map[string]bool // hosts seen in some list
+	missing         map[string]int  // lists in a row that a once listed host was not in
+	page            []wire.Host
+	few             bool // so few machines are unheard that what waits for them is worth more
 }
 
 // New makes the slice of one tenure. lost is told when the tenure is over, gone
 // when a machine's deletion was answered; foreign tells whether a machine is or
 // may turn out to be another block's.
-func New(now time.Time, block int, baton uint64, tenure wire.Cond, facts config.Facts, cloud Caller, state store.Caller, log *slog.Logger,
+func New(now time.Time, block int, token uint64, tenure wire.Cond, facts config.Facts, cloud Caller, state store.Caller, log *slog.Logger,
 	reg *worker.Registry, board *placement.Board, lost func(time.Time), gone func(time.Time, *worker.Machine), foreign func(host string) bool) *Slice {
 	rps := facts.Cloud.RPS * tuning.CloudShare
 	back := backoff.NewExponentialBackOff()
@@ -108,10 +108,10 @@
 	back.Reset()
 	s := &Slice{
 		Set:   Settings{IdleReturn: tuning.IdleReturn},
-		block: block, baton: baton, tenure: tenure, facts: facts, cloud: cloud, state: state, log: log, reg: reg, board: board,
-		lost: lost, gone: gone, foreign: foreign, flavors: map[string]wire.Flavor{}, known: map[string]string{},
+		block: block, token: token, tenure: tenure, facts: facts, cloud: cloud, state: state, log: log, reg: reg, board: board,
+		lost: lost, gone: gone, foreign: foreign, machineTypes: map[string]wire.MachineType{}, known: map[string]string{},
 		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))), back: back, born: now,
-		hires: map[string]*hire{}, by: map[string]*hire{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
+		rentals: map[string]*rental{}, by: map[string]*rental{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
 		listed: map[string]bool{}, missing: map[string]int{}, entered: map[string]bool{},
 	}
 	s.used = store.NewPages(UsedUnder(block), facts.State.ValueKB, tuning.UsedEvery, store.ClassTenure, tenure, state, log, lost)
@@ -119,10 +119,10 @@
 }
 
 // sorted lists the hires by name.
-func (s *Slice) sorted() []*hire {
-	out := make([]*hire, 0, len(s.hires))
-	for _, name := range slices.Sorted(maps.Keys(s.hires)) {
-		out = append(out, s.hires[name])
+func (s *Slice) sorted() []*rental {
+	out := make([]*rental, 0, len(s.rentals))
+	for _, name := range slices.Sorted(maps.Keys(s.rentals)) {
+		out = append(out, s.rentals[name])
 	}
 	return out
 }
@@ -145,19 +145,19 @@
 }
 
 // meet makes a machine known to the registry.
-func (s *Slice) meet(now time.Time, host string, st worker.State, build, yard string, loaners bool) *worker.Machine {
+func (s *Slice) meet(now time.Time, host string, st worker.State, build, zone string, spot bool) *worker.Machine {
 	m := s.reg.Get(host)
 	if m == nil {
 		m = s.reg.Add(now, host, st)
 		m.IdleFrom = now
 	}
-	m.Build, m.Yard, m.Loaners = build, yard, loaners
+	m.Type, m.Zone, m.Spot = build, zone, spot
 	s.size(m)
 	return m
 }
 
 func (s *Slice) size(m *worker.Machine) {
-	if f, ok := s.flavors[m.Build]; ok {
+	if f, ok := s.machineTypes[m.Type]; ok {
 		if room := (quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}); m.Cap != room {
 			m.Cap, m.Fetch = room, f.FetchGbPerS
 			s.board.Touch(m)
@@ -166,10 +166,10 @@
 }
 
 // Flavor takes note of a machine type as recorded for all nodes.
-func (s *Slice) Flavor(f wire.Flavor, raw string) {
+func (s *Slice) MachineType(f wire.MachineType, raw string) {
 	s.known[f.Name] = raw
-	if _, ok := s.flavors[f.Name]; !ok {
-		s.flavors[f.Name] = f
+	if _, ok := s.machineTypes[f.Name]; !ok {
+		s.machineTypes[f.Name] = f
 	}
 	for _, m := range s.reg.All() {
 		s.size(m)
@@ -233,7 +233,7 @@
 	s.used.Tick(now)
 	for _, h := range s.sorted() {
 		h.file.Tick(now)
-		if h.state == hireAsking && !h.busy && !now.Before(h.retry) && s.may(now) {
+		if h.state == rentalAsking && !h.busy && !now.Before(h.retry) && s.may(now) {
 			s.ask(now, h)
 		}
 	}
@@ -241,8 +241,8 @@
 	if len(s.deleting) > 0 && !s.delBusy && !now.Before(s.delRetry) && s.may(now) {
 		s.delete(now)
 	}
-	if !now.Before(s.flavorsDue) && s.may(now) {
-		s.askFlavors(now)
+	if !now.Before(s.machineTypesDue) && s.may(now) {
+		s.askMachineTypes(now)
 	}
 	if !s.listBusy && !now.Before(s.listDue) && s.may(now) {
 		s.page = nil
@@ -250,35 +250,35 @@
 	}
 	// Machines that this tenure has not heard yet look like none: hiring then
 	// would replace the whole fleet at each takeover.
-	if len(s.flavors) > 0 && !now.Before(s.demandDue) && (s.board.IsOpen() || now.Sub(s.born) > tuning.FenceDemand) {
+	if len(s.machineTypes) > 0 && !now.Before(s.demandDue) && (s.board.IsOpen() || now.Sub(s.born) > tuning.FenceDemand) {
 		s.demandDue = now.Add(tuning.DemandEvery)
 		s.demand(now)
 	}
 }
 
-func (s *Slice) askFlavors(now time.Time) {
-	s.flavorsDue = now.Add(tuning.CloudTimeout + tuning.CloudRetry)
-	s.call(Call{Op: OpFlavors}, func(now time.Time, r Result) {
+func (s *Slice) askMachineTypes(now time.Time) {
+	s.machineTypesDue = now.Add(tuning.CloudTimeout + tuning.CloudRetry)
+	s.call(Call{Op: OpMachineTypes}, func(now time.Time, r Result) {
 		if r.Status != 200 {
-			s.flavorsDue = s.pause(now)
+			s.machineTypesDue = s.pause(now)
 			return
 		}
-		s.flavorsDue = now.Add(tuning.FlavorsEvery)
-		for _, f := range r.Flavors {
-			s.flavors[f.Name] = f
+		s.machineTypesDue = now.Add(tuning.MachineTypesEvery)
+		for _, f := range r.MachineTypes {
+			s.machineTypes[f.Name] = f
 			if s.block != 0 {
 				continue
 			}
 			// Prices move all the time; the record is for what nodes need to
 			// check submissions.
 			f.Price, f.LowPrice = 0, 0
-			all := FlavorRec{f, len(r.Flavors)}
+			all := MachineTypeRec{f, len(r.MachineTypes)}
 			raw, _ := json.Marshal(all)
 			if old, ok := s.known[f.Name]; ok && old == string(raw) {
 				continue
 			}
 			s.known[f.Name] = string(raw)
-			rec := store.NewRecord(underFlavors+f.Name, 0, store.ClassTenure, s.tenure, s.state, func(time.Time, int) {}, s.lost)
+			rec := store.NewRecord(underMachineTypes+f.Name, 0, store.ClassTenure, s.tenure, s.state, func(time.Time, int) {}, s.lost)
 			rec.Set(all)
 			s.files = append(s.files, rec)
 			rec.Tick(now)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -19,7 +19,7 @@
 )
 
 // yard is a fleet whose calls are caught.
-type yard struct {
+type zone struct {
 	t     *testing.T
 	now   time.Time
 	s     *Slice
@@ -32,8 +32,8 @@
 	gone  []string
 }
 
-func newYard(t *testing.T) *yard {
-	y := &yard{t: t, now: time.Unix(1000, 0)}
+func newZone(t *testing.T) *zone {
+	y := &zone{t: t, now: time.Unix(1000, 0)}
 	facts := config.Facts{Zones: []string{"a"}, Teams: []config.Team{{Name: "red"}}, Cloud: config.Cloud{RPS: 100, ListLagS: 3},
 		Workers: config.Workers{ReportS: 1.5, LeaseS: 10}}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -49,21 +49,21 @@
 		},
 		quiet, y.reg, y.board, func(time.Time) {}, func(_ time.Time, m *worker.Machine) { y.gone = append(y.gone, m.Host) },
 		func(string) bool { return false })
-	y.s.Flavor(wire.Flavor{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, Price: 5, LowPrice: 2, BootS: 25, Yards: []string{"a"}}, "")
+	y.s.MachineType(wire.MachineType{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, Price: 5, LowPrice: 2, BootS: 25, Zones: []string{"a"}}, "")
 	return y
 }
 
 // durable lets the state service take every write.
-func (y *yard) durable() {
+func (y *zone) durable() {
 	for len(y.kvs) > 0 {
 		then := y.kvs[0]
 		y.kv, y.kvs = y.kv[1:], y.kvs[1:]
-		then(y.now, store.Result{Status: 200, Epoch: 9})
+		then(y.now, store.Result{Status: 200, Revision: 9})
 	}
 }
 
 // take answers the oldest call of a kind, and returns it.
-func (y *yard) take(op Op, r Result) Call {
+func (y *zone) take(op Op, r Result) Call {
 	y.t.Helper()
 	for i, c := range y.cloud {
 		if c.Op == op {
@@ -77,7 +77,7 @@
 	return Call{}
 }
 
-func (y *yard) asked(op Op) bool {
+func (y *zone) asked(op Op) bool {
 	for _, c := range y.cloud {
 		if c.Op == op {
 			return true
@@ -86,14 +86,14 @@
 	return false
 }
 
-func (y *yard) pass(d time.Duration) {
+func (y *zone) pass(d time.Duration) {
 	y.now = y.now.Add(d)
 	y.s.Tick(y.now)
 }
 
 // A hire's name is durable before the cloud hears it, stays the same until the
 // answer is certain, and is never used for another hire.
-func TestHire(t *testing.T) {
+func TestRental(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		answers []Result
@@ -107,22 +107,22 @@
 		{"none to be had", []Result{{Status: 503, Error: NoCapacity}}, false, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			y := newYard(t)
-			y.board.AddJob(y.now, wire.Submission{ID: "job-1", Crew: "red", Lane: "l", Shape: wire.ShapeGang, Rank: "low", Pieces: 1,
-				Vcpus: 10, Gpus: 2, MemGb: 77, AnyBuild: true, Loaners: true}, y.now, 1, false)
+			y := newZone(t)
+			y.board.AddJob(y.now, wire.Submission{ID: "job-1", Team: "red", Class: "l", Shape: wire.ShapeGang, Priority: "low", Tasks: 1,
+				Vcpus: 10, Gpus: 2, MemGb: 77, AnyType: true, Spot: true}, y.now, 1, false)
 			y.pass(0)
-			if y.asked(OpHire) {
+			if y.asked(OpRent) {
 				t.Fatal("asked the cloud before the name was durable")
 			}
 			y.durable()
 			name := ""
 			for _, a := range c.answers {
 				y.pass(2 * time.Second)
-				h := y.take(OpHire, a).Hire
-				if name != "" && h.Hire != name {
-					t.Errorf("asked for %s after %s", h.Hire, name)
+				h := y.take(OpRent, a).Rental
+				if name != "" && h.Rental != name {
+					t.Errorf("asked for %s after %s", h.Rental, name)
 				}
-				if name = h.Hire; !h.Loaners {
+				if name = h.Rental; !h.Spot {
 					t.Error("asked for an ordinary machine where a cheap one would do")
 				}
 			}
@@ -130,7 +130,7 @@
 			y.pass(2 * time.Second)
 			again := false
 			for _, call := range y.cloud {
-				again = again || call.Op == OpHire && call.Hire.Hire == name
+				again = again || call.Op == OpRent && call.Rental.Rental == name
 			}
 			if again != c.again || len(y.reg.All()) != c.hosts {
 				t.Errorf("asked again: %t, machines %d", again, len(y.reg.All()))
@@ -141,7 +141,7 @@
 
 // A morning asks for hundreds of machines at once: in hires of the cloud's size, and
 // never more than the operators' bound, those not yet granted counted.
-func TestHireSizes(t *testing.T) {
+func TestRentalSizes(t *testing.T) {
 	for _, c := range []struct {
 		name        string
 		most, total int
@@ -150,12 +150,12 @@
 		{"the operators' bound", 70, 70},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			y := newYard(t)
+			y := newZone(t)
 			y.s.Set.MaxMachines = c.most
-			y.board.AddJob(y.now, wire.Submission{ID: "job-1", Crew: "red", Lane: "l", Shape: wire.ShapeGang, Rank: "low", Pieces: 150,
-				Vcpus: 10, Gpus: 2, MemGb: 77, AnyBuild: true, Loaners: true}, y.now, 1, false)
-			y.board.AddJob(y.now, wire.Submission{ID: "job-2", Crew: "red", Lane: "l", Shape: wire.ShapeGang, Rank: "low", Pieces: 150,
-				Vcpus: 10, Gpus: 2, MemGb: 77, AnyBuild: true}, y.now, 2, false)
+			y.board.AddJob(y.now, wire.Submission{ID: "job-1", Team: "red", Class: "l", Shape: wire.ShapeGang, Priority: "low", Tasks: 150,
+				Vcpus: 10, Gpus: 2, MemGb: 77, AnyType: true, Spot: true}, y.now, 1, false)
+			y.board.AddJob(y.now, wire.Submission{ID: "job-2", Team: "red", Class: "l", Shape: wire.ShapeGang, Priority: "low", Tasks: 150,
+				Vcpus: 10, Gpus: 2, MemGb: 77, AnyType: true}, y.now, 2, false)
 			total := 0
 			for range 5 {
 				y.pass(tuning.DemandEvery)
@@ -177,15 +177,15 @@
 // What a successor makes of hire records: a name without an answer is asked for
 // again, only machines that were used are waited for.
 func TestLoad(t *testing.T) {
-	y := newYard(t)
-	for name, rec := range map[string]HireRec{
-		"b0-3-1": {Build: "g2", Yard: "a", Number: 2, Hosts: []string{"i-1", "i-2"}},
-		"b0-3-2": {Build: "g2", Yard: "a", Number: 1},
+	y := newZone(t)
+	for name, rec := range map[string]RentalRec{
+		"b0-3-1": {Type: "g2", Zone: "a", Number: 2, Hosts: []string{"i-1", "i-2"}},
+		"b0-3-2": {Type: "g2", Zone: "a", Number: 1},
 	} {
 		raw, _ := json.Marshal(rec)
-		y.s.Load(y.now, wire.Item{Path: "h/0/" + name, Value: raw, Stamp: 4})
+		y.s.Load(y.now, wire.Item{Path: "h/0/" + name, Value: raw, Version: 4})
 	}
-	y.s.LoadUsed(y.now, []wire.Item{{Path: "u/0/0", Value: json.RawMessage(`{"i-0":"10.1.0.9:9000","i-1":"10.1.0.1:9000"}`), Stamp: 5}})
+	y.s.LoadUsed(y.now, []wire.Item{{Path: "u/0/0", Value: json.RawMessage(`{"i-0":"10.1.0.9:9000","i-1":"10.1.0.1:9000"}`), Version: 5}})
 	if m := y.reg.Get("i-1"); m.State != worker.Unheard || m.Address != "10.1.0.1:9000" || m.Cap.GPUs != 2 {
 		t.Errorf("used machine: %+v", m)
 	}
@@ -193,8 +193,8 @@
 		t.Errorf("unused machine: %+v", m)
 	}
 	y.pass(0)
-	if h := y.take(OpHire, Result{Status: 200, Hosts: []string{"i-3"}}); h.Hire.Hire != "b0-3-2" {
-		t.Errorf("asked for %s", h.Hire.Hire)
+	if h := y.take(OpRent, Result{Status: 200, Hosts: []string{"i-3"}}); h.Rental.Rental != "b0-3-2" {
+		t.Errorf("asked for %s", h.Rental.Rental)
 	}
 	if y.reg.Get("i-3") == nil {
 		t.Error("the answer's machine is not known")
@@ -232,9 +232,9 @@
 		{"never heard after a takeover", worker.Unheard, nil, 11 * time.Second, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			y := newYard(t)
+			y := newZone(t)
 			m := y.reg.Add(y.now, "i-1", c.state)
-			m.Build, m.Used, m.Recorded, m.IdleFrom = "g2", true, true, y.now
+			m.Type, m.Used, m.Recorded, m.IdleFrom = "g2", true, true, y.now
 			if c.set != nil {
 				c.set(m, y.now)
 			}
@@ -264,10 +264,10 @@
 		{"one of a small fleet", 30, 1, tuning.FenceFew + time.Second, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			y := newYard(t)
+			y := newZone(t)
 			for i := range c.fleet {
 				m := y.reg.Add(y.now, fmt.Sprintf("i-%03d", i), worker.Up)
-				m.Build, m.Used, m.Recorded, m.Busy = "g2", true, true, 1
+				m.Type, m.Used, m.Recorded, m.Busy = "g2", true, true, 1
 				if i < c.unheard {
 					y.reg.Set(y.now, m, worker.Unheard, "test")
 				}
@@ -284,16 +284,16 @@
 // A takeover need not wait for the lease of a machine that the cloud no longer
 // lists; one list may be too old to show it.
 func TestUnheardAndNotListed(t *testing.T) {
-	y := newYard(t)
-	raw, _ := json.Marshal(HireRec{Build: "g2", Yard: "a", Number: 2, Hosts: []string{"i-1", "i-2"}})
-	y.s.Load(y.now, wire.Item{Path: "h/0/b0-3-1", Value: raw, Stamp: 4})
-	y.s.LoadUsed(y.now, []wire.Item{{Path: "u/0/0", Value: json.RawMessage(`{"i-1":"10.1.0.1:9000","i-2":"10.1.0.2:9000"}`), Stamp: 5}})
+	y := newZone(t)
+	raw, _ := json.Marshal(RentalRec{Type: "g2", Zone: "a", Number: 2, Hosts: []string{"i-1", "i-2"}})
+	y.s.Load(y.now, wire.Item{Path: "h/0/b0-3-1", Value: raw, Version: 4})
+	y.s.LoadUsed(y.now, []wire.Item{{Path: "u/0/0", Value: json.RawMessage(`{"i-1":"10.1.0.1:9000","i-2":"10.1.0.2:9000"}`), Version: 5}})
 	y.pass(0)
 	for i := range tuning.UnheardLists {
 		if m := y.reg.Get("i-2"); m.State != worker.Unheard {
 			t.Fatalf("%v after %d lists", m.State, i)
 		}
-		y.take(OpList, Result{Status: 200, Page: wire.HostPage{Hosts: []wire.Host{{ID: "i-1", Build: "g2", Yard: "a", Stage: wire.HostRunning}}}})
+		y.take(OpList, Result{Status: 200, Page: wire.HostPage{Hosts: []wire.Host{{ID: "i-1", Type: "g2", Zone: "a", Stage: wire.HostRunning}}}})
 		y.pass(tuning.ListEvery)
 	}
 	if a, b := y.reg.Get("i-1").State, y.reg.Get("i-2").State; a != worker.Unheard || b != worker.Deleting {
@@ -304,8 +304,8 @@
 // A machine that nobody expected is adopted once no hire under way may explain
 // it, and not because a list lags behind a deletion.
 func TestFound(t *testing.T) {
-	y := newYard(t)
-	list := Result{Status: 200, Page: wire.HostPage{Hosts: []wire.Host{{ID: "i-9", Build: "g2", Yard: "a", Stage: wire.HostRunning}}}}
+	y := newZone(t)
+	list := Result{Status: 200, Page: wire.HostPage{Hosts: []wire.Host{{ID: "i-9", Type: "g2", Zone: "a", Stage: wire.HostRunning}}}}
 	for i := range tuning.StrangerLists + 1 {
 		y.pass(tuning.ListEvery + time.Second)
 		if known := y.reg.Get("i-9") != nil; known != (i >= tuning.StrangerLists) {
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -19,11 +19,11 @@
 		return
 	}
 	s.log.Info("adopting a machine nobody expected", "host", m.Host)
-	h := &hire{name: "found-" + m.Host, rec: HireRec{
-		Build: m.Build, Yard: m.Yard, Loaners: m.Loaners, Number: 1, Hosts: []string{m.Host}}}
+	h := &rental{name: "found-" + m.Host, rec: RentalRec{
+		Type: m.Type, Zone: m.Zone, Spot: m.Spot, Number: 1, Hosts: []string{m.Host}}}
 	s.file(h, 0)
-	s.set(h, hireGranted, "found")
-	s.hires[h.name], s.by[m.Host] = h, h
+	s.set(h, rentalGranted, "found")
+	s.rentals[h.name], s.by[m.Host] = h, h
 	h.file.Set(h.rec)
 	m.Recorded = true
 }
@@ -60,7 +60,7 @@
 			if s.block != 0 || s.unsettled() || s.foreign(h.ID) || s.strangers(h.ID) {
 				continue
 			}
-			m = s.meet(now, h.ID, worker.Booting, h.Build, h.Yard, h.Loaners)
+			m = s.meet(now, h.ID, worker.Booting, h.Type, h.Zone, h.Spot)
 			m.Born = now.Add(-config.Seconds(h.AgeS))
 			s.adopt(now, m)
 		}
--- a/internal/fleet/hire.go
+++ b/internal/fleet/rental.go
@@ -18,60 +18,61 @@
 	"juniperchute/internal/worker"
 )
 
-// HireRec is a hire's record, durable before the cloud is asked and until the
+// RentalRec is a rental request's record, durable before the cloud is asked and until the
 // last of its machines is gone.
-type HireRec struct {
-	Build, Yard string
-	Loaners     bool
-	Number      int
-	Hosts       []string `json:",omitempty"`
+type RentalRec struct {
+	Type   string `json:"Build"`
+	Zone   string `json:"Yard"`
+	Spot   bool   `json:"Loaners"`
+	Number int
+	Hosts  []string `json:",omitempty"`
 }
 
-type hireState int
+type rentalState int
 
 const (
-	hireRecording hireState = iota // its name is being made durable
-	hireAsking                     // the cloud is being asked, as often as it takes
-	hireGranted                    // its machines are known
-	hireEmpty                      // nothing left of it; its record goes
+	rentalRecording rentalState = iota // its name is being made durable
+	rentalAsking                       // the cloud is being asked, as often as it takes
+	rentalGranted                      // its machines are known
+	rentalEmpty                        // nothing left of it; its record goes
 )
 
-func (s hireState) String() string {
+func (s rentalState) String() string {
 	return [...]string{"recording", "asking", "granted", "empty"}[s]
 }
 
-type hire struct {
+type rental struct {
 	name  string
-	rec   HireRec
-	state hireState
+	rec   RentalRec
+	state rentalState
 	file  *store.Record
 	busy  bool
 	retry time.Time
 	kept  bool // its record names its machines durably
 }
 
-func (s *Slice) set(h *hire, st hireState, why string) {
+func (s *Slice) set(h *rental, st rentalState, why string) {
 	if h.state != st {
 		s.log.Debug("hire", "name", h.name, "from", h.state.String(), "to", st.String(), "why", why)
 	}
 	h.state = st
 }
 
-func (s *Slice) file(h *hire, stamp uint64) {
-	h.file = store.NewRecord(Hires(s.block)+h.name, stamp, store.ClassTenure, s.tenure, s.state, func(now time.Time, _ int) {
+func (s *Slice) file(h *rental, version uint64) {
+	h.file = store.NewRecord(Rentals(s.block)+h.name, version, store.ClassTenure, s.tenure, s.state, func(now time.Time, _ int) {
 		switch h.state {
-		case hireRecording:
-			s.set(h, hireAsking, "recorded")
-		case hireGranted:
+		case rentalRecording:
+			s.set(h, rentalAsking, "recorded")
+		case rentalGranted:
 			h.kept = true
 			for _, host := range h.rec.Hosts {
-				if m := s.reg.Get(host); m != nil && m.SeenStint > 0 {
+				if m := s.reg.Get(host); m != nil && m.SeenSession > 0 {
 					s.enter(now, m)
 				}
 			}
-		case hireEmpty:
+		case rentalEmpty:
 			if h.file.Settled() {
-				delete(s.hires, h.name)
+				delete(s.rentals, h.name)
 			}
 		}
 	}, s.lost)
@@ -79,34 +80,34 @@
 
 // Load takes over a hire record of an earlier tenure.
 func (s *Slice) Load(now time.Time, it wire.Item) {
-	name := strings.TrimPrefix(it.Path, Hires(s.block))
-	var rec HireRec
+	name := strings.TrimPrefix(it.Path, Rentals(s.block))
+	var rec RentalRec
 	if err := json.Unmarshal(it.Value, &rec); err != nil {
 		s.log.Error("hire record cannot be read", "key", it.Path, "error", err)
 		return
 	}
-	h := &hire{name: name, rec: rec}
-	s.file(h, it.Stamp)
-	s.hires[name] = h
+	h := &rental{name: name, rec: rec}
+	s.file(h, it.Version)
+	s.rentals[name] = h
 	if len(rec.Hosts) == 0 {
 		// The earlier holder did not get to write the answer down. Asking
 		// again by the same name tells it, or rents the machines now.
-		s.set(h, hireAsking, "taken over without an answer")
+		s.set(h, rentalAsking, "taken over without an answer")
 		return
 	}
-	s.set(h, hireGranted, "taken over")
+	s.set(h, rentalGranted, "taken over")
 	h.kept = true
 	for _, host := range rec.Hosts {
 		s.by[host] = h
-		s.meet(now, host, worker.Booting, rec.Build, rec.Yard, rec.Loaners).Recorded = true
+		s.meet(now, host, worker.Booting, rec.Type, rec.Zone, rec.Spot).Recorded = true
 	}
 }
 
 // Named tells of a hire record whose block's it is and which machines it names,
 // none while it waits for them.
 func Named(it wire.Item) (block int, hosts []string) {
-	num, _, _ := strings.Cut(strings.TrimPrefix(it.Path, UnderHires), "/")
-	var rec HireRec
+	num, _, _ := strings.Cut(strings.TrimPrefix(it.Path, UnderRentals), "/")
+	var rec RentalRec
 	block, err := strconv.Atoi(num)
 	if err != nil || json.Unmarshal(it.Value, &rec) != nil {
 		return 0, nil
@@ -117,7 +118,7 @@
 // unsettled tells whether some hire's machines are not known yet.
 func (s *Slice) unsettled() bool {
 	for _, h := range s.sorted() {
-		if h.state == hireAsking || h.state == hireRecording {
+		if h.state == rentalAsking || h.state == rentalRecording {
 			return true
 		}
 	}
@@ -126,12 +127,12 @@
 
 // ask asks the cloud for a hire's machines. The name stays the same until the
 // answer is certain: repeating it rents nothing twice.
-func (s *Slice) ask(now time.Time, h *hire) {
+func (s *Slice) ask(now time.Time, h *rental) {
 	h.busy = true
-	s.call(Call{Op: OpHire, Hire: wire.Hire{Hire: h.name, Build: h.rec.Build, Yard: h.rec.Yard, Loaners: h.rec.Loaners, Number: h.rec.Number}},
+	s.call(Call{Op: OpRent, Rental: wire.Rental{Rental: h.name, Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot, Number: h.rec.Number}},
 		func(now time.Time, r Result) {
 			h.busy = false
-			kind := kindOf(h.rec.Build, h.rec.Yard, h.rec.Loaners)
+			kind := kindOf(h.rec.Type, h.rec.Zone, h.rec.Spot)
 			switch {
 			case r.Status == 200:
 				s.granted(now, h, r.Hosts)
@@ -142,7 +143,7 @@
 				s.noneUntil[kind] = now.Add(tuning.CapacityRetry)
 				s.drop(now, h, "no capacity")
 			case r.Status == 400:
-				s.log.Error("hire refused as malformed", "name", h.name, "build", h.rec.Build)
+				s.log.Error("hire refused as malformed", "name", h.name, "type", h.rec.Type)
 				s.noneUntil[kind] = now.Add(tuning.CapacityRetry)
 				s.drop(now, h, "malformed")
 			default:
@@ -151,30 +152,30 @@
 		})
 }
 
-func (s *Slice) drop(now time.Time, h *hire, why string) {
-	s.set(h, hireEmpty, why)
+func (s *Slice) drop(now time.Time, h *rental, why string) {
+	s.set(h, rentalEmpty, why)
 	h.file.Set(nil)
 	h.file.Tick(now)
 }
 
-func (s *Slice) granted(now time.Time, h *hire, hosts []string) {
-	s.log.Info("machines hired", "name", h.name, "build", h.rec.Build, "yard", h.rec.Yard, "spot", h.rec.Loaners, "asked", h.rec.Number, "got", len(hosts))
+func (s *Slice) granted(now time.Time, h *rental, hosts []string) {
+	s.log.Info("machines hired", "name", h.name, "type", h.rec.Type, "zone", h.rec.Zone, "spot", h.rec.Spot, "asked", h.rec.Number, "got", len(hosts))
 	if len(hosts) == 0 {
 		s.drop(now, h, "no machines")
 		return
 	}
-	s.set(h, hireGranted, "answered")
+	s.set(h, rentalGranted, "answered")
 	h.rec.Hosts = hosts
 	h.file.Set(h.rec)
 	for _, host := range hosts {
 		s.by[host] = h
-		s.meet(now, host, worker.Booting, h.rec.Build, h.rec.Yard, h.rec.Loaners).Recorded = true
+		s.meet(now, host, worker.Booting, h.rec.Type, h.rec.Zone, h.rec.Spot).Recorded = true
 	}
 	h.file.Tick(now)
 }
 
-func kindOf(build, yard string, loaners bool) string {
-	return fmt.Sprintf("%s/%s/%t", build, yard, loaners)
+func kindOf(build, zone string, spot bool) string {
+	return fmt.Sprintf("%s/%s/%t", build, zone, spot)
 }
 
 // demand compares the waiting work with the machines and hires the rest.
@@ -183,16 +184,16 @@
 	// as many as can be asked for by the time of the next look
 	left := tuning.HirePage * max(1, int(s.facts.Cloud.RPS*tuning.CloudShare*tuning.HireShare*tuning.DemandEvery.Seconds()))
 	room := s.room()
-	for _, name := range slices.Sorted(maps.Keys(s.flavors)) {
-		f := s.flavors[name]
-		for _, yard := range f.Yards {
-			for _, loaners := range []bool{true, false} {
-				o := placement.Offer{Build: f.Name, Yard: yard, Loaners: loaners, Price: f.Price, BootS: f.BootS, Left: left,
+	for _, name := range slices.Sorted(maps.Keys(s.machineTypes)) {
+		f := s.machineTypes[name]
+		for _, zone := range f.Zones {
+			for _, spot := range []bool{true, false} {
+				o := placement.Offer{Type: f.Name, Zone: zone, Spot: spot, Price: f.Price, BootS: f.BootS, Left: left,
 					Cap: quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}}
-				if loaners {
+				if spot {
 					o.Price = f.LowPrice
 				}
-				if now.Before(s.noneUntil[kindOf(f.Name, yard, loaners)]) || s.Set.Paused || room == 0 {
+				if now.Before(s.noneUntil[kindOf(f.Name, zone, spot)]) || s.Set.Paused || room == 0 {
 					o.Left = 0
 				}
 				offers = append(offers, o)
@@ -202,9 +203,9 @@
 	// machines asked for and not yet granted count as on their way
 	coming := make([]int, len(offers))
 	for _, h := range s.sorted() {
-		if h.state == hireRecording || h.state == hireAsking {
+		if h.state == rentalRecording || h.state == rentalAsking {
 			for i, o := range offers {
-				if o.Build == h.rec.Build && o.Yard == h.rec.Yard && o.Loaners == h.rec.Loaners {
+				if o.Type == h.rec.Type && o.Zone == h.rec.Zone && o.Spot == h.rec.Spot {
 					coming[i] += h.rec.Number
 				}
 			}
@@ -219,7 +220,7 @@
 		n = min(n, room)
 		room -= n
 		for ; n > 0; n -= tuning.HirePage {
-			s.hire(now, HireRec{Build: o.Build, Yard: o.Yard, Loaners: o.Loaners, Number: min(n, tuning.HirePage)})
+			s.rental(now, RentalRec{Type: o.Type, Zone: o.Zone, Spot: o.Spot, Number: min(n, tuning.HirePage)})
 		}
 	}
 }
@@ -236,8 +237,8 @@
 			room--
 		}
 	}
-	for _, h := range s.hires {
-		if h.state == hireRecording || h.state == hireAsking {
+	for _, h := range s.rentals {
+		if h.state == rentalRecording || h.state == rentalAsking {
 			room -= h.rec.Number
 		}
 	}
@@ -245,12 +246,12 @@
 }
 
 // hire makes a new hire's name durable; the cloud is asked afterwards.
-func (s *Slice) hire(now time.Time, rec HireRec) {
+func (s *Slice) rental(now time.Time, rec RentalRec) {
 	s.seq++
-	h := &hire{name: fmt.Sprintf("b%d-%d-%d", s.block, s.baton, s.seq), rec: rec}
+	h := &rental{name: fmt.Sprintf("b%d-%d-%d", s.block, s.token, s.seq), rec: rec}
 	s.file(h, 0)
-	s.hires[h.name] = h
-	s.log.Info("hiring", "name", h.name, "build", rec.Build, "yard", rec.Yard, "spot", rec.Loaners, "number", rec.Number)
+	s.rentals[h.name] = h
+	s.log.Info("hiring", "name", h.name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "number", rec.Number)
 	h.file.Set(h.rec)
 	h.file.Tick(now)
 }
--- a/internal/fleet/returns.go
+++ b/internal/fleet/returns.go
@@ -38,7 +38,7 @@
 	lease := config.Seconds(s.facts.Workers.LeaseS)
 	switch m.State {
 	case worker.Booting:
-		boot := config.Seconds(s.flavors[m.Build].BootS)
+		boot := config.Seconds(s.machineTypes[m.Type].BootS)
 		if boot > 0 && now.Sub(m.Born) > boot*tuning.StuckBoots {
 			return "boot is stuck"
 		}
@@ -54,7 +54,7 @@
 			// task there, minutes from now: only this machine's end settles it.
 			return "a command was never answered"
 		}
-		if m.Busy > 0 || len(m.Pieces) > 0 && m.Stranger {
+		if m.Busy > 0 || len(m.Tasks) > 0 && m.Stranger {
 			return ""
 		}
 		if m.Faulty {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -21,7 +21,7 @@
 // Keys of the control records, all under Control.
 const (
 	Control   = "c/"
-	keyBaton  = "c/baton"
+	keyToken  = "c/baton"
 	keyLeader = "c/leader"
 	underMem  = "c/m/"
 	underBlk  = "c/b/"
@@ -44,7 +44,7 @@
 type BlockRec struct {
 	Holder string
 	Inc    uint64
-	Baton  uint64
+	Token  uint64 `json:"Baton"`
 	// Ended: the previous holder's process had surely ended when this tenure
 	// began, so nothing renews its workers any more.
 	Ended bool
@@ -53,14 +53,14 @@
 	Deaf string `json:",omitempty"`
 }
 
-type batonRec struct{ Last uint64 }
+type tokenRec struct{ Last uint64 }
 
 // Tenure is a block that this process holds.
 type Tenure struct {
-	Block int
-	Baton uint64
-	Stamp uint64 // version of the block's record; every write of the tenure is conditioned on it
-	Ended bool
+	Block   int
+	Token   uint64
+	Version uint64 // version of the block's record; every write of the tenure is conditioned on it
+	Ended   bool
 }
 
 type memberState int
@@ -86,7 +86,7 @@
 	mirror *store.Mirror
 
 	state    memberState
-	hold     uint64
+	lease    uint64
 	deadline time.Time // until then this process may act for its lease
 	heard    time.Time
 	touching int // renewals under way
@@ -97,13 +97,13 @@
 	members map[string]item[MemberRec]
 	leader  item[Rec]
 	recs    map[int]item[BlockRec]
-	baton   item[batonRec]
+	token   item[tokenRec]
 	other   func(now time.Time, key string, it wire.Item, gone bool)
 }
 
 type item[T any] struct {
-	val   T
-	stamp uint64
+	val     T
+	version uint64
 }
 
 // New makes the slice. other is told of changes of control keys that are not
@@ -134,7 +134,7 @@
 }
 
 // Stamp is the version of a control record, 0 when it does not exist.
-func (s *Slice) Stamp(key string) uint64 { return s.mirror.Stamp(key) }
+func (s *Slice) Version(key string) uint64 { return s.mirror.Version(key) }
 
 // Heard is when the state service last answered the control watch or a
 // renewal.
@@ -149,7 +149,7 @@
 func (s *Slice) Fresh() time.Time { return s.mirror.Fresh() }
 
 // Inc is this process's incarnation, 0 while it has no lease.
-func (s *Slice) Inc() uint64 { return s.hold }
+func (s *Slice) Inc() uint64 { return s.lease }
 
 // Blocks is the number of blocks.
 func (s *Slice) Blocks() int { return s.blocks }
@@ -162,25 +162,25 @@
 // Deadline is when this process's lease may have ended.
 func (s *Slice) Deadline() time.Time { return s.deadline }
 
-// Holder names a block's holder and its Baton, as far as this node knows.
-func (s *Slice) Holder(block int) (member string, baton uint64, ok bool) {
+// Holder names a block's holder and its token, as far as this node knows.
+func (s *Slice) Holder(block int) (member string, token uint64, ok bool) {
 	r, ok := s.recs[block]
 	if !ok {
 		return "", 0, false
 	}
 	m, live := s.members[r.val.Holder]
-	return r.val.Holder, r.val.Baton, live && m.val.Inc == r.val.Inc
+	return r.val.Holder, r.val.Token, live && m.val.Inc == r.val.Inc
 }
 
 // Tenures lists the blocks that the records give to this process.
 func (s *Slice) Tenures() []Tenure {
 	var out []Tenure
-	if s.hold == 0 {
+	if s.lease == 0 {
 		return nil
 	}
 	for b := range s.blocks {
-		if r, ok := s.recs[b]; ok && r.val.Holder == s.self && r.val.Inc == s.hold {
-			out = append(out, Tenure{Block: b, Baton: r.val.Baton, Stamp: r.stamp, Ended: r.val.Ended})
+		if r, ok := s.recs[b]; ok && r.val.Holder == s.self && r.val.Inc == s.lease {
+			out = append(out, Tenure{Block: b, Token: r.val.Token, Version: r.version, Ended: r.val.Ended})
 		}
 	}
 	return out
@@ -188,7 +188,7 @@
 
 // IsLeader tells whether the records name this process the leader.
 func (s *Slice) IsLeader() bool {
-	return s.hold != 0 && s.leader.stamp != 0 && s.leader.val.Member == s.self && s.leader.val.Inc == s.hold
+	return s.lease != 0 && s.leader.version != 0 && s.leader.val.Member == s.self && s.leader.val.Inc == s.lease
 }
 
 // Members lists the live members by name, and the leader's name.
@@ -201,7 +201,7 @@
 }
 
 func decode[T any](log *slog.Logger, it wire.Item) (item[T], bool) {
-	out := item[T]{stamp: it.Stamp}
+	out := item[T]{version: it.Version}
 	if err := json.Unmarshal(it.Value, &out.val); err != nil {
 		log.Error("control record cannot be read", "key", it.Path, "error", err)
 		return item[T]{}, false
@@ -212,10 +212,10 @@
 func (s *Slice) changed(now time.Time, key string, it wire.Item, gone bool) {
 	var b int
 	switch {
-	case key == keyBaton:
-		s.baton = item[batonRec]{}
+	case key == keyToken:
+		s.token = item[tokenRec]{}
 		if !gone {
-			s.baton, _ = decode[batonRec](s.log, it)
+			s.token, _ = decode[tokenRec](s.log, it)
 		}
 	case key == keyLeader:
 		s.leader = item[Rec]{}
@@ -235,7 +235,7 @@
 		delete(s.recs, b)
 		if r, ok := decode[BlockRec](s.log, it); ok && !gone {
 			s.recs[b] = r
-			s.log.Info("block held", "block", b, "holder", r.val.Holder, "baton", r.val.Baton)
+			s.log.Info("block held", "block", b, "holder", r.val.Holder, "token", r.val.Token)
 		}
 	default:
 		s.other(now, key, it, gone)
@@ -252,7 +252,7 @@
 // lapse gives up a lease that has ended.
 func (s *Slice) lapse(why string) {
 	s.set(memberOut, why)
-	s.hold, s.deadline = 0, time.Time{}
+	s.lease, s.deadline = 0, time.Time{}
 }
 
 // Resign gives a block back whose tenure this process has ended although the
@@ -261,13 +261,13 @@
 	if s.busy || now.Before(s.retry) || !s.Entitled(now) {
 		return
 	}
-	s.log.Info("resigning", "block", l.Block, "baton", l.Baton, "deaf", deaf)
-	rec := BlockRec{Baton: l.Baton}
+	s.log.Info("resigning", "block", l.Block, "token", l.Token, "deaf", deaf)
+	rec := BlockRec{Token: l.Token}
 	if deaf {
 		rec.Deaf = s.self
 	}
 	s.txn(now, wire.Multi{
-		When:   []wire.Cond{store.Is(blockKey(l.Block), l.Stamp)},
+		When:   []wire.Cond{store.Is(blockKey(l.Block), l.Version)},
 		Writes: []wire.Write{store.Put(blockKey(l.Block), rec, 0)},
 	})
 }
@@ -302,12 +302,12 @@
 func (s *Slice) grant(now time.Time) {
 	s.set(memberGranting, "no lease")
 	s.call(store.Call{Op: store.OpGrant, Life: tuning.MemberLease}, func(now time.Time, r store.Result) {
-		if !r.OK() || r.Hold == 0 {
+		if !r.OK() || r.Lease == 0 {
 			s.set(memberOut, "lease refused")
 			s.retry = now.Add(tuning.MemberRetry)
 			return
 		}
-		s.hold, s.deadline, s.touching = r.Hold, until(r.Sent), 0
+		s.lease, s.deadline, s.touching = r.Lease, until(r.Sent), 0
 		s.touchDue = r.Sent.Add(tuning.MemberTouch)
 		s.set(memberJoining, "lease granted")
 		s.Tick(now)
@@ -323,9 +323,9 @@
 	}
 	s.touching++
 	s.touchDue = now.Add(tuning.MemberTouch)
-	hold := s.hold
-	s.call(store.Call{Op: store.OpTouch, Hold: hold}, func(now time.Time, r store.Result) {
-		if s.hold != hold {
+	lease := s.lease
+	s.call(store.Call{Op: store.OpTouch, Lease: lease}, func(now time.Time, r store.Result) {
+		if s.lease != lease {
 			return
 		}
 		s.touching--
@@ -345,15 +345,15 @@
 
 func (s *Slice) join(now time.Time) {
 	key := underMem + s.self
-	hold := s.hold
-	rec := MemberRec{Member: s.self, Inc: hold, Since: s.wall().UnixMilli()}
+	lease := s.lease
+	rec := MemberRec{Member: s.self, Inc: lease, Since: s.wall().UnixMilli()}
 	s.retry = now.Add(tuning.StateTimeout + tuning.MemberRetry)
 	s.call(store.Call{Op: store.OpMulti, Multi: wire.Multi{
-		When:   []wire.Cond{store.Is(key, s.mirror.Stamp(key))},
-		Writes: []wire.Write{store.Put(key, rec, hold)},
+		When:   []wire.Cond{store.Is(key, s.mirror.Version(key))},
+		Writes: []wire.Write{store.Put(key, rec, lease)},
 	}}, func(now time.Time, r store.Result) {
 		s.retry = now.Add(tuning.MemberRetry)
-		if s.hold != hold || s.state != memberJoining {
+		if s.lease != lease || s.state != memberJoining {
 			return
 		}
 		switch {
@@ -365,7 +365,7 @@
 			s.lapse("lease ended while joining")
 		case r.Status == 0 || r.Status == 409:
 			// perhaps written after all: the mirror will tell
-			if m, ok := s.members[s.self]; ok && m.val.Inc == hold {
+			if m, ok := s.members[s.self]; ok && m.val.Inc == lease {
 				s.set(memberIn, "record found")
 			}
 		}
@@ -382,13 +382,13 @@
 // blocks that nobody live holds.
 func (s *Slice) campaign(now time.Time) {
 	me, ok := s.members[s.self]
-	if !ok || me.val.Inc != s.hold {
+	if !ok || me.val.Inc != s.lease {
 		return // our own record has not been read back yet
 	}
-	if s.leader.stamp == 0 || !s.live(s.leader.val.Member, s.leader.val.Inc) {
+	if s.leader.version == 0 || !s.live(s.leader.val.Member, s.leader.val.Inc) {
 		s.txn(now, wire.Multi{
-			When:   []wire.Cond{store.Is(keyLeader, s.leader.stamp), store.Is(underMem+s.self, me.stamp)},
-			Writes: []wire.Write{store.Put(keyLeader, Rec{Member: s.self, Inc: s.hold}, s.hold)},
+			When:   []wire.Cond{store.Is(keyLeader, s.leader.version), store.Is(underMem+s.self, me.version)},
+			Writes: []wire.Write{store.Put(keyLeader, Rec{Member: s.self, Inc: s.lease}, s.lease)},
 		})
 		return
 	}
@@ -397,24 +397,24 @@
 	}
 	for b := range s.blocks {
 		r := s.recs[b]
-		if r.stamp != 0 && s.live(r.val.Holder, r.val.Inc) {
+		if r.version != 0 && s.live(r.val.Holder, r.val.Inc) {
 			continue
 		}
-		to, toStamp, ok := s.choose(r.val.Holder, r.val.Deaf)
+		to, toVersion, ok := s.choose(r.val.Holder, r.val.Deaf)
 		if !ok {
 			return
 		}
 		// a member whose record was replaced by a later process of its name
 		// has ended; one that is merely absent may only be cut off
 		_, back := s.members[r.val.Holder]
-		rec := BlockRec{Holder: to.Member, Inc: to.Inc, Baton: s.baton.val.Last + 1, Ended: r.stamp == 0 || back || r.val.Holder == ""}
+		rec := BlockRec{Holder: to.Member, Inc: to.Inc, Token: s.token.val.Last + 1, Ended: r.version == 0 || back || r.val.Holder == ""}
 		when := []wire.Cond{
-			store.Is(keyLeader, s.leader.stamp), store.Is(blockKey(b), r.stamp),
-			store.Is(keyBaton, s.baton.stamp), store.Is(underMem+to.Member, toStamp),
+			store.Is(keyLeader, s.leader.version), store.Is(blockKey(b), r.version),
+			store.Is(keyToken, s.token.version), store.Is(underMem+to.Member, toVersion),
 		}
-		s.log.Info("assigning block", "block", b, "to", to.Member, "baton", rec.Baton, "ended", rec.Ended)
+		s.log.Info("assigning block", "block", b, "to", to.Member, "token", rec.Token, "ended", rec.Ended)
 		s.txn(now, wire.Multi{When: when, Writes: []wire.Write{
-			store.Put(keyBaton, batonRec{Last: rec.Baton}, 0), store.Put(blockKey(b), rec, 0),
+			store.Put(keyToken, tokenRec{Last: rec.Token}, 0), store.Put(blockKey(b), rec, 0),
 		}})
 		return
 	}
@@ -454,11 +454,11 @@
 		return a.Member < b.Member
 	}
 	for _, m := range s.members {
-		if best.stamp == 0 || less(m.val, best.val) {
+		if best.version == 0 || less(m.val, best.val) {
 			best = m
 		}
 	}
-	return best.val, best.stamp, best.stamp != 0
+	return best.val, best.version, best.version != 0
 }
 
 func (s *Slice) txn(now time.Time, m wire.Multi) {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -44,22 +44,22 @@
 	return store.Call{}
 }
 
-func put(key string, v any, stamp uint64) wire.Item {
+func put(key string, v any, version uint64) wire.Item {
 	raw, _ := json.Marshal(v)
-	return wire.Item{Path: key, Value: raw, Stamp: stamp}
+	return wire.Item{Path: key, Value: raw, Version: version}
 }
 
 // join makes the node a member beside what the records already hold.
 func (e *elect) join(t *testing.T, items ...wire.Item) {
 	e.s.Tick(e.now)
-	e.answer(t, store.OpList, store.Result{Status: 200, Epoch: 50, Items: items})
-	e.answer(t, store.OpGrant, store.Result{Status: 200, Hold: 7})
-	e.answer(t, store.OpMulti, store.Result{Status: 200, Epoch: 60})
+	e.answer(t, store.OpList, store.Result{Status: 200, Revision: 50, Items: items})
+	e.answer(t, store.OpGrant, store.Result{Status: 200, Lease: 7})
+	e.answer(t, store.OpMulti, store.Result{Status: 200, Revision: 60})
 	var changes []wire.Change
 	for _, it := range []wire.Item{put("c/m/n0", MemberRec{Member: "n0", Inc: 7}, 60)} {
-		changes = append(changes, wire.Change{Write: it.Path, Value: it.Value, Stamp: it.Stamp})
+		changes = append(changes, wire.Change{Write: it.Path, Value: it.Value, Version: it.Version})
 	}
-	e.answer(t, store.OpChanges, store.Result{Status: 200, Epoch: 60, Events: changes})
+	e.answer(t, store.OpChanges, store.Result{Status: 200, Revision: 60, Events: changes})
 	e.now = e.now.Add(time.Millisecond)
 	e.s.Tick(e.now)
 }
@@ -71,19 +71,19 @@
 		name  string
 		items []wire.Item
 		want  string // the key it writes first, "" for none
-		baton uint64 // of the block, if it assigns it
+		token uint64 // of the block, if it assigns it
 		ended bool
 	}{
 		{"nobody leads", []wire.Item{other}, "c/leader", 0, false},
 		{"another leads", []wire.Item{other, put("c/leader", Rec{"n1", 5}, 30)}, "", 0, false},
 		{"the leader's process was replaced", []wire.Item{other, put("c/leader", Rec{"n1", 4}, 30)}, "c/leader", 0, false},
 		{"the leader is gone", []wire.Item{put("c/leader", Rec{"n1", 5}, 30)}, "c/leader", 0, false},
-		{"it leads, no block is held", []wire.Item{put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31)}, "c/baton", 4, true},
-		{"it leads, the block is held", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/b/0", BlockRec{Holder: "n1", Inc: 5, Baton: 3}, 32)}, "", 0, false},
-		{"it leads, the holder vanished", []wire.Item{put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 5, Baton: 3}, 32)}, "c/baton", 4, false},
-		{"it leads, the holder was restarted", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 4, Baton: 3}, 32)}, "c/baton", 4, true},
-		{"it leads, the holder resigned", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Baton: 3}, 32)}, "c/baton", 4, true},
-		{"it leads, and gave the block back because it hears no worker", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", batonRec{3}, 31), put("c/b/0", BlockRec{Baton: 3, Deaf: "n1"}, 32)}, "c/baton", 4, true},
+		{"it leads, no block is held", []wire.Item{put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31)}, "c/baton", 4, true},
+		{"it leads, the block is held", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/b/0", BlockRec{Holder: "n1", Inc: 5, Token: 3}, 32)}, "", 0, false},
+		{"it leads, the holder vanished", []wire.Item{put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 5, Token: 3}, 32)}, "c/baton", 4, false},
+		{"it leads, the holder was restarted", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 4, Token: 3}, 32)}, "c/baton", 4, true},
+		{"it leads, the holder resigned", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31), put("c/b/0", BlockRec{Token: 3}, 32)}, "c/baton", 4, true},
+		{"it leads, and gave the block back because it hears no worker", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31), put("c/b/0", BlockRec{Token: 3, Deaf: "n1"}, 32)}, "c/baton", 4, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := newElect()
@@ -101,12 +101,12 @@
 			if key != c.want {
 				t.Fatalf("writes %q, want %q", key, c.want)
 			}
-			if c.baton == 0 {
+			if c.token == 0 {
 				return
 			}
 			var rec BlockRec
-			if err := json.Unmarshal(got.Multi.Writes[1].Value, &rec); err != nil || rec.Baton != c.baton || rec.Ended != c.ended {
-				t.Errorf("block record %+v, want baton %d, ended %t", rec, c.baton, c.ended)
+			if err := json.Unmarshal(got.Multi.Writes[1].Value, &rec); err != nil || rec.Token != c.token || rec.Ended != c.ended {
+				t.Errorf("block record %+v, want baton %d, ended %t", rec, c.token, c.ended)
 			}
 			if last := c.items[len(c.items)-1]; string(last.Value) != "" {
 				var was BlockRec
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -99,7 +99,7 @@
 	c.leader.Each(admin.Key, func(it wire.Item) { _ = json.Unmarshal(it.Value, &values) })
 	values[name] = value
 	c.state(store.Call{Op: store.OpMulti, Class: store.ClassUser, Multi: wire.Multi{
-		When:   []wire.Cond{store.Is(admin.Key, c.leader.Stamp(admin.Key))},
+		When:   []wire.Cond{store.Is(admin.Key, c.leader.Version(admin.Key))},
 		Writes: []wire.Write{store.Put(admin.Key, values, 0)},
 	}}, func(now time.Time, res store.Result) {
 		switch {
@@ -137,7 +137,7 @@
 		out.Counters[k] = v
 	}
 	for _, m := range t.reg.All() {
-		out.Machines = append(out.Machines, &peerpb.Machine{Host: m.Host, Build: m.Build, Yard: m.Yard, Spot: m.Loaners,
+		out.Machines = append(out.Machines, &peerpb.Machine{Host: m.Host, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 			State: m.State.String(), Tasks: int32(m.Busy), Faulty: m.Faulty, Recalled: !m.Recall.IsZero()})
 	}
 	for _, u := range t.book.Usages() {
@@ -147,8 +147,8 @@
 		if i == tuning.StatusJobs {
 			break
 		}
-		out.Jobs = append(out.Jobs, &peerpb.Job{Id: j.Spec.ID, Class: j.Spec.Lane, Team: j.Spec.Crew, Rank: j.Spec.Rank,
-			Pieces: int32(j.Spec.Pieces), Done: int32(j.Done()), OnMachines: int32(j.Located()), WaitsFor: j.WaitsFor()})
+		out.Jobs = append(out.Jobs, &peerpb.Job{Id: j.Spec.ID, Class: j.Spec.Class, Team: j.Spec.Team, Priority: j.Spec.Priority,
+			Tasks: int32(j.Spec.Tasks), Done: int32(j.Done()), OnMachines: int32(j.Located()), WaitsFor: j.WaitsFor()})
 	}
 	return out
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -49,25 +49,25 @@
 	wall   func() time.Time
 	log    *slog.Logger
 
-	leader    *leader.Slice
-	users     *submission.Slice
-	open      *store.Mirror  // open jobs of all blocks
-	hires     *store.Mirror  // hires of all blocks
-	blockFor  map[string]int // machines by the hires that name them
-	tenures   map[int]*tenure
-	flavors   map[string]wire.Flavor
-	flavorRaw map[string]string
-	flavorsOf int // how many machine types there are
-	settings  admin.Settings
-	peers     map[string]*peerView
-	claims    map[int]*peerpb.Holding // the highest Baton that peers know of each block
-	asking    map[int]*asking
-	pulseDue  time.Time
-	process   uint64    // drawn at the start: tells this process from others of its name
-	born      time.Time // of its first tick
-	told      *submission.Told
-	passing   map[string]bool // holders that a cancellation is being passed to
-	timers    []timer
+	leader         *leader.Slice
+	users          *submission.Slice
+	open           *store.Mirror  // open jobs of all blocks
+	rentals        *store.Mirror  // hires of all blocks
+	blockFor       map[string]int // machines by the hires that name them
+	tenures        map[int]*tenure
+	machineTypes   map[string]wire.MachineType
+	machineTypeRaw map[string]string
+	machineTypesOf int // how many machine types there are
+	settings       admin.Settings
+	peers          map[string]*peerView
+	claims         map[int]*peerpb.Holding // the highest token that peers know of each block
+	asking         map[int]*asking
+	pulseDue       time.Time
+	process        uint64    // drawn at the start: tells this process from others of its name
+	born           time.Time // of its first tick
+	told           *submission.Told
+	passing        map[string]bool // holders that a cancellation is being passed to
+	timers         []timer
 }
 
 type peerView struct {
@@ -86,7 +86,7 @@
 // NewCore makes the state of one controller. wall is the time of day.
 func NewCore(cfg *config.Config, blocks int, env Env, rng *rand.Rand, wall func() time.Time, log *slog.Logger) *Core {
 	c := &Core{cfg: cfg, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
-		tenures: map[int]*tenure{}, flavors: map[string]wire.Flavor{}, flavorRaw: map[string]string{},
+		tenures: map[int]*tenure{}, machineTypes: map[string]wire.MachineType{}, machineTypeRaw: map[string]string{},
 		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}, blockFor: map[string]int{}, asking: map[int]*asking{},
 		process: rng.Uint64() | 1, told: submission.NewTold(blocks, config.Seconds(cfg.Facts.Workers.CancelS)), passing: map[string]bool{}}
 	c.leader = leader.New(cfg.Member, blocks, wall, c.state, log, c.control)
@@ -97,7 +97,7 @@
 			}
 		}
 	})
-	c.hires = store.NewMirror(fleet.UnderHires, c.state, c.hired)
+	c.rentals = store.NewMirror(fleet.UnderRentals, c.state, c.hired)
 	c.users = submission.New(cfg.Facts, blocks, wall, c.state, log,
 		c.types, c.open, c.progress, c.tell)
 	for _, k := range cfg.Known {
@@ -131,28 +131,28 @@
 		}
 		return
 	}
-	name, ok := fleet.FlavorName(key)
+	name, ok := fleet.MachineTypeName(key)
 	if !ok {
 		return
 	}
-	delete(c.flavors, name)
-	delete(c.flavorRaw, name)
-	var f fleet.FlavorRec
+	delete(c.machineTypes, name)
+	delete(c.machineTypeRaw, name)
+	var f fleet.MachineTypeRec
 	if gone || json.Unmarshal(it.Value, &f) != nil {
 		return
 	}
-	c.flavors[name], c.flavorRaw[name], c.flavorsOf = f.Flavor, string(it.Value), f.Of
+	c.machineTypes[name], c.machineTypeRaw[name], c.machineTypesOf = f.MachineType, string(it.Value), f.Of
 	for _, t := range c.tenures {
-		t.fleet.Flavor(f.Flavor, string(it.Value))
+		t.fleet.MachineType(f.MachineType, string(it.Value))
 	}
 }
 
 // types are the machine types, none until all of them are known.
-func (c *Core) types() map[string]wire.Flavor {
-	if len(c.flavors) < c.flavorsOf {
+func (c *Core) types() map[string]wire.MachineType {
+	if len(c.machineTypes) < c.machineTypesOf {
 		return nil
 	}
-	return c.flavors
+	return c.machineTypes
 }
 
 // after begins and ends tenures as the records say.
@@ -164,19 +164,19 @@
 			continue
 		}
 		inc := c.leader.Inc()
-		_, baton, known := c.leader.Holder(b)
+		_, token, known := c.leader.Holder(b)
 		switch {
 		case t.state == tenureOver:
 		case inc != 0 && inc != t.inc:
 			// a new lease: nothing of the old one's may be used beside it
 			t.end(now, "this process has a new lease")
-		case known && baton > t.Baton:
+		case known && token > t.Token:
 			t.end(now, "the block was given away")
 		}
 		if t.state != tenureOver {
 			continue
 		}
-		if slices.ContainsFunc(mine, func(l leader.Tenure) bool { return l.Block == b && l.Baton == t.Baton }) {
+		if slices.ContainsFunc(mine, func(l leader.Tenure) bool { return l.Block == b && l.Token == t.Token }) {
 			// Ended on somebody's word while the records still name us: left
 			// alone, the block would have no holder for good.
 			c.leader.Resign(now, t.Tenure, t.deaf)
@@ -206,12 +206,12 @@
 		i++
 	}
 	c.after(now)
-	c.open.Pace, c.hires.Pace = tuning.OpenPace, tuning.OpenPace
+	c.open.Pace, c.rentals.Pace = tuning.OpenPace, tuning.OpenPace
 	if len(c.tenures) > 0 {
 		c.open.Pace = tuning.HolderPace
 	}
 	c.open.Tick(now)
-	c.hires.Tick(now)
+	c.rentals.Tick(now)
 	for b := range c.blocks {
 		if t := c.tenures[b]; t != nil {
 			t.Tick(now)
@@ -244,8 +244,8 @@
 // holdings tells who holds the blocks, as far as this node knows.
 func (c *Core) holdings() (out []*peerpb.Holding) {
 	for b := range c.blocks {
-		if holder, baton, _ := c.holder(b); baton > 0 {
-			out = append(out, &peerpb.Holding{Block: int32(b), Baton: baton, Holder: holder})
+		if holder, token, _ := c.holder(b); token > 0 {
+			out = append(out, &peerpb.Holding{Block: int32(b), Token: token, Holder: holder})
 		}
 	}
 	return out
@@ -294,7 +294,7 @@
 	for b := range c.blocks {
 		if t := c.tenures[b]; t != nil && t.state != tenureOver {
 			t.withdrawn(now, id)
-			c.told.Had([]string{id}, b, t.Baton)
+			c.told.Had([]string{id}, b, t.Token)
 		}
 		if holder, _, live := c.holder(b); live {
 			c.pass(now, holder)
@@ -340,23 +340,23 @@
 	}
 	for _, h := range m.Holdings {
 		if h.Holder == m.Member {
-			c.told.Had(m.Have, int(h.Block), h.Baton)
+			c.told.Had(m.Have, int(h.Block), h.Token)
 		}
-		if old := c.claims[int(h.Block)]; old == nil || h.Baton > old.Baton {
+		if old := c.claims[int(h.Block)]; old == nil || h.Token > old.Token {
 			c.claims[int(h.Block)] = h
 		}
 		t := c.tenures[int(h.Block)]
 		if t == nil || t.state == tenureOver {
 			continue
 		}
-		if h.Baton > t.Baton {
-			t.end(now, "a peer knows a higher Baton")
+		if h.Token > t.Token {
+			t.end(now, "a peer knows a higher token")
 			continue
 		}
 		// A peer that knows of another holder passes on what that one lacks. One that
 		// echoes what this process sent has made its message after that was sent;
 		// any other message may have been held back.
-		if p != nil && h.Baton == t.Baton && m.Vouches && m.EchoProcess == c.process && t.state != tenureLoading {
+		if p != nil && h.Token == t.Token && m.Vouches && m.EchoProcess == c.process && t.state != tenureLoading {
 			up := time.Duration(m.UpMs) * time.Millisecond
 			t.horizon.Vouch(name, m.Process, now.Add(-up+time.Duration(float64(up)*2*tuning.ClockDrift)), c.born.Add(time.Duration(m.EchoNs)))
 		}
@@ -445,7 +445,7 @@
 		return b != block
 	}
 	waiting := false
-	c.hires.Each(func(it wire.Item) {
+	c.rentals.Each(func(it wire.Item) {
 		b, hosts := fleet.Named(it)
 		waiting = waiting || b != block && len(hosts) == 0
 	})
@@ -456,12 +456,12 @@
 // newer ones. A node cut off from the state service would otherwise send
 // workers to a holder that is none any more, and two such nodes to each other,
 // until their leases are over.
-func (c *Core) holder(block int) (member string, baton uint64, live bool) {
-	member, baton, live = c.leader.Holder(block)
-	if h := c.claims[block]; h != nil && h.Baton > baton {
-		return h.Holder, h.Baton, h.Holder != ""
+func (c *Core) holder(block int) (member string, token uint64, live bool) {
+	member, token, live = c.leader.Holder(block)
+	if h := c.claims[block]; h != nil && h.Token > token {
+		return h.Holder, h.Token, h.Holder != ""
 	}
-	return member, baton, live
+	return member, token, live
 }
 
 // redirect sends a worker to its block's holder.
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -26,11 +26,11 @@
 		want  string
 	}{
 		{"nothing known", nil, ""},
-		{"a peer knows", []*peerpb.Holding{{Baton: 4, Holder: "n1"}}, "n1"},
-		{"a newer word counts", []*peerpb.Holding{{Baton: 4, Holder: "n1"}, {Baton: 5, Holder: "n2"}}, "n2"},
-		{"an older word does not", []*peerpb.Holding{{Baton: 5, Holder: "n2"}, {Baton: 4, Holder: "n1"}}, "n2"},
-		{"given back, not yet given away", []*peerpb.Holding{{Baton: 4, Holder: "n1"}, {Baton: 5}}, ""},
-		{"never to itself", []*peerpb.Holding{{Baton: 4, Holder: "n0"}}, ""},
+		{"a peer knows", []*peerpb.Holding{{Token: 4, Holder: "n1"}}, "n1"},
+		{"a newer word counts", []*peerpb.Holding{{Token: 4, Holder: "n1"}, {Token: 5, Holder: "n2"}}, "n2"},
+		{"an older word does not", []*peerpb.Holding{{Token: 5, Holder: "n2"}, {Token: 4, Holder: "n1"}}, "n2"},
+		{"given back, not yet given away", []*peerpb.Holding{{Token: 4, Holder: "n1"}, {Token: 5}}, ""},
+		{"never to itself", []*peerpb.Holding{{Token: 4, Holder: "n0"}}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10)
@@ -40,7 +40,7 @@
 			for _, h := range c.heard {
 				core.Pulse(now, &peerpb.PulseMessage{Member: "n1", Holdings: []*peerpb.Holding{h}})
 			}
-			core.Report(now, &wire.Report{Host: "i-1", Stint: 1, Tally: 1}, func(status int, body any) {
+			core.Report(now, &wire.Report{Host: "i-1", Session: 1, Seq: 1}, func(status int, body any) {
 				if r, ok := body.(wire.Redirect); status != 421 || !ok || r.ReportsTo != c.want {
 					t.Errorf("answered %d %+v, want 421 to %q", status, body, c.want)
 				}
@@ -68,7 +68,7 @@
 	cfg.Member, cfg.Known = "n0", []config.Known{{Member: "n1"}}
 	env := &heldCalls{}
 	core := NewCore(cfg, 1, env, rand.New(rand.NewPCG(1, 1)), func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	core.Pulse(now, &peerpb.PulseMessage{Member: "n1", Holdings: []*peerpb.Holding{{Baton: 4, Holder: "n1"}}})
+	core.Pulse(now, &peerpb.PulseMessage{Member: "n1", Holdings: []*peerpb.Holding{{Token: 4, Holder: "n1"}}})
 	const questions = 90
 	got := map[int]submission.Progress{}
 	for i := range questions {
--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -23,18 +23,18 @@
 // leanWorld is a deployment of the size of a lean one in simulated time, loaded and
 // steady.
 func leanWorld(s labSize) *world {
-	flavors := []wire.Flavor{{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Yards: []string{"a"}}}
+	machineTypes := []wire.MachineType{{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}}
 	cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, s.reportS, s.leaseS)
 	cfg.Facts.State = config.State{RPS: s.stateRPS, WriteRPS: s.writes, ValueKB: 8, TxnOps: 16}
-	w := newWorld(nil, 5, cfg, 1, flavors)
+	w := newWorld(nil, 5, cfg, 1, machineTypes)
 	w.state.page, w.state.kept, w.cloud.page = 1000, 10000, 500
 	w.cloud.room[roomKey("g8", "a", false)] = s.machines
 	n := 0
 	add := func(gang bool) {
-		spec := wire.Submission{ID: fmt.Sprintf("job-%06d", n), Crew: "red", Lane: "sweep", Shape: wire.ShapeBatch, Rank: "low", Pieces: s.pieces,
-			Vcpus: 6, Gpus: 1, MemGb: 36, Bundle: fmt.Sprintf("img-%d", n%12), ImageGb: 2, AnyBuild: true, GuessS: s.run.Seconds(), BookmarkS: 20, StowS: 3}
+		spec := wire.Submission{ID: fmt.Sprintf("job-%06d", n), Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "low", Tasks: s.tasks,
+			Vcpus: 6, Gpus: 1, MemGb: 36, Bundle: fmt.Sprintf("img-%d", n%12), ImageGb: 2, AnyType: true, GuessS: s.run.Seconds(), BookmarkS: 20, StowS: 3}
 		if gang {
-			spec.Lane, spec.Shape, spec.Rank, spec.Pieces, spec.Vcpus, spec.Gpus, spec.MemGb = "model", wire.ShapeGang, "normal", 2, 57, 8, 310
+			spec.Class, spec.Shape, spec.Priority, spec.Tasks, spec.Vcpus, spec.Gpus, spec.MemGb = "model", wire.ShapeGang, "normal", 2, 57, 8, 310
 		}
 		n++
 		w.add(spec, s.run)
@@ -129,16 +129,16 @@
 	defer line.Close()
 	peers := peerpb.NewPeerClient(line)
 	many := slices.Repeat([]string{"job-000001"}, 100)
-	rep := wire.Report{Host: "i-999999", Address: "127.0.0.1:1", Build: "g8", Yard: "a", Stint: 1, Baton: 1}
+	rep := wire.Report{Host: "i-999999", Address: "127.0.0.1:1", Type: "g8", Zone: "a", Session: 1, Token: 1}
 	for i := range 8 {
-		rep.Pieces = append(rep.Pieces, wire.Piece{Piece: fmt.Sprintf("job-%06d/%d", 1, i), Try: 1<<20 + uint64(i), Stage: wire.PieceRunning})
+		rep.Tasks = append(rep.Tasks, wire.Task{Task: fmt.Sprintf("job-%06d/%d", 1, i), Attempt: 1<<20 + uint64(i), Stage: wire.TaskRunning})
 	}
 	for _, c := range []struct {
 		name string
 		ask  func(b *testing.B)
 	}{
 		{"report", func(b *testing.B) {
-			rep.Tally++
+			rep.Seq++
 			raw, _ := json.Marshal(rep)
 			ask(b, http.StatusOK, http.MethodPost, "/checkin", raw)
 		}},
@@ -146,7 +146,7 @@
 		{"submission again", func(b *testing.B) { ask(b, http.StatusOK, http.MethodPost, "/submissions", job(1)) }},
 		{"malformed", func(b *testing.B) { ask(b, http.StatusBadRequest, http.MethodPost, "/submissions", job(1)[1:]) }},
 		{"pulse of a peer", func(b *testing.B) {
-			if _, err := peers.Pulse(b.Context(), &peerpb.PulseMessage{Member: "node-1", Holdings: []*peerpb.Holding{{Baton: 1, Holder: "node-0"}}}); err != nil {
+			if _, err := peers.Pulse(b.Context(), &peerpb.PulseMessage{Member: "node-1", Holdings: []*peerpb.Holding{{Token: 1, Holder: "node-0"}}}); err != nil {
 				b.Fatal(err)
 			}
 		}},
--- a/internal/node/gap_test.go
+++ b/internal/node/gap_test.go
@@ -78,8 +78,8 @@
 				w := calmSeed(t, 11+seed, 6, 2)
 				var long []*simJob
 				for i := range 4 {
-					long = append(long, w.add(wire.Submission{ID: fmt.Sprintf("job-1%02d", i), Crew: "red", Lane: "train", Shape: wire.ShapeBatch, Rank: "high", Pieces: 2,
-						Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 300}, 400*time.Second))
+					long = append(long, w.add(wire.Submission{ID: fmt.Sprintf("job-1%02d", i), Team: "red", Class: "train", Shape: wire.ShapeBatch, Priority: "high", Tasks: 2,
+						Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 300}, 400*time.Second))
 				}
 				w.runFor(45 * time.Second)
 				holder := w.holder()
@@ -92,9 +92,9 @@
 				sessions := map[string]uint64{}
 				running := 0
 				for _, id := range w.hosts() {
-					sessions[id] = w.workers[id].stint
-					for _, p := range w.workers[id].pieces {
-						if p.job.run == 400*time.Second && p.stage == wire.PieceRunning {
+					sessions[id] = w.workers[id].session
+					for _, p := range w.workers[id].tasks {
+						if p.job.run == 400*time.Second && p.stage == wire.TaskRunning {
 							running++
 						}
 					}
@@ -136,8 +136,8 @@
 				}
 				w.runFor(50 * time.Second)
 				if c.keeps {
-					for id, stint := range sessions {
-						if h := w.workers[id]; h != nil && h.stint != stint {
+					for id, session := range sessions {
+						if h := w.workers[id]; h != nil && h.session != session {
 							w.fail("%s lost its lease", id)
 						}
 					}
@@ -169,7 +169,7 @@
 		{"peers that say they have told of nothing else", func(*simNode, *peerpb.PulseMessage) {}, true},
 		{"peers that lost count", func(_ *simNode, m *peerpb.PulseMessage) { m.Vouches = false }, false},
 		{"peers that know of an older token: what the holder before has was told to that one", func(_ *simNode, m *peerpb.PulseMessage) {
-			m.Holdings = []*peerpb.Holding{{Baton: m.Holdings[0].Baton - 1, Holder: m.Holdings[0].Holder}}
+			m.Holdings = []*peerpb.Holding{{Token: m.Holdings[0].Token - 1, Holder: m.Holdings[0].Holder}}
 		}, false},
 		{"peers that know of no holder", func(_ *simNode, m *peerpb.PulseMessage) { m.Holdings = nil }, false},
 		{"peers that echo a former process of the holder's name: the mark is of another clock", func(_ *simNode, m *peerpb.PulseMessage) {
@@ -229,10 +229,10 @@
 func TestOutageWhileLoading(t *testing.T) {
 	for seed := range uint64(4) {
 		w := calmSeed(t, 20+seed, 6, 2)
-		long := w.add(wire.Submission{ID: "job-100", Crew: "red", Lane: "train", Shape: wire.ShapeBatch, Rank: "high", Pieces: 4,
-			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 300}, 400*time.Second)
-		other := w.add(wire.Submission{ID: "job-101", Crew: "red", Lane: "train", Shape: wire.ShapeBatch, Rank: "high", Pieces: 2,
-			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 300}, 400*time.Second)
+		long := w.add(wire.Submission{ID: "job-100", Team: "red", Class: "train", Shape: wire.ShapeBatch, Priority: "high", Tasks: 4,
+			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 300}, 400*time.Second)
+		other := w.add(wire.Submission{ID: "job-101", Team: "red", Class: "train", Shape: wire.ShapeBatch, Priority: "high", Tasks: 2,
+			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 300}, 400*time.Second)
 		w.runFor(40 * time.Second)
 		h := w.holder()
 		for _, o := range w.workers {
@@ -261,16 +261,16 @@
 			if t := n.core.tenures[0]; n.alive && t != nil && t.state == tenureLoading {
 				for _, id := range w.hosts() {
 					rep := w.workers[id].report()
-					for _, p := range rep.Pieces {
+					for _, p := range rep.Tasks {
 						one := *rep
-						one.Pieces = []wire.Piece{p}
-						off := strings.HasPrefix(p.Piece, long.spec.ID)
+						one.Tasks = []wire.Task{p}
+						off := strings.HasPrefix(p.Task, long.spec.ID)
 						t.Report(w.clk.now, &one, func(status int, _ any) {
-							if status == 200 && p.Stage != wire.PieceExited {
+							if status == 200 && p.Stage != wire.TaskExited {
 								renewed[off]++
 							}
 						})
-						rep.Tally++
+						rep.Seq++
 					}
 				}
 			}
@@ -297,13 +297,13 @@
 	w := calm(t, 2, 1)
 	w.runFor(40 * time.Second)
 	for i := range 3 {
-		w.add(wire.Submission{ID: fmt.Sprintf("job-1%02d", i), Crew: "red", Lane: "sweep", Shape: wire.ShapeBatch, Rank: "high", Pieces: 1,
-			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 200}, 200*time.Second)
+		w.add(wire.Submission{ID: fmt.Sprintf("job-1%02d", i), Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "high", Tasks: 1,
+			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 200}, 200*time.Second)
 	}
 	w.runFor(30 * time.Second)
 	w.odds.heldCommand, w.odds.heldFor = 1, 60*time.Second
-	gang := w.add(wire.Submission{ID: "job-200", Crew: "red", Lane: "train", Shape: wire.ShapeGang, Rank: "high", Pieces: 1,
-		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 10}, 10*time.Second)
+	gang := w.add(wire.Submission{ID: "job-200", Team: "red", Class: "train", Shape: wire.ShapeGang, Priority: "high", Tasks: 1,
+		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 10}, 10*time.Second)
 	sent := func() int {
 		n := 0
 		for _, m := range w.holder().core.tenures[0].reg.All() {
@@ -323,7 +323,7 @@
 	}
 	w.odds = odds{}
 	for _, h := range w.workers {
-		if len(h.pieces) == 0 {
+		if len(h.tasks) == 0 {
 			t.Fatalf("%s has no other work", h.host.ID)
 		}
 	}
@@ -336,12 +336,12 @@
 // with the very answer that renews its lease.
 func TestInheritedCancellation(t *testing.T) {
 	w := calm(t, 6, 2)
-	long := w.add(wire.Submission{ID: "job-100", Crew: "red", Lane: "train", Shape: wire.ShapeBatch, Rank: "high", Pieces: 2,
-		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 300}, 400*time.Second)
+	long := w.add(wire.Submission{ID: "job-100", Team: "red", Class: "train", Shape: wire.ShapeBatch, Priority: "high", Tasks: 2,
+		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 300}, 400*time.Second)
 	w.runFor(40 * time.Second)
 	var on *workerHost
 	for _, id := range w.hosts() {
-		for _, p := range w.workers[id].pieces {
+		for _, p := range w.workers[id].tasks {
 			if p.job == long && p.on() {
 				on = w.workers[id]
 			}
@@ -368,8 +368,8 @@
 	}
 	stopped := false
 	next.Report(w.clk.now, on.report(), func(status int, body any) {
-		for _, o := range body.(wire.Orders).Orders {
-			id, _, _ := wire.ParsePiece(o.Piece)
+		for _, o := range body.(wire.Commands).Commands {
+			id, _, _ := wire.ParseTask(o.Task)
 			stopped = stopped || status == 200 && o.Verb == wire.VerbStop && id == long.spec.ID
 		}
 	})
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -160,7 +160,7 @@
 		return
 	}
 	var rep wire.Report
-	if err := wire.ParseReport(raw, &rep); err != nil || rep.Host == "" || rep.Stint == 0 {
+	if err := wire.ParseReport(raw, &rep); err != nil || rep.Host == "" || rep.Session == 0 {
 		r.log.Debug("report refused", "from", req.RemoteAddr, "error", err)
 		answer(w, http.StatusBadRequest, submission.Problem{Error: "not a report"}, 0)
 		return
--- a/internal/node/lab_test.go
+++ b/internal/node/lab_test.go
@@ -119,7 +119,7 @@
 	limits           config.Limits
 	reportS, leaseS  float64
 	arrays, gangs    float64 // jobs a second
-	pieces           int
+	tasks            int
 	run              time.Duration
 	stateRPS, writes float64
 }
@@ -131,13 +131,13 @@
 
 func newLab(tb testing.TB, s labSize) *lab {
 	tb.Helper()
-	flavors := []wire.Flavor{{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Yards: []string{"a"}}}
+	machineTypes := []wire.MachineType{{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}}
 	l := &lab{tb: tb, clk: &clock{now: time.Now()}, hosts: map[string]*labWorker{}, run: map[string]time.Duration{}}
 	l.users = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 40, MaxConnsPerHost: 40}}
 	var cancel context.CancelFunc
 	l.ctx, cancel = context.WithCancel(context.Background())
 	rng := rand.New(rand.NewPCG(3, 3))
-	l.state, l.cloud = newStateService(l.clk, rng), newCloud(l.clk, rng, flavors)
+	l.state, l.cloud = newStateService(l.clk, rng), newCloud(l.clk, rng, machineTypes)
 	l.state.page, l.state.kept, l.cloud.page = 1000, 10000, 500
 	l.cloud.room[roomKey("g8", "a", false)] = s.machines
 	l.cloud.address = func(n int) string { return fmt.Sprintf("127.1.%d.%d:%d", n/200, n%200+1, l.doPort) }
@@ -249,7 +249,7 @@
 		_ = json.Unmarshal(raw, &g)
 		c.Op, c.Life = store.OpGrant, time.Duration(g.LifeMs)*time.Millisecond
 	case strings.HasPrefix(path, "/grants/"):
-		c.Op, c.Hold = store.OpTouch, num(strings.TrimSuffix(strings.TrimPrefix(path, "/grants/"), "/touch"))
+		c.Op, c.Lease = store.OpTouch, num(strings.TrimSuffix(strings.TrimPrefix(path, "/grants/"), "/touch"))
 	default:
 		_ = json.Unmarshal(raw, &c.Multi)
 	}
@@ -264,7 +264,7 @@
 			reply(w, 200, r.Item)
 			return
 		}
-		reply(w, r.Status, map[string]any{"Items": r.Items, "More": r.More, "Epoch": r.Epoch, "failed": r.Failed, "Hold": r.Hold, "Events": r.Events})
+		reply(w, r.Status, map[string]any{"Items": r.Items, "More": r.More, "Epoch": r.Revision, "failed": r.Failed, "Hold": r.Lease, "Events": r.Events})
 	case <-req.Context().Done():
 	}
 }
@@ -274,14 +274,14 @@
 	c := fleet.Call{Op: fleet.OpList, After: req.URL.Query().Get("After")}
 	switch {
 	case req.URL.Path == "/flavors":
-		c.Op = fleet.OpFlavors
+		c.Op = fleet.OpMachineTypes
 	case req.URL.Path == "/machines/delete":
 		var h wire.HostNames
 		_ = json.Unmarshal(raw, &h)
 		c.Op, c.Hosts = fleet.OpDelete, h.Hosts
 	case req.Method == http.MethodPost:
-		c.Op = fleet.OpHire
-		_ = json.Unmarshal(raw, &c.Hire)
+		c.Op = fleet.OpRent
+		_ = json.Unmarshal(raw, &c.Rental)
 	}
 	l.mu.Lock()
 	l.catchUp()
@@ -290,8 +290,8 @@
 	switch {
 	case r.Status != 200:
 		reply(w, r.Status, map[string]string{"error": r.Error})
-	case c.Op == fleet.OpFlavors:
-		reply(w, 200, wire.Flavors{Builds: r.Flavors})
+	case c.Op == fleet.OpMachineTypes:
+		reply(w, 200, wire.MachineTypes{Types: r.MachineTypes})
 	case c.Op == fleet.OpList:
 		reply(w, 200, r.Page)
 	default:
@@ -309,11 +309,11 @@
 	switch {
 	case h == nil:
 		reply(w, 503, nil)
-	case d.Baton < h.baton || d.Stint != 1:
+	case d.Token < h.token || d.Session != 1:
 		reply(w, 409, h.report())
 	default:
-		h.hear(d.Baton)
-		h.execute(d.Orders)
+		h.hear(d.Token)
+		h.execute(d.Commands)
 		reply(w, 200, h.report())
 	}
 }
@@ -325,20 +325,20 @@
 	client *http.Client
 	node   int
 	gone   bool
-	tally  uint64
-	baton  uint64
-	pieces map[wire.Piece]*labPiece // by name and attempt
+	seq    uint64
+	token  uint64
+	tasks  map[wire.Task]*labTask // by name and attempt
 	images map[string]bool
 	kick   chan struct{}
 }
 
-type labPiece struct {
+type labTask struct {
 	stage, cause string
 	until        time.Time
 }
 
 func (l *lab) booted(h *cloudHost) {
-	w := &labWorker{l: l, host: h.Host, node: len(l.hosts) % len(l.nodes), pieces: map[wire.Piece]*labPiece{}, images: map[string]bool{},
+	w := &labWorker{l: l, host: h.Host, node: len(l.hosts) % len(l.nodes), tasks: map[wire.Task]*labTask{}, images: map[string]bool{},
 		kick: make(chan struct{}, 1), client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
 	l.hosts[h.Address] = w
 	l.wg.Add(1)
@@ -346,10 +346,10 @@
 }
 
 func (h *labWorker) report() *wire.Report {
-	h.tally++
-	r := &wire.Report{Host: h.host.ID, Address: h.host.Address, Build: h.host.Build, Yard: h.host.Yard, Loaners: h.host.Loaners, Stint: 1, Tally: h.tally, Baton: h.baton}
-	for k, p := range h.pieces {
-		r.Pieces = append(r.Pieces, wire.Piece{Piece: k.Piece, Try: k.Try, Stage: p.stage, Cause: p.cause})
+	h.seq++
+	r := &wire.Report{Host: h.host.ID, Address: h.host.Address, Type: h.host.Type, Zone: h.host.Zone, Spot: h.host.Spot, Session: 1, Seq: h.seq, Token: h.token}
+	for k, p := range h.tasks {
+		r.Tasks = append(r.Tasks, wire.Task{Task: k.Task, Attempt: k.Attempt, Stage: p.stage, Cause: p.cause})
 	}
 	return r
 }
@@ -361,32 +361,32 @@
 	}
 }
 
-func (h *labWorker) hear(baton uint64) {
-	if baton > h.baton {
-		h.baton = baton
+func (h *labWorker) hear(token uint64) {
+	if token > h.token {
+		h.token = token
 		h.changed()
 	}
 }
 
-func (h *labWorker) execute(orders []wire.Order) {
-	for _, o := range orders {
-		k := wire.Piece{Piece: o.Piece, Try: o.Try}
-		p := h.pieces[k]
+func (h *labWorker) execute(commands []wire.Command) {
+	for _, o := range commands {
+		k := wire.Task{Task: o.Task, Attempt: o.Attempt}
+		p := h.tasks[k]
 		switch {
 		case o.Verb == wire.VerbRun && p == nil:
-			id, _, _ := wire.ParsePiece(o.Piece)
-			p = &labPiece{stage: wire.PieceFetching, until: time.Now().Add(time.Second)}
+			id, _, _ := wire.ParseTask(o.Task)
+			p = &labTask{stage: wire.TaskFetching, until: time.Now().Add(time.Second)}
 			if h.images[id] {
 				p.until = time.Now()
 			}
 			h.images[id] = true
-			h.pieces[k] = p
+			h.tasks[k] = p
 			h.changed()
-		case o.Verb == wire.VerbStop && p != nil && p.stage != wire.PieceExited:
-			p.stage, p.cause = wire.PieceExited, wire.CauseHalted
+		case o.Verb == wire.VerbStop && p != nil && p.stage != wire.TaskExited:
+			p.stage, p.cause = wire.TaskExited, wire.CauseHalted
 			h.changed()
 		case o.Verb == wire.VerbReap:
-			delete(h.pieces, k)
+			delete(h.tasks, k)
 		}
 	}
 }
@@ -404,17 +404,17 @@
 		}
 		now := time.Now()
 		next := now.Add(config.Seconds(l.cfg.Facts.Workers.ReportS * (0.75 + rand.Float64()/2)))
-		for k, p := range h.pieces {
-			for p.stage != wire.PieceExited && !p.until.After(now) {
-				id, _, _ := wire.ParsePiece(k.Piece)
-				if p.stage == wire.PieceFetching {
-					p.stage, p.until = wire.PieceRunning, now.Add(l.run[id])
+		for k, p := range h.tasks {
+			for p.stage != wire.TaskExited && !p.until.After(now) {
+				id, _, _ := wire.ParseTask(k.Task)
+				if p.stage == wire.TaskFetching {
+					p.stage, p.until = wire.TaskRunning, now.Add(l.run[id])
 				} else {
-					p.stage, p.cause = wire.PieceExited, wire.CauseDone
+					p.stage, p.cause = wire.TaskExited, wire.CauseDone
 				}
 				h.changed()
 			}
-			if p.stage != wire.PieceExited && p.until.Before(next) {
+			if p.stage != wire.TaskExited && p.until.Before(next) {
 				next = p.until
 			}
 		}
@@ -442,7 +442,7 @@
 	start := time.Now()
 	resp, err := h.client.Post("http://"+n.cfg.APIAddr+"/checkin", "application/json", bytes.NewReader(raw))
 	status, to := 0, ""
-	var o wire.Orders
+	var o wire.Commands
 	if err == nil {
 		body, _ := io.ReadAll(resp.Body)
 		resp.Body.Close()
@@ -461,9 +461,9 @@
 		l.slow++
 	}
 	if status == 200 {
-		if o.Baton >= h.baton {
-			h.hear(o.Baton)
-			h.execute(o.Orders)
+		if o.Token >= h.token {
+			h.hear(o.Token)
+			h.execute(o.Commands)
 		}
 		l.mu.Unlock()
 		return
@@ -594,7 +594,7 @@
 // submit has users submit jobs at a rate and ask about them until they are done.
 func (l *lab) submit(s labSize, first int) {
 	job := func(id string, gang bool) {
-		spec := map[string]any{"Id": id, "Lane": "sweep", "Crew": "red", "Shape": "batch", "Rank": "low", "Pieces": s.pieces, "Vcpus": 6.0, "Gpus": 1.0, "MemGb": 36.0,
+		spec := map[string]any{"Id": id, "Lane": "sweep", "Crew": "red", "Shape": "batch", "Rank": "low", "Pieces": s.tasks, "Vcpus": 6.0, "Gpus": 1.0, "MemGb": 36.0,
 			"Bundle": "img-" + id[len(id)-1:], "ImageGb": 2.0, "Builds": nil, "Yard": nil, "Together": false, "Apart": false, "Loaners": false,
 			"GuessS": s.run.Seconds(), "BookmarkS": 20.0, "StowS": 3.0, "DueS": nil}
 		if gang {
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -12,18 +12,18 @@
 // meet is what a meeting of troubles is played with.
 type meet struct {
 	*world
-	zones   []string
-	flavors []wire.Flavor
-	n       int // jobs so far
+	zones        []string
+	machineTypes []wire.MachineType
+	n            int // jobs so far
 }
 
 // job makes a user submit a random job, changed as a meeting needs it.
 func (m *meet) job(change func(s *wire.Submission), run time.Duration) *simJob {
-	s := wire.Submission{ID: fmt.Sprintf("job-%06d", m.n), Crew: m.cfg.Facts.Teams[m.rng.IntN(len(m.cfg.Facts.Teams))].Name, Lane: "sweep",
-		Shape: wire.ShapeBatch, Rank: []string{"low", "normal", "high", "critical"}[m.rng.IntN(4)], Pieces: 1 + m.rng.IntN(4),
-		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: fmt.Sprintf("img-%d", m.rng.IntN(3)), ImageGb: 2, AnyBuild: true, Loaners: m.rng.IntN(2) == 0, GuessS: run.Seconds()}
+	s := wire.Submission{ID: fmt.Sprintf("job-%06d", m.n), Team: m.cfg.Facts.Teams[m.rng.IntN(len(m.cfg.Facts.Teams))].Name, Class: "sweep",
+		Shape: wire.ShapeBatch, Priority: []string{"low", "normal", "high", "critical"}[m.rng.IntN(4)], Tasks: 1 + m.rng.IntN(4),
+		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: fmt.Sprintf("img-%d", m.rng.IntN(3)), ImageGb: 2, AnyType: true, Spot: m.rng.IntN(2) == 0, GuessS: run.Seconds()}
 	if m.rng.IntN(3) == 0 {
-		s.Shape, s.Pieces = wire.ShapeGang, 1+m.rng.IntN(3)
+		s.Shape, s.Tasks = wire.ShapeGang, 1+m.rng.IntN(3)
 	}
 	if change != nil {
 		change(&s)
@@ -106,8 +106,8 @@
 func TestMeetings(t *testing.T) {
 	small := []config.Team{{Name: "red", GPUs: 4, GPUsMax: 10}, {Name: "blue", GPUs: 6, GPUsMax: 12}, {Name: "free"}}
 	tight := []config.Team{{Name: "red", GPUs: 2, GPUsMax: 4}, {Name: "blue", GPUs: 2, GPUsMax: 4}}
-	one := []wire.Flavor{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Yards: []string{"a"}}}
-	two := []wire.Flavor{{Name: "g4", Vcpus: 16, Gpus: 4, MemGb: 128, FetchGbPerS: 1, Price: 9, LowPrice: 4, BootS: 5, Yards: []string{"a", "b"}}}
+	one := []wire.MachineType{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}}
+	two := []wire.MachineType{{Name: "g4", Vcpus: 16, Gpus: 4, MemGb: 128, FetchGbPerS: 1, Price: 9, LowPrice: 4, BootS: 5, Zones: []string{"a", "b"}}}
 	for _, c := range []struct {
 		name  string
 		zones int
@@ -127,7 +127,7 @@
 		}},
 		{"jobs bound to one zone lose machines", 2, small, func(m *meet) {
 			for i := range 6 {
-				m.job(func(s *wire.Submission) { s.Yard = m.zones[i%2]; s.Together = i%3 == 0 }, m.ms(10000, 40000))
+				m.job(func(s *wire.Submission) { s.Zone = m.zones[i%2]; s.Together = i%3 == 0 }, m.ms(10000, 40000))
 				m.runFor(m.ms(5000, 10000))
 				for _, h := range m.someWorkers() {
 					m.cloud.remove(h.host.ID)
@@ -159,11 +159,11 @@
 		}},
 		{"jobs of two or three tasks end far apart across a change of leader", 1, small, func(m *meet) {
 			for range 5 {
-				j := m.job(func(s *wire.Submission) { s.Shape, s.Pieces = wire.ShapeBatch, 2+m.rng.IntN(2) }, m.ms(3000, 8000))
+				j := m.job(func(s *wire.Submission) { s.Shape, s.Tasks = wire.ShapeBatch, 2+m.rng.IntN(2) }, m.ms(3000, 8000))
 				m.runFor(m.ms(6000, 9000))
 				for _, id := range m.hosts() {
-					for _, p := range m.workers[id].pieces {
-						if p.job == j && p.n > 0 && p.stage == wire.PieceRunning {
+					for _, p := range m.workers[id].tasks {
+						if p.job == j && p.n > 0 && p.stage == wire.TaskRunning {
 							p.until = m.clk.now.Add(m.ms(10000, 30000))
 						}
 					}
@@ -268,7 +268,7 @@
 			m.odds.heldCommand = 0.3
 			for range 8 {
 				m.jobs(2, 10*time.Second, 60*time.Second)
-				m.job(func(s *wire.Submission) { s.Shape, s.Rank = wire.ShapeGang, "critical" }, m.ms(5000, 60000))
+				m.job(func(s *wire.Submission) { s.Shape, s.Priority = wire.ShapeGang, "critical" }, m.ms(5000, 60000))
 				m.runFor(m.ms(3000, 9000))
 				m.callOff(0.25)
 				if m.rng.IntN(4) == 0 {
@@ -342,7 +342,7 @@
 		}},
 		{"one-task jobs come four a second, a quarter of them cancelled", 1, small, func(m *meet) {
 			for range 240 {
-				j := m.job(func(s *wire.Submission) { s.Shape, s.Pieces, s.Gpus, s.Vcpus = wire.ShapeBatch, 1, 0, 1 }, m.ms(1000, 5000))
+				j := m.job(func(s *wire.Submission) { s.Shape, s.Tasks, s.Gpus, s.Vcpus = wire.ShapeBatch, 1, 0, 1 }, m.ms(1000, 5000))
 				if m.rng.IntN(4) == 0 {
 					m.clk.in(m.ms(0, 4000), func() { m.cancel(j) })
 				}
@@ -413,20 +413,20 @@
 		for seed := range 2 * seedFactor() {
 			t.Run(fmt.Sprintf("%s/%d", c.name, seed), func(t *testing.T) {
 				t.Parallel()
-				zones, flavors := []string{"a"}, one
+				zones, machineTypes := []string{"a"}, one
 				if c.zones == 2 {
-					zones, flavors = []string{"a", "b"}, two
+					zones, machineTypes = []string{"a", "b"}, two
 				}
 				report, lease := 1.5, 10.0
 				if seed%2 == 1 {
 					report, lease = 4, 18
 				}
-				w := newWorld(t, uint64(100+seed), facts(zones, c.teams, report, lease), 1, flavors)
+				w := newWorld(t, uint64(100+seed), facts(zones, c.teams, report, lease), 1, machineTypes)
 				for _, z := range zones {
-					w.cloud.room[roomKey(flavors[0].Name, z, true)] = 5
-					w.cloud.room[roomKey(flavors[0].Name, z, false)] = 8
+					w.cloud.room[roomKey(machineTypes[0].Name, z, true)] = 5
+					w.cloud.room[roomKey(machineTypes[0].Name, z, false)] = 8
 				}
-				m := &meet{world: w, zones: zones, flavors: flavors}
+				m := &meet{world: w, zones: zones, machineTypes: machineTypes}
 				c.play(m)
 				m.apart = ""
 				w.ends()
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -274,7 +274,7 @@
 		// a fifth of the machines may hang when a takeover asks them all: what
 		// starts tasks does not wait behind that
 		slots := r.doSlots
-		if len(d.Orders) == 0 {
+		if len(d.Commands) == 0 {
 			slots = r.fenceSlots
 		}
 		defer enter(slots)()
--- a/internal/node/runtime_test.go
+++ b/internal/node/runtime_test.go
@@ -73,11 +73,11 @@
 	later := time.Now().Add(time.Hour)
 	hung := 0
 	for range 2 * r.pools.do {
-		r.Do(hangs.Addr().String(), wire.Do{Orders: []wire.Order{}}, later, func(time.Time, int, *wire.Report) { hung++ })
+		r.Do(hangs.Addr().String(), wire.Do{Commands: []wire.Command{}}, later, func(time.Time, int, *wire.Report) { hung++ })
 	}
 	status := map[string]int{}
 	for name, by := range map[string]time.Time{"in time": later, "too late": time.Now()} {
-		r.Do(srv.Listener.Addr().String(), wire.Do{Orders: []wire.Order{{Verb: wire.VerbRun, Piece: name}}}, by,
+		r.Do(srv.Listener.Addr().String(), wire.Do{Commands: []wire.Command{{Verb: wire.VerbRun, Task: name}}}, by,
 			func(_ time.Time, s int, _ *wire.Report) { status[name] = s })
 	}
 	for len(status) < 2 {
--- a/internal/node/standin_cloud_test.go
+++ b/internal/node/standin_cloud_test.go
@@ -12,21 +12,21 @@
 
 // cloud is a stand-in for the cloud, by the protocol.
 type cloud struct {
-	clk     *clock
-	rng     *rand.Rand
-	flavors []wire.Flavor
-	room    map[string]int // by kind
-	hires   map[string][]string
-	hosts   map[string]*cloudHost
-	seq     int
-	down    bool
-	atOnce  bool    // machines are up within two seconds
-	never   float64 // part of the boots that never end
-	history []snapshot
-	page    int // machines a list shows at most
-	address func(n int) string
-	booted  func(h *cloudHost)
-	ended   func(h *cloudHost)
+	clk          *clock
+	rng          *rand.Rand
+	machineTypes []wire.MachineType
+	room         map[string]int // by kind
+	rentals      map[string][]string
+	hosts        map[string]*cloudHost
+	seq          int
+	down         bool
+	atOnce       bool    // machines are up within two seconds
+	never        float64 // part of the boots that never end
+	history      []snapshot
+	page         int // machines a list shows at most
+	address      func(n int) string
+	booted       func(h *cloudHost)
+	ended        func(h *cloudHost)
 }
 
 type cloudHost struct {
@@ -39,8 +39,8 @@
 	hosts []wire.Host
 }
 
-func newCloud(clk *clock, rng *rand.Rand, flavors []wire.Flavor) *cloud {
-	c := &cloud{clk: clk, rng: rng, flavors: flavors, room: map[string]int{}, hires: map[string][]string{}, hosts: map[string]*cloudHost{},
+func newCloud(clk *clock, rng *rand.Rand, machineTypes []wire.MachineType) *cloud {
+	c := &cloud{clk: clk, rng: rng, machineTypes: machineTypes, room: map[string]int{}, rentals: map[string][]string{}, hosts: map[string]*cloudHost{},
 		page: 10, address: func(n int) string { return fmt.Sprintf("addr-i-%06d", n) }}
 	c.snap()
 	return c
@@ -61,30 +61,30 @@
 	c.clk.in(500*time.Millisecond, c.snap)
 }
 
-func roomKey(build, yard string, spot bool) string { return fmt.Sprint(build, yard, spot) }
+func roomKey(build, zone string, spot bool) string { return fmt.Sprint(build, zone, spot) }
 
 func (c *cloud) call(call fleet.Call) fleet.Result {
 	if c.down {
 		return fleet.Result{Status: 503, Error: "trouble"}
 	}
 	switch call.Op {
-	case fleet.OpFlavors:
-		return fleet.Result{Status: 200, Flavors: c.flavors}
-	case fleet.OpHire:
-		h := call.Hire
-		if hosts, ok := c.hires[h.Hire]; ok {
+	case fleet.OpMachineTypes:
+		return fleet.Result{Status: 200, MachineTypes: c.machineTypes}
+	case fleet.OpRent:
+		h := call.Rental
+		if hosts, ok := c.rentals[h.Rental]; ok {
 			return fleet.Result{Status: 200, Hosts: hosts}
 		}
-		n := min(h.Number, c.room[roomKey(h.Build, h.Yard, h.Loaners)])
+		n := min(h.Number, c.room[roomKey(h.Type, h.Zone, h.Spot)])
 		if n <= 0 {
 			return fleet.Result{Status: 503, Error: fleet.NoCapacity}
 		}
-		c.room[roomKey(h.Build, h.Yard, h.Loaners)] -= n
+		c.room[roomKey(h.Type, h.Zone, h.Spot)] -= n
 		var names []string
 		for range n {
 			id, addr := fmt.Sprintf("i-%06d", c.seq), c.address(c.seq)
 			c.seq++
-			ch := &cloudHost{born: c.clk.now, Host: wire.Host{ID: id, Address: addr, Build: h.Build, Yard: h.Yard, Loaners: h.Loaners, Stage: wire.HostBooting}}
+			ch := &cloudHost{born: c.clk.now, Host: wire.Host{ID: id, Address: addr, Type: h.Type, Zone: h.Zone, Spot: h.Spot, Stage: wire.HostBooting}}
 			c.hosts[id] = ch
 			names = append(names, id)
 			if c.rng.Float64() < c.never {
@@ -101,7 +101,7 @@
 				}
 			})
 		}
-		c.hires[h.Hire] = names
+		c.rentals[h.Rental] = names
 		return fleet.Result{Status: 200, Hosts: names}
 	case fleet.OpDelete:
 		for _, id := range call.Hosts {
@@ -130,6 +130,6 @@
 		return
 	}
 	delete(c.hosts, id)
-	c.room[roomKey(h.Build, h.Yard, h.Loaners)]++
+	c.room[roomKey(h.Type, h.Zone, h.Spot)]++
 	c.ended(h)
 }
--- a/internal/node/standin_state_test.go
+++ b/internal/node/standin_state_test.go
@@ -55,21 +55,21 @@
 
 // stateService is a stand-in for the state service, by the protocol.
 type stateService struct {
-	clk     *clock
-	rng     *rand.Rand
-	keys    map[string]wire.Item
-	holds   map[uint64]*hold
-	epoch   uint64
-	log     []wire.Change
-	oldest  uint64 // changes up to here have been forgotten
-	next    uint64
-	watches []*watch
-	down    bool
-	page    int // keys a list shows at most
-	kept    int // changes that are remembered
+	clk      *clock
+	rng      *rand.Rand
+	keys     map[string]wire.Item
+	holds    map[uint64]*lease
+	revision uint64
+	log      []wire.Change
+	oldest   uint64 // changes up to here have been forgotten
+	next     uint64
+	watches  []*watch
+	down     bool
+	page     int // keys a list shows at most
+	kept     int // changes that are remembered
 }
 
-type hold struct {
+type lease struct {
 	life time.Duration
 	ends time.Time
 }
@@ -81,7 +81,7 @@
 }
 
 func newStateService(clk *clock, rng *rand.Rand) *stateService {
-	s := &stateService{clk: clk, rng: rng, keys: map[string]wire.Item{}, holds: map[uint64]*hold{},
+	s := &stateService{clk: clk, rng: rng, keys: map[string]wire.Item{}, holds: map[uint64]*lease{},
 		page: 25, kept: 400} // few, so that paging and 410 happen
 	s.sweep()
 	return s
@@ -101,13 +101,13 @@
 			delete(s.holds, id)
 			var keys []string
 			for k, it := range s.keys {
-				if it.Hold == id {
+				if it.Lease == id {
 					keys = append(keys, k)
 				}
 			}
 			sort.Strings(keys)
 			for _, k := range keys {
-				s.epoch++
+				s.revision++
 				s.change(wire.Write{Remove: k})
 			}
 			s.wake()
@@ -130,14 +130,14 @@
 	if w.Remove != "" {
 		if _, ok := s.keys[w.Remove]; ok {
 			delete(s.keys, w.Remove)
-			s.log = append(s.log, wire.Change{Remove: w.Remove, Stamp: s.epoch})
+			s.log = append(s.log, wire.Change{Remove: w.Remove, Version: s.revision})
 		}
 	} else {
-		s.keys[w.Write] = wire.Item{Path: w.Write, Value: w.Value, Stamp: s.epoch, Hold: w.Hold}
-		s.log = append(s.log, wire.Change{Write: w.Write, Value: w.Value, Stamp: s.epoch})
+		s.keys[w.Write] = wire.Item{Path: w.Write, Value: w.Value, Version: s.revision, Lease: w.Lease}
+		s.log = append(s.log, wire.Change{Write: w.Write, Value: w.Value, Version: s.revision})
 	}
 	if len(s.log) > s.kept {
-		s.oldest = s.log[s.kept/2].Stamp
+		s.oldest = s.log[s.kept/2].Version
 		s.log = append([]wire.Change{}, s.log[s.kept/2+1:]...)
 	}
 }
@@ -161,9 +161,9 @@
 	if since < s.oldest {
 		return store.Result{Status: 410}, true
 	}
-	r := store.Result{Status: 200, Epoch: s.epoch}
+	r := store.Result{Status: 200, Revision: s.revision}
 	for _, c := range s.log {
-		if c.Stamp > since && strings.HasPrefix(c.Write+c.Remove, under) {
+		if c.Version > since && strings.HasPrefix(c.Write+c.Remove, under) {
 			r.Events = append(r.Events, c)
 		}
 	}
@@ -181,7 +181,7 @@
 		if it, ok := s.keys[c.Key]; ok {
 			reply(store.Result{Status: 200, Item: it})
 		} else {
-			reply(store.Result{Status: 404, Epoch: s.epoch})
+			reply(store.Result{Status: 404, Revision: s.revision})
 		}
 	case store.OpList:
 		var keys []string
@@ -191,7 +191,7 @@
 			}
 		}
 		sort.Strings(keys)
-		r := store.Result{Status: 200, Epoch: s.epoch}
+		r := store.Result{Status: 200, Revision: s.revision}
 		for _, k := range keys {
 			if len(r.Items) == s.page {
 				r.More = true
@@ -202,16 +202,16 @@
 		reply(r)
 	case store.OpGrant:
 		s.next++
-		s.holds[s.next] = &hold{c.Life, s.clk.now.Add(c.Life)}
-		reply(store.Result{Status: 200, Hold: s.next})
+		s.holds[s.next] = &lease{c.Life, s.clk.now.Add(c.Life)}
+		reply(store.Result{Status: 200, Lease: s.next})
 	case store.OpTouch:
-		h := s.holds[c.Hold]
+		h := s.holds[c.Lease]
 		if h == nil {
 			reply(store.Result{Status: 404})
 			return
 		}
 		h.ends = s.clk.now.Add(h.life)
-		reply(store.Result{Status: 200, Hold: c.Hold})
+		reply(store.Result{Status: 200, Lease: c.Lease})
 	case store.OpMulti:
 		reply(s.multi(c.Multi))
 	case store.OpChanges:
@@ -226,7 +226,7 @@
 				if o == w {
 					s.watches = append(s.watches[:i:i], s.watches[i+1:]...)
 					if !s.down {
-						reply(store.Result{Status: 200, Epoch: s.epoch})
+						reply(store.Result{Status: 200, Revision: s.revision})
 					}
 					return
 				}
@@ -237,25 +237,25 @@
 
 func (s *stateService) multi(m wire.Multi) store.Result {
 	for _, w := range m.Writes {
-		if w.Hold != 0 && s.holds[w.Hold] == nil {
+		if w.Lease != 0 && s.holds[w.Lease] == nil {
 			return store.Result{Status: 400}
 		}
 	}
 	var failed []string
 	for _, c := range m.When {
-		if s.keys[c.Path].Stamp != c.Stamp {
+		if s.keys[c.Path].Version != c.Version {
 			failed = append(failed, c.Path)
 		}
 	}
 	if len(failed) > 0 {
-		return store.Result{Status: 409, Failed: failed, Epoch: s.epoch}
+		return store.Result{Status: 409, Failed: failed, Revision: s.revision}
 	}
 	if len(m.Writes) > 0 {
-		s.epoch++
+		s.revision++
 		for _, w := range m.Writes {
 			s.change(w)
 		}
 		s.wake()
 	}
-	return store.Result{Status: 200, Epoch: s.epoch}
+	return store.Result{Status: 200, Revision: s.revision}
 }
--- a/internal/node/standin_worker_test.go
+++ b/internal/node/standin_worker_test.go
@@ -23,12 +23,12 @@
 	deaf     bool     // its reports arrive, but no answer or command reaches it
 	mute     bool     // it reaches no controller, while direct commands reach it
 	late     []func() // messages held back by the cut or the hang
-	stint    uint64
-	tally    uint64
-	baton    uint64
+	session  uint64
+	seq      uint64
+	token    uint64
 	leased   time.Time // when the last answered report was sent, or the session began
 	recall   time.Time
-	pieces   []*simPiece
+	tasks    []*simTask
 	images   map[string]bool
 	node     int
 	inFlight int // number of the report under way; 0: none
@@ -37,25 +37,25 @@
 	lastSent time.Time
 }
 
-type simPiece struct {
-	job    *simJob
-	n      int
-	try    uint64
-	stage  string
-	cause  string
-	stored bool
-	until  time.Time // the end of what it is doing
-	lost   time.Time // when a gang's task found its mates gone; zero: not
-	begun  bool
+type simTask struct {
+	job     *simJob
+	n       int
+	attempt uint64
+	stage   string
+	cause   string
+	stored  bool
+	until   time.Time // the end of what it is doing
+	lost    time.Time // when a gang's task found its mates gone; zero: not
+	begun   bool
 }
 
-func (p *simPiece) on() bool { return p.stage != wire.PieceExited }
+func (p *simTask) on() bool { return p.stage != wire.TaskExited }
 
 // find looks up an attempt; any attempt of the task that has not ended if try
 // is 0.
-func (h *workerHost) find(job *simJob, n int, try uint64) *simPiece {
-	for _, p := range h.pieces {
-		if p.job == job && p.n == n && (p.try == try || try == 0 && p.on()) {
+func (h *workerHost) find(job *simJob, n int, attempt uint64) *simTask {
+	for _, p := range h.tasks {
+		if p.job == job && p.n == n && (p.attempt == attempt || attempt == 0 && p.on()) {
 			return p
 		}
 	}
@@ -63,15 +63,15 @@
 }
 
 func (h *workerHost) report() *wire.Report {
-	h.tally++
-	r := &wire.Report{Host: h.host.ID, Address: h.host.Address, Build: h.host.Build, Yard: h.host.Yard, Loaners: h.host.Loaners,
-		Stint: h.stint, Tally: h.tally, Baton: h.baton}
+	h.seq++
+	r := &wire.Report{Host: h.host.ID, Address: h.host.Address, Type: h.host.Type, Zone: h.host.Zone, Spot: h.host.Spot,
+		Session: h.session, Seq: h.seq, Token: h.token}
 	if !h.recall.IsZero() {
 		s := max(0, h.recall.Sub(h.w.clk.now).Seconds())
 		r.RecallS = &s
 	}
-	for _, p := range h.pieces {
-		r.Pieces = append(r.Pieces, wire.Piece{Piece: wire.PieceName(p.job.spec.ID, p.n), Try: p.try, Stage: p.stage, Cause: p.cause, Stored: p.stored})
+	for _, p := range h.tasks {
+		r.Tasks = append(r.Tasks, wire.Task{Task: wire.TaskName(p.job.spec.ID, p.n), Attempt: p.attempt, Stage: p.stage, Cause: p.cause, Stored: p.stored})
 	}
 	return r
 }
@@ -85,8 +85,8 @@
 	// a hanging machine resumes within its lease or not at all with its tasks
 	now := h.w.clk.now
 	if now.Sub(h.leased) > config.Seconds(h.w.cfg.Facts.Workers.LeaseS) {
-		h.pieces = nil
-		h.stint++
+		h.tasks = nil
+		h.session++
 		h.leased = now
 		h.inFlight = 0
 		h.changed = true
@@ -94,7 +94,7 @@
 	if h.hung {
 		return
 	}
-	for _, p := range h.pieces {
+	for _, p := range h.tasks {
 		h.advance(p)
 	}
 	gap := now.Sub(h.lastSent)
@@ -104,19 +104,19 @@
 	}
 }
 
-func (h *workerHost) exit(p *simPiece, cause string, stored bool) {
-	p.stage, p.cause, p.stored = wire.PieceExited, cause, stored
+func (h *workerHost) exit(p *simTask, cause string, stored bool) {
+	p.stage, p.cause, p.stored = wire.TaskExited, cause, stored
 	h.changed = true
 }
 
-func (h *workerHost) advance(p *simPiece) {
+func (h *workerHost) advance(p *simTask) {
 	now := h.w.clk.now
 	if !p.on() {
 		return
 	}
 	gang := p.job.spec.Shape == wire.ShapeGang
 	switch p.stage {
-	case wire.PieceFetching:
+	case wire.TaskFetching:
 		if now.Before(p.until) {
 			return
 		}
@@ -130,29 +130,29 @@
 			h.exit(p, wire.CauseDone, false)
 			return
 		}
-		p.stage = wire.PieceRunning
+		p.stage = wire.TaskRunning
 		p.until = now.Add(p.job.run)
 		if gang {
-			p.stage = wire.PieceWaiting
+			p.stage = wire.TaskWaiting
 			p.until = now.Add(config.Seconds(h.w.cfg.Facts.Workers.GangWaitS))
 		}
-	case wire.PieceWaiting:
-		if mates := h.w.mates(p); len(mates) == p.job.spec.Pieces {
+	case wire.TaskWaiting:
+		if mates := h.w.mates(p); len(mates) == p.job.spec.Tasks {
 			for _, m := range mates {
-				if m.p.stage != wire.PieceWaiting {
+				if m.p.stage != wire.TaskWaiting {
 					return
 				}
 			}
 			for _, m := range mates {
-				m.p.stage, m.p.begun = wire.PieceRunning, true
+				m.p.stage, m.p.begun = wire.TaskRunning, true
 				m.p.until = now.Add(p.job.run)
 				m.h.changed = true
 			}
 		} else if now.After(p.until) {
 			h.exit(p, wire.CauseAlone, false)
 		}
-	case wire.PieceRunning, wire.PieceSaving:
-		if gang && len(h.w.mates(p)) < p.job.spec.Pieces {
+	case wire.TaskRunning, wire.TaskSaving:
+		if gang && len(h.w.mates(p)) < p.job.spec.Tasks {
 			if p.lost.IsZero() {
 				p.lost = now
 			}
@@ -160,14 +160,14 @@
 				h.exit(p, wire.CauseMatesGone, false)
 				return
 			}
-			if p.stage == wire.PieceRunning {
+			if p.stage == wire.TaskRunning {
 				return
 			}
 		}
 		if now.Before(p.until) {
 			return
 		}
-		if p.stage == wire.PieceSaving {
+		if p.stage == wire.TaskSaving {
 			h.exit(p, wire.CauseHalted, true)
 			return
 		}
@@ -181,7 +181,7 @@
 			return
 		}
 		for _, m := range h.w.mates(p) {
-			if m.p.stage != wire.PieceRunning {
+			if m.p.stage != wire.TaskRunning {
 				return
 			}
 		}
@@ -215,7 +215,7 @@
 	num := h.reports
 	h.inFlight, h.changed, h.lastSent = num, false, now
 	rep := h.report()
-	stint, sent := h.stint, now
+	session, sent := h.session, now
 	nd := h.w.nodes[h.node]
 	next := func(wait time.Duration, to int) {
 		if h.inFlight != num {
@@ -231,19 +231,19 @@
 	}
 	after := func() { next(time.Second, (h.node+1)%len(h.w.nodes)) }
 	h.w.clk.in(4*time.Second, func() {
-		if h.inFlight == num && h.stint == stint {
+		if h.inFlight == num && h.session == session {
 			after()
 		}
 	})
 	reply := func(status int, body any) {
-		if o, ok := body.(wire.Orders); ok {
-			h.w.ordered(nd, o.Orders)
+		if o, ok := body.(wire.Commands); ok {
+			h.w.ordered(nd, o.Commands)
 		}
 		if h.deaf {
 			return
 		}
 		h.w.deliver(h, nd, func() {
-			if h.inFlight != num || h.dead || h.stint != stint {
+			if h.inFlight != num || h.dead || h.session != session {
 				return
 			}
 			if h.hung {
@@ -252,15 +252,15 @@
 			switch status {
 			case 200:
 				h.inFlight = 0
-				o := body.(wire.Orders)
-				if o.Baton < h.baton {
+				o := body.(wire.Commands)
+				if o.Token < h.token {
 					return
 				}
-				if o.Baton > h.baton {
+				if o.Token > h.token {
 					h.changed = true
 				}
-				h.baton, h.leased = o.Baton, sent
-				h.execute(o.Orders)
+				h.token, h.leased = o.Token, sent
+				h.execute(o.Commands)
 			case 421:
 				to := slices.IndexFunc(h.w.nodes, func(n *simNode) bool { return n.name == body.(wire.Redirect).ReportsTo })
 				if to < 0 || to == h.node {
@@ -291,7 +291,7 @@
 	}
 	if h.w.rng.Float64() < h.w.odds.nextReports && len(h.w.kept) < 100 {
 		copied := *rep
-		copied.Pieces = slices.Clone(rep.Pieces)
+		copied.Tasks = slices.Clone(rep.Tasks)
 		h.w.kept = append(h.w.kept, &copied)
 	}
 }
@@ -301,7 +301,7 @@
 func (w *world) copyLate(rep *wire.Report) {
 	nd := w.nodes[w.rng.IntN(len(w.nodes))]
 	copied := *rep
-	copied.Pieces = slices.Clone(rep.Pieces)
+	copied.Tasks = slices.Clone(rep.Tasks)
 	w.clk.in(time.Duration(500+w.rng.IntN(40000))*time.Millisecond, func() {
 		if nd.alive {
 			nd.when(func() { nd.core.Report(w.clk.now, &copied, func(int, any) {}) })
@@ -311,31 +311,31 @@
 
 // command is a direct command that reached the worker.
 func (h *workerHost) command(d wire.Do) (int, *wire.Report) {
-	if d.Baton < h.baton || d.Stint != h.stint {
+	if d.Token < h.token || d.Session != h.session {
 		return 409, h.report()
 	}
-	if d.Baton > h.baton {
-		h.baton, h.changed = d.Baton, true
+	if d.Token > h.token {
+		h.token, h.changed = d.Token, true
 	}
-	h.execute(d.Orders)
+	h.execute(d.Commands)
 	return 200, h.report()
 }
 
-func (h *workerHost) execute(orders []wire.Order) {
+func (h *workerHost) execute(commands []wire.Command) {
 	now := h.w.clk.now
-	for _, o := range orders {
-		id, n, ok := wire.ParsePiece(o.Piece)
+	for _, o := range commands {
+		id, n, ok := wire.ParseTask(o.Task)
 		j := h.w.jobs[id]
 		if !ok || j == nil {
 			h.w.fail("order for a task nobody submitted: %v", o)
 			return
 		}
-		p := h.find(j, n, o.Try)
+		p := h.find(j, n, o.Attempt)
 		switch o.Verb {
 		case wire.VerbRun:
-			h.run(j, n, o.Try)
+			h.run(j, n, o.Attempt)
 		case wire.VerbStop:
-			if p == nil || p.try != o.Try || !p.on() {
+			if p == nil || p.attempt != o.Attempt || !p.on() {
 				continue
 			}
 			h.changed = true
@@ -344,29 +344,29 @@
 				grace = *o.WindDownS
 			}
 			switch {
-			case p.stage == wire.PieceRunning && j.spec.BookmarkS > 0 && grace >= j.spec.StowS:
-				p.stage, p.until = wire.PieceSaving, now.Add(config.Seconds(j.spec.StowS))
-			case p.stage == wire.PieceSaving && grace > 0:
+			case p.stage == wire.TaskRunning && j.spec.BookmarkS > 0 && grace >= j.spec.StowS:
+				p.stage, p.until = wire.TaskSaving, now.Add(config.Seconds(j.spec.StowS))
+			case p.stage == wire.TaskSaving && grace > 0:
 			default:
 				h.exit(p, wire.CauseHalted, false)
 			}
 		case wire.VerbReap:
-			if p != nil && p.try == o.Try && !p.on() {
-				h.pieces = slices.DeleteFunc(h.pieces, func(x *simPiece) bool { return x == p })
+			if p != nil && p.attempt == o.Attempt && !p.on() {
+				h.tasks = slices.DeleteFunc(h.tasks, func(x *simTask) bool { return x == p })
 				h.changed = true
 			}
 		}
 	}
 }
 
-func (h *workerHost) run(j *simJob, n int, try uint64) {
-	if h.find(j, n, try) != nil {
+func (h *workerHost) run(j *simJob, n int, attempt uint64) {
+	if h.find(j, n, attempt) != nil {
 		return
 	}
 	h.changed = true
 	refuse := func(why string) {
 		// refused starts are listed until they are reaped, beside what is there
-		h.pieces = append(h.pieces, &simPiece{job: j, n: n, try: try, stage: wire.PieceExited, cause: why})
+		h.tasks = append(h.tasks, &simTask{job: j, n: n, attempt: attempt, stage: wire.TaskExited, cause: why})
 	}
 	if h.find(j, n, 0) != nil {
 		refuse(wire.CauseInUse)
@@ -374,7 +374,7 @@
 	}
 	need := quota.Room{CPUs: j.spec.Vcpus, GPUs: j.spec.Gpus, MemGB: j.spec.MemGb}
 	free := h.cap
-	for _, o := range h.pieces {
+	for _, o := range h.tasks {
 		if o.on() {
 			free = free.Sub(quota.Room{CPUs: o.job.spec.Vcpus, GPUs: o.job.spec.Gpus, MemGB: o.job.spec.MemGb})
 		}
@@ -388,5 +388,5 @@
 	if !h.images[j.spec.Bundle] {
 		fetch = 2 * time.Second
 	}
-	h.pieces = append(h.pieces, &simPiece{job: j, n: n, try: try, stage: wire.PieceFetching, until: h.w.clk.now.Add(fetch)})
+	h.tasks = append(h.tasks, &simTask{job: j, n: n, attempt: attempt, stage: wire.TaskFetching, until: h.w.clk.now.Add(fetch)})
 }
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -26,14 +26,14 @@
 func benchmarkTakeover(b *testing.B, machines, jobs int) {
 	const perHire = 50
 	for range b.N {
-		flavors := []wire.Flavor{{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 50, Yards: []string{"a"}}}
+		machineTypes := []wire.MachineType{{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 50, Zones: []string{"a"}}}
 		cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 4, 18)
 		cfg.Facts.State.ValueKB = 8
-		w := newWorld(nil, 5, cfg, 1, flavors)
+		w := newWorld(nil, 5, cfg, 1, machineTypes)
 		put := func(key string, value any) {
 			raw, _ := json.Marshal(value)
-			w.state.epoch++
-			w.state.keys[key] = wire.Item{Path: key, Value: raw, Stamp: w.state.epoch}
+			w.state.revision++
+			w.state.keys[key] = wire.Item{Path: key, Value: raw, Version: w.state.revision}
 		}
 		var names []string
 		used := map[string]string{}
@@ -41,11 +41,11 @@
 			id := fmt.Sprintf("i-%06d", i)
 			names = append(names, id)
 			used[id] = "addr-" + id
-			host := wire.Host{ID: id, Address: "addr-" + id, Build: "g8", Yard: "a", Stage: wire.HostRunning}
+			host := wire.Host{ID: id, Address: "addr-" + id, Type: "g8", Zone: "a", Stage: wire.HostRunning}
 			w.cloud.hosts[id] = &cloudHost{born: w.clk.now, Host: host}
 			w.booted(w.cloud.hosts[id])
 			if len(names) == perHire {
-				put(fmt.Sprintf("%sb0-0-%d", fleet.Hires(0), i), fleet.HireRec{Build: "g8", Yard: "a", Number: perHire, Hosts: names})
+				put(fmt.Sprintf("%sb0-0-%d", fleet.Rentals(0), i), fleet.RentalRec{Type: "g8", Zone: "a", Number: perHire, Hosts: names})
 				names = nil
 			}
 			if len(used) == 5*perHire || i == machines-1 {
@@ -56,12 +56,12 @@
 		w.cloud.seq = machines
 		for i := range jobs {
 			id := fmt.Sprintf("job-%06d", i)
-			s := wire.Submission{ID: id, Crew: "red", Lane: "sweep", Shape: wire.ShapeBatch, Rank: "low", Pieces: 60,
-				Vcpus: 6, Gpus: 1, MemGb: 36, Bundle: fmt.Sprintf("img-%d", i%12), ImageGb: 2, AnyBuild: true, GuessS: 30}
+			s := wire.Submission{ID: id, Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "low", Tasks: 60,
+				Vcpus: 6, Gpus: 1, MemGb: 36, Bundle: fmt.Sprintf("img-%d", i%12), ImageGb: 2, AnyType: true, GuessS: 30}
 			if i%2 == 0 {
-				s.Shape, s.Rank, s.Pieces, s.Vcpus, s.Gpus, s.MemGb = wire.ShapeGang, "normal", 4, 57, 8, 310
+				s.Shape, s.Priority, s.Tasks, s.Vcpus, s.Gpus, s.MemGb = wire.ShapeGang, "normal", 4, 57, 8, 310
 			}
-			w.jobs[id] = &simJob{spec: s, run: time.Minute, done: make([]bool, s.Pieces)}
+			w.jobs[id] = &simJob{spec: s, run: time.Minute, done: make([]bool, s.Tasks)}
 			put(submission.OpenKey(id), submission.OpenRec{Spec: s, At: w.clk.now.UnixMilli()})
 		}
 		start, began := time.Now(), w.clk.now
--- a/internal/node/tally.go
+++ b/internal/node/tally.go
@@ -48,7 +48,7 @@
 // save enters a job's completions; job finds it again once they are durable.
 func (t *tallies) save(j *placement.Job, job func(id string) *placement.Job) {
 	id := j.Spec.ID
-	for c := 0; c*t.chunk < j.Spec.Pieces; c++ {
+	for c := 0; c*t.chunk < j.Spec.Tasks; c++ {
 		fresh, bits := j.Unsaved(c*t.chunk, (c+1)*t.chunk)
 		if len(fresh) == 0 {
 			continue
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -67,15 +67,15 @@
 	finals   map[string]bool // jobs whose end is being written
 	finalDue map[string]time.Time
 	fenceDue map[string]time.Time
-	stints   map[string]uint64 // sessions learned while fencing
+	sessions map[string]uint64 // sessions learned while fencing
 	horizon  *leader.Horizon   // of the cancellations known here
 }
 
 func newTenure(now time.Time, c *Core, l leader.Tenure, inc uint64) *tenure {
 	t := &tenure{
-		Tenure: l, c: c, inc: inc, since: now, log: c.log.With("block", l.Block, "baton", l.Baton),
+		Tenure: l, c: c, inc: inc, since: now, log: c.log.With("block", l.Block, "token", l.Token),
 		dirty:  map[string]*placement.Job{},
-		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, stints: map[string]uint64{},
+		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, sessions: map[string]uint64{},
 	}
 	var peers []string
 	for _, k := range c.cfg.Known {
@@ -84,8 +84,8 @@
 	t.horizon = leader.NewHorizon(peers)
 	t.reg = worker.NewRegistry(c.cfg.Facts.Workers, t.log)
 	t.book = quota.NewBook(c.cfg.Facts.Teams, l.Block, c.blocks)
-	t.board = placement.NewBoard(c.cfg.Facts, l.Baton, t.book, t.reg, c.rng, t.log, t.finished)
-	t.fleet = fleet.New(now, l.Block, l.Baton, t.cond(), c.cfg.Facts, t.cloud, t.call, t.log, t.reg, t.board, t.lost,
+	t.board = placement.NewBoard(c.cfg.Facts, l.Token, t.book, t.reg, c.rng, t.log, t.finished)
+	t.fleet = fleet.New(now, l.Block, l.Token, t.cond(), c.cfg.Facts, t.cloud, t.call, t.log, t.reg, t.board, t.lost,
 		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) },
 		func(host string) bool { return c.foreign(l.Block, host) })
 	t.tallies = tallies{chunk: int(c.cfg.Facts.State.ValueKB*1024) * tuning.TallyBits, jobs: map[string]int{},
@@ -99,13 +99,13 @@
 		t.begun.Tick(now)
 	}
 	t.log.Info("tenure begins", "ended", l.Ended)
-	for name, f := range c.flavors {
-		t.fleet.Flavor(f, c.flavorRaw[name])
+	for name, f := range c.machineTypes {
+		t.fleet.MachineType(f, c.machineTypeRaw[name])
 	}
 	t.configure()
 	t.reading = 5
 	t.sync(now, c.open)
-	t.sync(now, c.hires)
+	t.sync(now, c.rentals)
 	t.list(now, tallyUnder(l.Block), "", &t.found)
 	t.list(now, fleet.UsedUnder(l.Block), "", &t.used)
 	t.list(now, begunUnder(l.Block), "", &t.marks)
@@ -153,8 +153,8 @@
 		return
 	}
 	t.c.open.Each(func(it wire.Item) { t.jobChanged(now, it, false) })
-	t.c.hires.Each(func(it wire.Item) {
-		if strings.HasPrefix(it.Path, fleet.Hires(t.Block)) {
+	t.c.rentals.Each(func(it wire.Item) {
+		if strings.HasPrefix(it.Path, fleet.Rentals(t.Block)) {
 			t.fleet.Load(now, it)
 		}
 	})
@@ -182,7 +182,7 @@
 	}
 }
 
-func (t *tenure) cond() wire.Cond { return store.Is(leader.BlockKey(t.Block), t.Stamp) }
+func (t *tenure) cond() wire.Cond { return store.Is(leader.BlockKey(t.Block), t.Version) }
 
 // call passes a call on and drops its answer once the tenure is over.
 func (t *tenure) call(c store.Call, then func(time.Time, store.Result)) {
@@ -269,7 +269,7 @@
 		return
 	}
 	var rec submission.OpenRec
-	if err := json.Unmarshal(it.Value, &rec); err != nil || rec.Spec.ID != id || rec.Spec.Pieces < 1 || rec.Spec.Pieces > wire.MaxPieces {
+	if err := json.Unmarshal(it.Value, &rec); err != nil || rec.Spec.ID != id || rec.Spec.Tasks < 1 || rec.Spec.Tasks > wire.MaxTasks {
 		t.log.Error("job entry cannot be read", "key", it.Path, "error", err)
 		return
 	}
@@ -279,7 +279,7 @@
 	// The predecessor started nothing after its lease ended, and that was
 	// before the block's record changed: younger jobs are on no machine.
 	at := time.UnixMilli(rec.At)
-	j := t.board.AddJob(now, rec.Spec, at, it.Stamp, it.Stamp < t.Stamp)
+	j := t.board.AddJob(now, rec.Spec, at, it.Version, it.Version < t.Version)
 	j.Since = now.Add(-max(0, t.c.wall().Sub(at)))
 }
 
@@ -316,16 +316,16 @@
 	id := j.Spec.ID
 	t.finals[id] = true
 	t.call(store.Call{Op: store.OpMulti, Class: store.ClassFinal, Multi: wire.Multi{
-		When: []wire.Cond{t.cond(), store.Is(submission.OpenKey(id), j.Stamp)},
+		When: []wire.Cond{t.cond(), store.Is(submission.OpenKey(id), j.Version)},
 		Writes: []wire.Write{
-			store.Put(submission.JobKey(id), submission.JobRec{Stage: wire.JobDone, Done: j.Spec.Pieces}, 0),
+			store.Put(submission.JobKey(id), submission.JobRec{Stage: wire.JobDone, Done: j.Spec.Tasks}, 0),
 			store.Remove(submission.OpenKey(id)),
 		},
 	}}, func(now time.Time, r store.Result) {
 		delete(t.finals, id)
 		switch {
 		case r.OK():
-			t.log.Info("job done", "job", id, "class", j.Spec.Lane, "took", t.c.wall().Sub(j.At))
+			t.log.Info("job done", "job", id, "class", j.Spec.Class, "took", t.c.wall().Sub(j.At))
 			t.over(now, id)
 		case r.Status == 409 && slices.Contains(r.Failed, leader.BlockKey(t.Block)):
 			t.lost(now)
@@ -357,7 +357,7 @@
 		case r.Status == 404:
 			t.over(now, id)
 		case r.OK() && j != nil:
-			j.Stamp = r.Item.Stamp
+			j.Version = r.Item.Version
 		}
 	})
 }
@@ -389,7 +389,7 @@
 }
 
 // fence asks the machines not heard yet for their account, under the new
-// Baton, and opens the tenure once none is left.
+// token, and opens the tenure once none is left.
 func (t *tenure) fence(now time.Time) {
 	var blocked quota.Room
 	unheard := 0
@@ -399,7 +399,7 @@
 			blocked = blocked.Add(m.Cap)
 			if m.Address != "" && !m.DoBusy && !now.Before(t.fenceDue[m.Host]) {
 				t.fenceDue[m.Host] = now.Add(tuning.FenceRetry)
-				t.direct(now, m, []wire.Order{})
+				t.direct(now, m, []wire.Command{})
 			}
 		} else if m.Stranger {
 			blocked = blocked.Add(m.Cap)
@@ -456,37 +456,37 @@
 }
 
 // direct sends a direct command.
-func (t *tenure) direct(now time.Time, m *worker.Machine, orders []wire.Order) {
-	stint := m.Stint
-	if stint == 0 {
-		if stint = t.stints[m.Host]; stint == 0 {
-			stint = 1
+func (t *tenure) direct(now time.Time, m *worker.Machine, commands []wire.Command) {
+	session := m.Session
+	if session == 0 {
+		if session = t.sessions[m.Host]; session == 0 {
+			session = 1
 		}
 	}
 	m.DoBusy = true
-	t.c.env.Do(m.Address, wire.Do{Baton: t.Baton, Stint: stint, Orders: orders}, t.c.leader.Deadline(), func(now time.Time, status int, rep *wire.Report) {
+	t.c.env.Do(m.Address, wire.Do{Token: t.Token, Session: session, Commands: commands}, t.c.leader.Deadline(), func(now time.Time, status int, rep *wire.Report) {
 		if t.state == tenureOver {
 			return
 		}
 		m.DoBusy = false
 		if status == NotSent {
-			t.board.Answered(m, orders)
+			t.board.Answered(m, commands)
 			return
 		}
 		if status != http.StatusOK && status != http.StatusConflict || rep == nil || rep.Host != m.Host {
-			if m.Stint == stint && len(orders) > 0 {
+			if m.Session == session && len(commands) > 0 {
 				m.OpenDo++
 			}
 			return
 		}
-		t.board.Answered(m, orders)
-		if rep.Baton > t.Baton {
-			t.end(now, "a machine has seen a higher Baton")
+		t.board.Answered(m, commands)
+		if rep.Token > t.Token {
+			t.end(now, "a machine has seen a higher token")
 			return
 		}
-		if rep.Baton < t.Baton {
+		if rep.Token < t.Token {
 			// refused for its session: now that is known
-			t.stints[m.Host] = rep.Stint
+			t.sessions[m.Host] = rep.Session
 			t.fenceDue[m.Host] = now
 			return
 		}
@@ -509,11 +509,11 @@
 
 // Report answers a worker's report.
 func (t *tenure) Report(now time.Time, rep *wire.Report, reply func(status int, body any)) {
-	if rep.Baton > t.Baton {
+	if rep.Token > t.Token {
 		// A machine that this block does not have may belong to another one
 		// whose record of it has not arrived here yet.
 		if m := t.reg.Get(rep.Host); m != nil && m.Used {
-			t.end(now, "a report shows a higher Baton")
+			t.end(now, "a report shows a higher token")
 		}
 		t.c.redirect(t.Block, reply)
 		return
@@ -537,9 +537,9 @@
 		return
 	}
 	m := t.reg.Get(rep.Host)
-	out := wire.Orders{Baton: t.Baton, Orders: []wire.Order{}}
-	if rep.Baton < t.Baton {
-		// What a machine says before it has seen this Baton may be minutes old,
+	out := wire.Commands{Token: t.Token, Commands: []wire.Command{}}
+	if rep.Token < t.Token {
+		// What a machine says before it has seen this token may be minutes old,
 		// a copy from a machine long gone: nothing is concluded from it. If it
 		// is there, the answer renews its lease and it reports again at once.
 		if m != nil {
@@ -553,7 +553,7 @@
 		if t.state != tenureLoading {
 			// What is over may be stopped whatever has happened since: the answer
 			// that renews a cancelled task's lease must not leave it running.
-			out.Orders = append(out.Orders, t.board.Halts(rep.Pieces)...)
+			out.Commands = append(out.Commands, t.board.Halts(rep.Tasks)...)
 		}
 		reply(http.StatusOK, out)
 		return
@@ -561,7 +561,7 @@
 	if m == nil {
 		m = t.reg.Add(now, rep.Host, worker.Booting)
 		m.IdleFrom = now
-		m.Build, m.Yard, m.Loaners = rep.Build, rep.Yard, rep.Loaners
+		m.Type, m.Zone, m.Spot = rep.Type, rep.Zone, rep.Spot
 	}
 	if !t.absorb(now, m, rep, true) {
 		stale()
@@ -577,11 +577,11 @@
 	case t.state == tenureLoading:
 	case entitled:
 		t.board.Draw(now)
-		out.Orders = append(out.Orders, t.board.Orders(now, m, true)...)
+		out.Commands = append(out.Commands, t.board.Commands(now, m, true)...)
 	default:
 		// past the lease's end nothing starts, but what is over still stops: under a
 		// superseded token that has no effect
-		out.Orders = append(out.Orders, t.board.Halts(m.Pieces)...)
+		out.Commands = append(out.Commands, t.board.Halts(m.Tasks)...)
 	}
 	m.Answered = now
 	reply(http.StatusOK, out)
@@ -594,9 +594,9 @@
 // open. While the records are being read it cannot be stopped, so its lease is not
 // renewed: the job may have been called off long ago.
 func (t *tenure) unread(rep *wire.Report) bool {
-	return slices.ContainsFunc(rep.Pieces, func(p wire.Piece) bool {
-		id, _, ok := wire.ParsePiece(p.Piece)
-		if !ok || p.Stage == wire.PieceExited {
+	return slices.ContainsFunc(rep.Tasks, func(p wire.Task) bool {
+		id, _, ok := wire.ParseTask(p.Task)
+		if !ok || p.Stage == wire.TaskExited {
 			return false
 		}
 		_, open := t.c.open.Get(submission.OpenKey(id))
@@ -619,8 +619,8 @@
 		return
 	}
 	for _, m := range t.board.Kicks(now) {
-		if orders := t.board.Orders(now, m, false); len(orders) > 0 {
-			t.direct(now, m, orders)
+		if commands := t.board.Commands(now, m, false); len(commands) > 0 {
+			t.direct(now, m, commands)
 		}
 	}
 }
--- a/internal/node/trouble_test.go
+++ b/internal/node/trouble_test.go
@@ -17,11 +17,11 @@
 
 func calmSeed(t *testing.T, seed uint64, machines, jobs int) *world {
 	w := newWorld(t, seed, facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10), 1,
-		[]wire.Flavor{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Yards: []string{"a"}}})
+		[]wire.MachineType{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}})
 	w.cloud.room[roomKey("g2", "a", false)] = machines
 	for i := range jobs {
-		w.add(wire.Submission{ID: fmt.Sprintf("job-%d", i), Crew: "red", Lane: "sweep", Shape: wire.ShapeBatch, Rank: "normal", Pieces: 4,
-			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 50}, 50*time.Second)
+		w.add(wire.Submission{ID: fmt.Sprintf("job-%d", i), Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "normal", Tasks: 4,
+			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 50}, 50*time.Second)
 	}
 	w.runFor(25 * time.Second)
 	for _, h := range w.workers {
@@ -113,7 +113,7 @@
 			copies := func() {
 				for i := range 3 {
 					r := *rep
-					r.Tally += uint64(i)
+					r.Seq += uint64(i)
 					n.core.Report(w.clk.now, &r, func(int, any) {})
 				}
 			}
@@ -146,7 +146,7 @@
 				return
 			}
 			answered := m.Answered
-			rep.Tally += 5
+			rep.Seq += 5
 			n.core.Report(w.clk.now, rep, func(status int, _ any) {
 				if status == 200 {
 					w.fail("a report of a session that is over was taken")
@@ -170,8 +170,8 @@
 				return
 			}
 			for _, id := range w.hosts() {
-				if h := w.workers[id]; w.nodes[h.node] == n || h.stint != 1 {
-					w.fail("%s has not moved over, session %d", id, h.stint)
+				if h := w.workers[id]; w.nodes[h.node] == n || h.session != 1 {
+					w.fail("%s has not moved over, session %d", id, h.session)
 				}
 			}
 			n.cutPeers = false
@@ -187,8 +187,8 @@
 			n.restoreState()
 		}},
 		{"a cancellation while a holder and the workers are cut off from all the rest", func(w *world) {
-			long := w.add(wire.Submission{ID: "job-100", Crew: "red", Lane: "train", Shape: wire.ShapeGang, Rank: "high", Pieces: 2,
-				Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 300}, 300*time.Second)
+			long := w.add(wire.Submission{ID: "job-100", Team: "red", Class: "train", Shape: wire.ShapeGang, Priority: "high", Tasks: 2,
+				Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 300}, 300*time.Second)
 			w.runFor(20 * time.Second)
 			if long.told != wire.JobRunning {
 				w.fail("%s is %s", long.spec.ID, long.told)
@@ -211,13 +211,13 @@
 		}},
 		{"a machine is cut off as the holder crashes: what it may run waits, what was never begun does not", func(w *world) {
 			for i := range 30 {
-				w.add(wire.Submission{ID: fmt.Sprintf("job-1%02d", i), Crew: "red", Lane: "sweep", Shape: wire.ShapeBatch, Rank: "low", Pieces: 4,
-					Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 5}, 5*time.Second)
+				w.add(wire.Submission{ID: fmt.Sprintf("job-1%02d", i), Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "low", Tasks: 4,
+					Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 5}, 5*time.Second)
 			}
 			w.runFor(27 * time.Second)
 			var h *workerHost
 			for _, id := range w.hosts() {
-				if o := w.workers[id]; len(o.pieces) > 0 && o.pieces[0].on() {
+				if o := w.workers[id]; len(o.tasks) > 0 && o.tasks[0].on() {
 					h = o
 				}
 			}
@@ -252,8 +252,8 @@
 					n.stall = []time.Duration{400 * time.Millisecond, 3 * time.Second, 6 * time.Second, 28 * time.Second}[i%4]
 					n.stallIn = []string{"command", "return", "state", "question", ""}[i%5]
 				}
-				w.add(wire.Submission{ID: fmt.Sprintf("job-2%02d", i), Crew: "red", Lane: "train", Shape: wire.ShapeGang, Rank: "high", Pieces: 2,
-					Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyBuild: true, GuessS: 8}, 8*time.Second)
+				w.add(wire.Submission{ID: fmt.Sprintf("job-2%02d", i), Team: "red", Class: "train", Shape: wire.ShapeGang, Priority: "high", Tasks: 2,
+					Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 8}, 8*time.Second)
 				w.runFor(time.Duration(1700+900*(i%5)) * time.Millisecond)
 			}
 			w.runFor(30 * time.Second)
--- a/internal/node/world_run_test.go
+++ b/internal/node/world_run_test.go
@@ -31,21 +31,21 @@
 func TestRandomDays(t *testing.T) {
 	small := []config.Team{{Name: "red", GPUs: 4, GPUsMax: 10}, {Name: "blue", GPUs: 6, GPUsMax: 12}, {Name: "free"}}
 	wide := []config.Team{{Name: "red", GPUs: 80, GPUsMax: 200}, {Name: "blue", GPUs: 120, GPUsMax: 240}, {Name: "free"}}
-	one := []wire.Flavor{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Yards: []string{"a"}}}
-	two := []wire.Flavor{
-		{Name: "g4", Vcpus: 16, Gpus: 4, MemGb: 128, FetchGbPerS: 1, Price: 9, LowPrice: 4, BootS: 5, Yards: []string{"a", "b"}},
-		{Name: "c8", Vcpus: 8, Gpus: 0, MemGb: 32, FetchGbPerS: 1, Price: 2, LowPrice: 1, BootS: 4, Yards: []string{"b"}},
+	one := []wire.MachineType{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}}
+	two := []wire.MachineType{
+		{Name: "g4", Vcpus: 16, Gpus: 4, MemGb: 128, FetchGbPerS: 1, Price: 9, LowPrice: 4, BootS: 5, Zones: []string{"a", "b"}},
+		{Name: "c8", Vcpus: 8, Gpus: 0, MemGb: 32, FetchGbPerS: 1, Price: 2, LowPrice: 1, BootS: 4, Zones: []string{"b"}},
 	}
 	for _, day := range []struct {
-		name    string
-		zones   []string
-		teams   []config.Team
-		flavors []wire.Flavor
-		blocks  int
-		report  float64
-		lease   float64
-		seeds   int
-		scale   int
+		name         string
+		zones        []string
+		teams        []config.Team
+		machineTypes []wire.MachineType
+		blocks       int
+		report       float64
+		lease        float64
+		seeds        int
+		scale        int
 	}{
 		{"one zone, short leases", []string{"a"}, small, one, 1, 1.5, 10, 6, 1},
 		{"one zone, long leases", []string{"a"}, small, one, 1, 3, 18, 4, 1},
@@ -56,16 +56,16 @@
 		for seed := range day.seeds * seedFactor() {
 			t.Run(fmt.Sprintf("%s/%d", day.name, seed), func(t *testing.T) {
 				t.Parallel()
-				w := newWorld(t, uint64(seed), facts(day.zones, day.teams, day.report, day.lease), day.blocks, day.flavors)
-				for _, f := range day.flavors {
-					for _, y := range f.Yards {
+				w := newWorld(t, uint64(seed), facts(day.zones, day.teams, day.report, day.lease), day.blocks, day.machineTypes)
+				for _, f := range day.machineTypes {
+					for _, y := range f.Zones {
 						w.cloud.room[roomKey(f.Name, y, true)] = 5 * day.scale
 						w.cloud.room[roomKey(f.Name, y, false)] = 8 * day.scale
 					}
 				}
 				w.cloud.never = 0.02
 				w.chaos, w.scale = true, day.scale
-				play(w, day.zones, day.flavors)
+				play(w, day.zones, day.machineTypes)
 				if len(w.broken) > 0 {
 					t.Fatalf("seed %d: %s", seed, w.broken[0])
 				}
@@ -76,7 +76,7 @@
 
 // play lets users submit for a while under troubles, then lets the troubles
 // pass and waits for every job's end.
-func play(w *world, zones []string, flavors []wire.Flavor) {
+func play(w *world, zones []string, machineTypes []wire.MachineType) {
 	const rounds = 60
 	for i := range rounds {
 		w.runFor(time.Duration(1+w.rng.IntN(5)) * time.Second)
@@ -84,7 +84,7 @@
 			return
 		}
 		if w.rng.IntN(3) > 0 {
-			randomJob(w, i, zones, flavors)
+			randomJob(w, i, zones, machineTypes)
 		}
 		if i > 3 && w.rng.IntN(2) == 0 {
 			w.trouble()
@@ -113,7 +113,7 @@
 		left := ""
 		for _, j := range w.order {
 			if j.told != wire.JobDone && j.told != wire.JobWithdrawn {
-				left += fmt.Sprintf(" %s(%s %s x%d told %q)", j.spec.ID, j.spec.Shape, j.spec.Crew, j.spec.Pieces, j.told)
+				left += fmt.Sprintf(" %s(%s %s x%d told %q)", j.spec.ID, j.spec.Shape, j.spec.Team, j.spec.Tasks, j.told)
 			}
 		}
 		if left == "" || len(w.broken) > 0 {
@@ -129,25 +129,25 @@
 	w.fail("some accepted jobs never ended")
 }
 
-func randomJob(w *world, i int, zones []string, flavors []wire.Flavor) {
+func randomJob(w *world, i int, zones []string, machineTypes []wire.MachineType) {
 	team := w.cfg.Facts.Teams[w.rng.IntN(len(w.cfg.Facts.Teams))].Name
-	s := wire.Submission{ID: fmt.Sprintf("job-%06d", i), Crew: team, Lane: "sweep", Shape: wire.ShapeBatch,
-		Rank: []string{"low", "normal", "high", "critical"}[w.rng.IntN(4)], Pieces: 1 + w.rng.IntN(8),
-		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: fmt.Sprintf("img-%d", w.rng.IntN(4)), ImageGb: 2, AnyBuild: true,
-		Loaners: w.rng.IntN(3) > 0, GuessS: 10}
+	s := wire.Submission{ID: fmt.Sprintf("job-%06d", i), Team: team, Class: "sweep", Shape: wire.ShapeBatch,
+		Priority: []string{"low", "normal", "high", "critical"}[w.rng.IntN(4)], Tasks: 1 + w.rng.IntN(8),
+		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: fmt.Sprintf("img-%d", w.rng.IntN(4)), ImageGb: 2, AnyType: true,
+		Spot: w.rng.IntN(3) > 0, GuessS: 10}
 	if w.rng.IntN(3) == 0 {
 		s.BookmarkS, s.StowS = 2, 1
 	}
 	if w.rng.IntN(3) == 0 {
-		s.Lane, s.Shape, s.Pieces = "train", wire.ShapeGang, 1+w.rng.IntN(5)
+		s.Class, s.Shape, s.Tasks = "train", wire.ShapeGang, 1+w.rng.IntN(5)
 		s.Gpus = float64(1 + w.rng.IntN(2))
 	}
 	if w.rng.IntN(12) == 0 {
-		s.Lane, s.Shape, s.Pieces = "serve", wire.ShapeStanding, 1+w.rng.IntN(2)
+		s.Class, s.Shape, s.Tasks = "serve", wire.ShapeStanding, 1+w.rng.IntN(2)
 	}
-	if len(flavors) > 1 && w.rng.IntN(4) == 0 {
-		s.AnyBuild, s.Builds = false, []string{flavors[w.rng.IntN(len(flavors))].Name}
-		if s.Builds[0] == "c8" {
+	if len(machineTypes) > 1 && w.rng.IntN(4) == 0 {
+		s.AnyType, s.Types = false, []string{machineTypes[w.rng.IntN(len(machineTypes))].Name}
+		if s.Types[0] == "c8" {
 			s.Gpus = 0
 		}
 	}
@@ -155,15 +155,15 @@
 	case 0:
 		s.Together = true
 	case 1:
-		s.Apart = s.Shape == wire.ShapeBatch || len(zones) > 1 && s.AnyBuild && s.Gpus > 0
+		s.Apart = s.Shape == wire.ShapeBatch || len(zones) > 1 && s.AnyType && s.Gpus > 0
 	case 2:
-		s.Yard = zones[w.rng.IntN(len(zones))]
-		if !s.AnyBuild && s.Builds[0] == "c8" {
-			s.Yard = "b"
+		s.Zone = zones[w.rng.IntN(len(zones))]
+		if !s.AnyType && s.Types[0] == "c8" {
+			s.Zone = "b"
 		}
 	}
 	if s.Shape == wire.ShapeBatch {
-		s.Pieces *= w.scale
+		s.Tasks *= w.scale
 	}
 	j := w.add(s, time.Duration(2+w.rng.IntN(20))*time.Second)
 	j.bad = w.rng.IntN(25) == 0
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -119,15 +119,15 @@
 		}})).With("member", name)
 }
 
-func newWorld(t *testing.T, seed uint64, cfg *config.Config, blocks int, flavors []wire.Flavor) *world {
+func newWorld(t *testing.T, seed uint64, cfg *config.Config, blocks int, machineTypes []wire.MachineType) *world {
 	w := &world{t: t, clk: &clock{now: begin}, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, blocks: blocks,
 		workers: map[string]*workerHost{}, jobs: map[string]*simJob{}}
 	w.state = newStateService(w.clk, w.rng)
-	w.cloud = newCloud(w.clk, w.rng, flavors)
+	w.cloud = newCloud(w.clk, w.rng, machineTypes)
 	w.cloud.booted = w.booted
 	w.cloud.ended = func(h *cloudHost) {
 		if wh := w.workers[h.ID]; wh != nil {
-			wh.dead, wh.pieces = true, nil
+			wh.dead, wh.tasks = true, nil
 			delete(w.workers, h.ID)
 			w.ids = nil
 		}
@@ -143,8 +143,8 @@
 }
 
 func (w *world) booted(h *cloudHost) {
-	f := w.cloud.flavors[slices.IndexFunc(w.cloud.flavors, func(f wire.Flavor) bool { return f.Name == h.Build })]
-	wh := &workerHost{w: w, host: h.Host, cap: quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}, stint: 1,
+	f := w.cloud.machineTypes[slices.IndexFunc(w.cloud.machineTypes, func(f wire.MachineType) bool { return f.Name == h.Type })]
+	wh := &workerHost{w: w, host: h.Host, cap: quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}, session: 1,
 		leased: w.clk.now, images: map[string]bool{}, node: w.rng.IntN(len(w.nodes)), changed: true, sick: w.rng.Float64() < 0.05}
 	w.workers[h.ID] = wh
 	w.ids = nil
@@ -217,7 +217,7 @@
 // deliver carries a message between a worker and a node, either way. A cut
 // holds it back or loses it.
 func (w *world) deliver(h *workerHost, n *simNode, f func()) {
-	if h.cut || n.cutWorkers || h.hung || h.only != nil && h.only != n || w.apart != "" && (w.apart == h.host.Yard) != (w.apart == n.zone) {
+	if h.cut || n.cutWorkers || h.hung || h.only != nil && h.only != n || w.apart != "" && (w.apart == h.host.Zone) != (w.apart == n.zone) {
 		if w.rng.IntN(2) == 0 {
 			h.late = append(h.late, f)
 		}
@@ -380,7 +380,7 @@
 }
 
 func (e *simEnv) Do(addr string, d wire.Do, by time.Time, then func(now time.Time, status int, rep *wire.Report)) {
-	if e.stalled(map[bool]string{true: "command", false: "question"}[len(d.Orders) > 0], func() { e.Do(addr, d, by, then) }) {
+	if e.stalled(map[bool]string{true: "command", false: "question"}[len(d.Commands) > 0], func() { e.Do(addr, d, by, then) }) {
 		return
 	}
 	w := e.n.w
@@ -395,7 +395,7 @@
 		w.clk.in(0, func() { finish(NotSent, nil) })
 		return
 	}
-	if len(d.Orders) > 0 {
+	if len(d.Commands) > 0 {
 		e.acting("a command")
 	}
 	w.clk.in(tuning.DoTimeout, func() { finish(0, nil) })
@@ -416,7 +416,7 @@
 			there = w.odds.heldFor
 		}
 	}
-	w.ordered(e.n, d.Orders)
+	w.ordered(e.n, d.Commands)
 	w.deliver(h, e.n, func() {
 		if h.dead {
 			return
@@ -521,16 +521,16 @@
 
 type mate struct {
 	h *workerHost
-	p *simPiece
+	p *simTask
 }
 
 // mates lists the tasks of a gang's attempt that are there.
-func (w *world) mates(p *simPiece) []mate {
+func (w *world) mates(p *simTask) []mate {
 	var out []mate
 	for _, id := range w.hosts() {
 		h := w.workers[id]
-		for _, o := range h.pieces {
-			if o.job == p.job && o.try == p.try && o.on() {
+		for _, o := range h.tasks {
+			if o.job == p.job && o.attempt == p.attempt && o.on() {
 				out = append(out, mate{h, o})
 			}
 		}
@@ -540,30 +540,30 @@
 
 // starting checks the rules that a start may break.
 func (w *world) starting(h *workerHost, j *simJob, n int) {
-	name := wire.PieceName(j.spec.ID, n)
-	yards := map[string]int{}
+	name := wire.TaskName(j.spec.ID, n)
+	zones := map[string]int{}
 	for _, id := range w.hosts() {
 		o := w.workers[id]
-		for _, p := range o.pieces {
+		for _, p := range o.tasks {
 			if p.job != j || !p.on() {
 				continue
 			}
-			yards[o.host.Yard]++
+			zones[o.host.Zone]++
 			if p.n == n {
 				w.fail("ran_twice: %s starts on %s while on %s", name, h.host.ID, o.host.ID)
 			}
 		}
 	}
 	s := j.spec
-	if !s.AnyBuild && !slices.Contains(s.Builds, h.host.Build) || s.Yard != "" && s.Yard != h.host.Yard || h.host.Loaners && !s.Loaners {
+	if !s.AnyType && !slices.Contains(s.Types, h.host.Type) || s.Zone != "" && s.Zone != h.host.Zone || h.host.Spot && !s.Spot {
 		w.fail("wrong_place: %s on %s", name, h.host.ID)
 	}
-	for y, c := range yards {
-		if s.Together && c > 0 && y != h.host.Yard {
+	for y, c := range zones {
+		if s.Together && c > 0 && y != h.host.Zone {
 			w.fail("wrong_place: %s apart from its mates", name)
 		}
 	}
-	if s.Apart && yards[h.host.Yard]+1 > (s.Pieces+1)/2 {
+	if s.Apart && zones[h.host.Zone]+1 > (s.Tasks+1)/2 {
 		w.fail("wrong_place: %s crowds a zone", name)
 	}
 	if j.told == wire.JobWithdrawn && w.clk.now.Sub(j.cancelled) > config.Seconds(w.cfg.Facts.Workers.CancelS) {
@@ -575,12 +575,12 @@
 func (w *world) check() {
 	used := map[string]quota.Room{}
 	for _, h := range w.workers {
-		for _, p := range h.pieces {
+		for _, p := range h.tasks {
 			if !p.on() {
 				continue
 			}
 			s := p.job.spec
-			used[s.Crew] = used[s.Crew].Add(quota.Room{CPUs: s.Vcpus, GPUs: s.Gpus})
+			used[s.Team] = used[s.Team].Add(quota.Room{CPUs: s.Vcpus, GPUs: s.Gpus})
 			if p.job.told == wire.JobWithdrawn && w.clk.now.Sub(p.job.cancelled) > config.Seconds(w.cfg.Facts.Workers.CancelS) {
 				w.fail("ran_cancelled: %s/%d still on %s", s.ID, p.n, h.host.ID)
 			}
@@ -626,10 +626,10 @@
 			continue
 		}
 		for _, t := range n.core.tenures {
-			if t.Baton <= w.leads {
+			if t.Token <= w.leads {
 				continue
 			}
-			w.leads = t.Baton
+			w.leads = t.Token
 			kept := w.kept
 			w.kept = nil
 			for _, rep := range kept {
@@ -653,16 +653,16 @@
 	}
 	used, on := map[string]quota.Room{}, map[*simJob]int{}
 	for _, h := range w.workers {
-		for _, p := range h.pieces {
+		for _, p := range h.tasks {
 			if p.on() {
 				s := p.job.spec
-				used[s.Crew] = used[s.Crew].Add(quota.Room{CPUs: s.Vcpus, GPUs: s.Gpus})
+				used[s.Team] = used[s.Team].Add(quota.Room{CPUs: s.Vcpus, GPUs: s.Gpus})
 				on[p.job]++
 			}
 		}
 	}
 	for _, j := range w.order {
-		if j.accepted && !j.asked && !j.bad && j.told != wire.JobDone && on[j] == 0 && w.fits(j, used[j.spec.Crew]) {
+		if j.accepted && !j.asked && !j.bad && j.told != wire.JobDone && on[j] == 0 && w.fits(j, used[j.spec.Team]) {
 			if j.idle.IsZero() {
 				j.idle = w.clk.now
 			}
@@ -680,27 +680,27 @@
 	s := j.spec
 	need := 1
 	if s.Shape != wire.ShapeBatch {
-		need = s.Pieces
+		need = s.Tasks
 	}
 	for _, t := range w.cfg.Facts.Teams {
-		if t.Name == s.Crew && (t.CPUsMax > 0 && used.CPUs+float64(need)*s.Vcpus > t.CPUsMax || t.GPUsMax > 0 && used.GPUs+float64(need)*s.Gpus > t.GPUsMax) {
+		if t.Name == s.Team && (t.CPUsMax > 0 && used.CPUs+float64(need)*s.Vcpus > t.CPUsMax || t.GPUsMax > 0 && used.GPUs+float64(need)*s.Gpus > t.GPUsMax) {
 			return false
 		}
 	}
 	places := map[string]int{}
 	for _, h := range w.workers {
-		if h.hung || h.cut || h.deaf || h.mute || h.sick || h.dead || !h.recall.IsZero() || s.Yard != "" && s.Yard != h.host.Yard ||
-			h.host.Loaners && !s.Loaners || !s.AnyBuild && !slices.Contains(s.Builds, h.host.Build) {
+		if h.hung || h.cut || h.deaf || h.mute || h.sick || h.dead || !h.recall.IsZero() || s.Zone != "" && s.Zone != h.host.Zone ||
+			h.host.Spot && !s.Spot || !s.AnyType && !slices.Contains(s.Types, h.host.Type) {
 			continue
 		}
 		free := h.cap
-		for _, p := range h.pieces {
+		for _, p := range h.tasks {
 			if p.on() {
 				free = free.Sub(quota.Room{CPUs: p.job.spec.Vcpus, GPUs: p.job.spec.Gpus, MemGB: p.job.spec.MemGb})
 			}
 		}
 		for one := (quota.Room{CPUs: s.Vcpus, GPUs: s.Gpus, MemGB: s.MemGb}); free.Fits(one); free = free.Sub(one) {
-			places[h.host.Yard]++
+			places[h.host.Zone]++
 			if one == (quota.Room{}) {
 				break
 			}
@@ -709,7 +709,7 @@
 	total, most := 0, 0
 	for _, n := range places {
 		if s.Apart {
-			n = min(n, (s.Pieces+1)/2)
+			n = min(n, (s.Tasks+1)/2)
 		}
 		total, most = total+n, max(most, n)
 	}
@@ -811,14 +811,14 @@
 	}
 }
 
-// ordered checks the orders that a controller gives: none may start a task of a job
+// ordered checks the commands that a controller gives: none may start a task of a job
 // whose user was told of its cancellation longer ago than a holder may be without news.
-func (w *world) ordered(n *simNode, orders []wire.Order) {
-	for _, o := range orders {
-		id, _, _ := wire.ParsePiece(o.Piece)
+func (w *world) ordered(n *simNode, commands []wire.Command) {
+	for _, o := range commands {
+		id, _, _ := wire.ParseTask(o.Task)
 		if j := w.jobs[id]; o.Verb == wire.VerbRun && j != nil && j.told == wire.JobWithdrawn &&
 			w.clk.now.Sub(j.cancelled) > tuning.MemberLease+tuning.WatchWait+tuning.StateTimeout {
-			w.fail("%s orders a start of %s, cancelled %v ago", n.name, o.Piece, w.clk.now.Sub(j.cancelled))
+			w.fail("%s orders a start of %s, cancelled %v ago", n.name, o.Task, w.clk.now.Sub(j.cancelled))
 		}
 	}
 }
@@ -840,19 +840,19 @@
 	case 1:
 		w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Cancel(w.clk.now, unknown, reply) }, expect("a cancellation of nothing", 404))
 	case 2:
-		s := wire.Submission{ID: unknown, Crew: "red", Lane: "sweep", Shape: wire.ShapeGang, Rank: "low", Pieces: 1, Vcpus: 1, Gpus: 1, MemGb: 1, Bundle: "img", AnyBuild: true}
+		s := wire.Submission{ID: unknown, Team: "red", Class: "sweep", Shape: wire.ShapeGang, Priority: "low", Tasks: 1, Vcpus: 1, Gpus: 1, MemGb: 1, Bundle: "img", AnyType: true}
 		switch w.rng.IntN(4) {
 		case 0:
-			s.Crew = "nobody"
+			s.Team = "nobody"
 		case 1:
 			s.MemGb = 1e6
 		case 2:
-			s.AnyBuild = false
+			s.AnyType = false
 		case 3:
-			s.Pieces = 5000
+			s.Tasks = 5000
 		}
-		if s.Pieces == 5000 && w.cfg.Facts.Teams[0].GPUsMax == 0 {
-			s.Yard = "nowhere"
+		if s.Tasks == 5000 && w.cfg.Facts.Teams[0].GPUsMax == 0 {
+			s.Zone = "nowhere"
 		}
 		w.ask(func(n *simNode, reply func(submission.Response)) { n.core.Users().Submit(w.clk.now, s, reply) }, expect("a job that can never run", 422))
 	case 3:
@@ -918,7 +918,7 @@
 
 // add makes a user submit a job.
 func (w *world) add(spec wire.Submission, run time.Duration) *simJob {
-	j := &simJob{spec: spec, run: run, done: make([]bool, spec.Pieces)}
+	j := &simJob{spec: spec, run: run, done: make([]bool, spec.Tasks)}
 	w.jobs[spec.ID] = j
 	w.order = append(w.order, j)
 	w.submit(j)
@@ -1019,7 +1019,7 @@
 			w.clk.in(span, func() { h.hung = false; w.release(h) })
 		}
 	case 14:
-		if h := w.someWorker(); h != nil && h.host.Loaners {
+		if h := w.someWorker(); h != nil && h.host.Spot {
 			if w.rng.IntN(2) == 0 {
 				h.recall = w.clk.now.Add(8 * time.Second)
 				h.changed = true
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -32,7 +32,7 @@
 	// direct holds the attempts started by direct commands in the worker's
 	// session. A repeat of such a command may come minutes later, and starts
 	// the attempt anew if the worker has forgotten it: these are never reaped.
-	direct  map[attempt]bool
+	direct  map[attemptKey]bool
 	seen    view
 	grew    uint64 // the change, counted by the survey, in which it last gained room or an image
 	roomy   int    // its place among the survey's machines with room, from 1; 0: it has none
@@ -41,9 +41,9 @@
 }
 
 // attempt is one attempt of a task.
-type attempt struct {
-	piece string
-	try   uint64
+type attemptKey struct {
+	task    string
+	attempt uint64
 }
 
 // Board is the placement state of one block in one tenure.
@@ -55,38 +55,38 @@
 	asked    int // marks on their way
 	Count    Counters
 	facts    config.Facts
-	baton    uint64
+	token    uint64
 	book     *quota.Book
 	reg      *worker.Registry
 	rng      *rand.Rand
 	log      *slog.Logger
 	jobs     map[string]*Job
-	order    []*Job // open jobs by rank, then age
+	order    []*Job // open jobs by priority, then age
 	hosts    map[*worker.Machine]*host
 	survey   survey
 	kicks    []*host
 	open     bool      // every machine the block may have is heard or surely gone
-	turns    []level   // the open jobs by rank and turn, as last sorted
+	turns    []level   // the open jobs by priority and turn, as last sorted
 	turnsAt  time.Time // when that was
 	resort   bool      // jobs have come or gone since
 	drawDue  time.Time
 	tried    int  // gangs that found no room in this draw
 	fitted   int  // gangs placed in this draw
 	drawn    int  // arrays' tasks queued in this draw
-	first    *Job // the gang before which no other of its rank is placed
-	strays   map[*worker.Machine][]wire.Piece
+	first    *Job // the gang before which no other of its priority is placed
+	strays   map[*worker.Machine][]wire.Task
 	pace     map[string]float64 // by class: run time over the owner's estimate
 	closeDue time.Time
 	finished func(now time.Time, j *Job)
 }
 
 // NewBoard makes an empty board; finished is told of each task's completion.
-func NewBoard(facts config.Facts, baton uint64, book *quota.Book, reg *worker.Registry, rng *rand.Rand,
+func NewBoard(facts config.Facts, token uint64, book *quota.Book, reg *worker.Registry, rng *rand.Rand,
 	log *slog.Logger, finished func(now time.Time, j *Job)) *Board {
 	return &Board{
-		Set: Settings{DropThreshold: tuning.DropThreshold}, facts: facts, baton: baton, book: book, reg: reg, rng: rng, log: log,
+		Set: Settings{DropThreshold: tuning.DropThreshold}, facts: facts, token: token, book: book, reg: reg, rng: rng, log: log,
 		jobs: map[string]*Job{}, hosts: map[*worker.Machine]*host{}, survey: newSurvey(),
-		strays: map[*worker.Machine][]wire.Piece{}, pace: map[string]float64{}, finished: finished,
+		strays: map[*worker.Machine][]wire.Task{}, pace: map[string]float64{}, finished: finished,
 	}
 }
 
@@ -98,26 +98,26 @@
 	return nil
 }
 
-// Jobs lists the open jobs by rank, then age.
+// Jobs lists the open jobs by priority, then age.
 func (b *Board) Jobs() []*Job { return b.order }
 
 // AddJob takes up an open job.
-func (b *Board) AddJob(now time.Time, spec wire.Submission, at time.Time, stamp uint64, early bool) *Job {
+func (b *Board) AddJob(now time.Time, spec wire.Submission, at time.Time, version uint64, early bool) *Job {
 	if j := b.jobs[spec.ID]; j != nil {
-		j.Stamp = stamp
+		j.Version = version
 		return j
 	}
-	rank, _ := wire.Rank(spec.Rank)
+	priority, _ := wire.Priority(spec.Priority)
 	j := &Job{
-		Spec: spec, At: at, Since: now, Stamp: stamp, Early: early, rank: rank, level: rank,
+		Spec: spec, At: at, Since: now, Version: version, Early: early, priority: priority, level: priority,
 		need:  quota.Room{CPUs: spec.Vcpus, GPUs: spec.Gpus, MemGB: spec.MemGb},
-		tasks: map[int]*Task{}, done: newBitset(spec.Pieces), durable: newBitset(spec.Pieces),
+		tasks: map[int]*Task{}, done: newBitset(spec.Tasks), durable: newBitset(spec.Tasks),
 		failedOn: map[string]int{}, wellOn: map[string]bool{},
 	}
 	b.jobs[spec.ID] = j
 	i, _ := slices.BinarySearchFunc(b.order, j, func(a, x *Job) int {
-		if a.rank != x.rank {
-			return x.rank - a.rank
+		if a.priority != x.priority {
+			return x.priority - a.priority
 		}
 		if c := a.At.Compare(x.At); c != 0 {
 			return c
@@ -129,13 +129,13 @@
 	})
 	b.order = slices.Insert(b.order, i, j)
 	b.reorder()
-	b.log.Debug("job open", "job", spec.ID, "class", spec.Lane, "team", spec.Crew, "shape", spec.Shape, "pieces", spec.Pieces)
+	b.log.Debug("job open", "job", spec.ID, "class", spec.Class, "team", spec.Team, "shape", spec.Shape, "tasks", spec.Tasks)
 	return j
 }
 
 // Recover marks tasks as durably done, from the tallies.
 func (j *Job) Recover(n int) {
-	if n >= 0 && n < j.Spec.Pieces {
+	if n >= 0 && n < j.Spec.Tasks {
 		j.done.add(n)
 		j.durable.add(n)
 	}
@@ -177,7 +177,7 @@
 // Unsaved lists the completed tasks of a range whose outcome is not durable,
 // and all completed tasks of the range as bits.
 func (j *Job) Unsaved(from, to int) (fresh []int, bits []byte) {
-	to = min(to, j.Spec.Pieces)
+	to = min(to, j.Spec.Tasks)
 	bits = make([]byte, (to-from+7)/8)
 	for n := from; n < to; n++ {
 		if j.done.has(n) {
@@ -242,7 +242,7 @@
 			m.Spares = m.Spares.Add(t.Job.need)
 		}
 		m.Busy++
-		b.book.Use(t.Job.Spec.Crew, t.Job.need, 1)
+		b.book.Use(t.Job.Spec.Team, t.Job.need, 1)
 		t.Job.located++
 		h.on = append(h.on, t)
 		t.sentAt, t.runFrom, t.stage = now, time.Time{}, ""
@@ -256,7 +256,7 @@
 			m.IdleFrom = now
 			m.Taken, m.Spares = quota.Room{}, quota.Room{}
 		}
-		b.book.Use(t.Job.Spec.Crew, t.Job.need, -1)
+		b.book.Use(t.Job.Spec.Team, t.Job.need, -1)
 		t.Job.located--
 		if i := slices.Index(h.on, t); i >= 0 {
 			h.on = slices.Delete(h.on, i, i+1)
@@ -264,13 +264,13 @@
 		t.at = nil
 	}
 	t.phase = p
-	b.log.Debug("task", "task", t.Name(), "try", t.try, "host", m.Host, "from", was.String(), "to", p.String(), "spare", t.spare, "why", why)
+	b.log.Debug("task", "task", t.Name(), "attempt", t.attempt, "host", m.Host, "from", was.String(), "to", p.String(), "spare", t.spare, "why", why)
 }
 
 // hand puts a task's copy on a machine: the order goes out next.
-func (b *Board) hand(now time.Time, t *Task, m *worker.Machine, try uint64, spare bool, why string) {
-	t.at, t.try, t.spare = m, try, spare
-	t.reported, t.ordered, t.openDo, t.tally, t.stint, t.stopDue, t.grace = false, false, 0, 0, 0, false, 0
+func (b *Board) hand(now time.Time, t *Task, m *worker.Machine, attempt uint64, spare bool, why string) {
+	t.at, t.attempt, t.spare = m, attempt, spare
+	t.reported, t.ordered, t.openDo, t.seq, t.session, t.stopDue, t.grace = false, false, 0, 0, 0, false, 0
 	b.setPhase(now, t, Sent, why)
 	if t.Job.Gang() {
 		b.kick(m) // its mates wait for it
@@ -278,10 +278,10 @@
 }
 
 // nextTry makes an attempt number that no earlier attempt of the job has: the
-// tenure's Baton is in the high bits, so it grows without a write.
-func (b *Board) nextTry(j *Job) uint64 {
+// tenure's token is in the high bits, so it grows without a write.
+func (b *Board) nextAttempt(j *Job) uint64 {
 	j.seq++
-	return b.baton<<tuning.TryBits | j.seq&(1<<tuning.TryBits-1)
+	return b.token<<tuning.AttemptBits | j.seq&(1<<tuning.AttemptBits-1)
 }
 
 // stop tells a task on a machine to stop.
@@ -322,7 +322,7 @@
 	spare := t.spare
 	stopped := t.phase == Stopping
 	b.setPhase(now, t, Idle, why)
-	t.try = 0
+	t.attempt = 0
 	switch {
 	case j.closed:
 		b.unqueue(t)
@@ -377,11 +377,11 @@
 		j.wellOn[t.at.Host] = true
 		if !t.runFrom.IsZero() && j.Spec.GuessS > 0 && !j.Gang() {
 			ratio := now.Sub(t.runFrom).Seconds() / j.Spec.GuessS
-			old, ok := b.pace[j.Spec.Lane]
+			old, ok := b.pace[j.Spec.Class]
 			if !ok {
 				old = 1
 			}
-			b.pace[j.Spec.Lane] = old + (ratio-old)*tuning.PaceWeight
+			b.pace[j.Spec.Class] = old + (ratio-old)*tuning.PaceWeight
 		}
 		b.setPhase(now, t, Finished, "done")
 	} else {
@@ -476,7 +476,7 @@
 	if !m.FreeForMain().Fits(b.survey.least) {
 		b.survey.setRoomy(h, false)
 	}
-	b.book.Promise(t.Job.Spec.Crew, t.Job.need, 1)
+	b.book.Promise(t.Job.Spec.Team, t.Job.need, 1)
 }
 
 func (b *Board) dropMain(t *Task) {
@@ -493,7 +493,7 @@
 	if len(h.high) == 0 {
 		m.Promised = quota.Room{}
 	}
-	b.book.Promise(t.Job.Spec.Crew, t.Job.need, -1)
+	b.book.Promise(t.Job.Spec.Team, t.Job.need, -1)
 	t.main = nil
 }
 
@@ -532,7 +532,7 @@
 func (j *Job) Running() int {
 	n := 0
 	for _, t := range j.tasks {
-		if t.phase == Live && t.stage != wire.PieceFetching || t.phase == Stopping {
+		if t.phase == Live && t.stage != wire.TaskFetching || t.phase == Stopping {
 			n++
 		}
 	}
--- a/internal/placement/close.go
+++ b/internal/placement/close.go
@@ -34,8 +34,8 @@
 	}
 	share := func(m *worker.Machine) float64 { return m.Taken.Share(m.Cap) }
 	slices.SortStableFunc(from, func(a, c *worker.Machine) int {
-		if a.Loaners != c.Loaners {
-			if c.Loaners {
+		if a.Spot != c.Spot {
+			if c.Spot {
 				return -1
 			}
 			return 1
@@ -93,7 +93,7 @@
 		j := t.Job
 		i := slices.IndexFunc(to, func(o *worker.Machine) bool {
 			// most have no room at all: that is asked first
-			if !o.FreeForMain().Fits(j.need) || o == m || o.Closing || !o.FreeForMain().Sub(got[o]).Sub(mine[o]).Fits(j.need) || !j.allows(o.Build, o.Yard, o.Loaners) || j.avoids(o) {
+			if !o.FreeForMain().Fits(j.need) || o == m || o.Closing || !o.FreeForMain().Sub(got[o]).Sub(mine[o]).Fits(j.need) || !j.allows(o.Type, o.Zone, o.Spot) || j.avoids(o) {
 				return false
 			}
 			_, ok := o.Images[j.Spec.Bundle]
--- a/internal/placement/orders.go
+++ b/internal/placement/commands.go
@@ -56,11 +56,11 @@
 				b.Count.SparesYielded++
 				b.stop(now, t, j.grace(), "its main is at the head")
 			}
-		case !b.book.Admits(j.Spec.Crew, j.need, false) || !j.zoneOK(m.Yard, j.yards(false)):
+		case !b.book.Admits(j.Spec.Team, j.need, false) || !j.zoneOK(m.Zone, j.zones(false)):
 		case room.Fits(j.need):
 			b.Count.MainsStarted++
 			b.unqueue(t)
-			b.hand(now, t, m, b.nextTry(j), false, "main at the head")
+			b.hand(now, t, m, b.nextAttempt(j), false, "main at the head")
 		default:
 			b.yieldSpares(now, m, j.need.Sub(room))
 		}
@@ -75,38 +75,38 @@
 		if t.low != m || t.phase != Idle || t.main == nil || now.Sub(t.mainSince) < stuck || !room.Fits(j.need) ||
 			// a main that can start at its next report would stop it at once
 			t.main.Usable(now) && t.main.Free().Fits(j.need) ||
-			!b.book.Admits(j.Spec.Crew, j.need, true) || !j.zoneOK(m.Yard, j.yards(false)) {
+			!b.book.Admits(j.Spec.Team, j.need, true) || !j.zoneOK(m.Zone, j.zones(false)) {
 			continue
 		}
 		b.Count.SparesStarted++
-		b.hand(now, t, m, b.nextTry(j), true, "spare while no main waits")
+		b.hand(now, t, m, b.nextAttempt(j), true, "spare while no main waits")
 		room = room.Sub(j.need)
 	}
 }
 
 // Orders lists what a machine is to be told now. With checkin they go into
 // the answer to its report, otherwise into a direct command.
-func (b *Board) Orders(now time.Time, m *worker.Machine, checkin bool) []wire.Order {
+func (b *Board) Commands(now time.Time, m *worker.Machine, checkin bool) []wire.Command {
 	b.heads(now, m)
 	h := b.host(m)
-	var out []wire.Order
+	var out []wire.Command
 	zero := 0.0
-	for i := range m.Pieces {
-		if len(out) == tuning.OrdersMost {
+	for i := range m.Tasks {
+		if len(out) == tuning.CommandsMost {
 			return out
 		}
-		p := &m.Pieces[i]
-		id, n, ok := wire.ParsePiece(p.Piece)
+		p := &m.Tasks[i]
+		id, n, ok := wire.ParseTask(p.Task)
 		var j *Job
 		if ok {
-			if j = b.jobs[id]; j != nil && n >= j.Spec.Pieces {
+			if j = b.jobs[id]; j != nil && n >= j.Spec.Tasks {
 				j = nil
 			}
 		}
-		if p.Stage == wire.PieceExited {
+		if p.Stage == wire.TaskExited {
 			// A completion stays reported until it is kept elsewhere.
-			if (j == nil || j.closed || p.Cause != wire.CauseDone || j.Standing() || j.durable.has(n)) && !h.direct[attempt{p.Piece, p.Try}] {
-				out = append(out, wire.Order{Verb: wire.VerbReap, Piece: p.Piece, Try: p.Try})
+			if (j == nil || j.closed || p.Cause != wire.CauseDone || j.Standing() || j.durable.has(n)) && !h.direct[attemptKey{p.Task, p.Attempt}] {
+				out = append(out, wire.Command{Verb: wire.VerbReap, Task: p.Task, Attempt: p.Attempt})
 			}
 			continue
 		}
@@ -115,16 +115,16 @@
 			t = j.tasks[n]
 		}
 		switch {
-		case t == nil || t.at != m || t.try != p.Try:
-			out = append(out, wire.Order{Verb: wire.VerbStop, Piece: p.Piece, Try: p.Try, WindDownS: &zero})
-		case t.phase == Stopping && (p.Stage != wire.PieceSaving || t.grace == 0):
+		case t == nil || t.at != m || t.attempt != p.Attempt:
+			out = append(out, wire.Command{Verb: wire.VerbStop, Task: p.Task, Attempt: p.Attempt, WindDownS: &zero})
+		case t.phase == Stopping && (p.Stage != wire.TaskSaving || t.grace == 0):
 			g := t.grace
-			out = append(out, wire.Order{Verb: wire.VerbStop, Piece: p.Piece, Try: p.Try, WindDownS: &g})
+			out = append(out, wire.Command{Verb: wire.VerbStop, Task: p.Task, Attempt: p.Attempt, WindDownS: &g})
 			t.stopDue = false
 		}
 	}
 	for _, t := range h.on {
-		if len(out) == tuning.OrdersMost {
+		if len(out) == tuning.CommandsMost {
 			return out
 		}
 		switch {
@@ -133,21 +133,21 @@
 		case t.phase == Sent:
 			if !checkin {
 				if h.direct == nil {
-					h.direct = map[attempt]bool{}
+					h.direct = map[attemptKey]bool{}
 				}
-				h.direct[attempt{t.Name(), t.try}] = true
+				h.direct[attemptKey{t.Name(), t.attempt}] = true
 			}
-			out = append(out, wire.Order{Verb: wire.VerbRun, Piece: t.Name(), Try: t.try})
-			t.ordered, t.stint = true, m.Stint
+			out = append(out, wire.Command{Verb: wire.VerbRun, Task: t.Name(), Attempt: t.attempt})
+			t.ordered, t.session = true, m.Session
 			if checkin {
-				t.tally = m.Tally
+				t.seq = m.Seq
 			} else {
 				t.openDo++
 			}
 		case t.phase == Stopping && !t.reported && t.ordered:
 			// perhaps on its way: the stop follows it
 			g := t.grace
-			out = append(out, wire.Order{Verb: wire.VerbStop, Piece: t.Name(), Try: t.try, WindDownS: &g})
+			out = append(out, wire.Command{Verb: wire.VerbStop, Task: t.Name(), Attempt: t.attempt, WindDownS: &g})
 			t.stopDue = false
 		}
 	}
@@ -156,16 +156,16 @@
 
 // Halts are the stops for those of a machine's tasks whose jobs are over. They may be
 // given at any time, by whoever knows of the end.
-func (b *Board) Halts(pieces []wire.Piece) []wire.Order {
-	var out []wire.Order
+func (b *Board) Halts(tasks []wire.Task) []wire.Command {
+	var out []wire.Command
 	zero := 0.0
-	for _, p := range pieces {
-		id, _, ok := wire.ParsePiece(p.Piece)
-		if !ok || p.Stage == wire.PieceExited || len(out) == tuning.OrdersMost {
+	for _, p := range tasks {
+		id, _, ok := wire.ParseTask(p.Task)
+		if !ok || p.Stage == wire.TaskExited || len(out) == tuning.CommandsMost {
 			continue
 		}
 		if j := b.jobs[id]; j == nil || j.closed {
-			out = append(out, wire.Order{Verb: wire.VerbStop, Piece: p.Piece, Try: p.Try, WindDownS: &zero})
+			out = append(out, wire.Command{Verb: wire.VerbStop, Task: p.Task, Attempt: p.Attempt, WindDownS: &zero})
 		}
 	}
 	return out
@@ -181,10 +181,10 @@
 }
 
 // Answered settles a direct command: executed or surely not.
-func (b *Board) Answered(m *worker.Machine, orders []wire.Order) {
+func (b *Board) Answered(m *worker.Machine, commands []wire.Command) {
 	for _, t := range b.host(m).on {
-		for _, o := range orders {
-			if o.Verb == wire.VerbRun && o.Try == t.try && o.Piece == t.Name() && t.openDo > 0 {
+		for _, o := range commands {
+			if o.Verb == wire.VerbRun && o.Attempt == t.attempt && o.Task == t.Name() && t.openDo > 0 {
 				t.openDo--
 			}
 		}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -13,26 +13,26 @@
 )
 
 // maxCount bounds how many tasks of no size are counted into a machine.
-const maxCount = wire.MaxPieces
+const maxCount = wire.MaxTasks
 
 // Offer is a kind of machine that can be hired now.
 type Offer struct {
-	Build, Yard string
-	Loaners     bool
-	Cap         quota.Room
-	Price       float64
-	BootS       float64
-	Left        int // how many more may be asked for
+	Type, Zone string
+	Spot       bool
+	Cap        quota.Room
+	Price      float64
+	BootS      float64
+	Left       int // how many more may be asked for
 }
 
 // bin is a machine, present or to be hired, in the packing of the demand.
 type bin struct {
-	m       *worker.Machine
-	build   string
-	yard    string
-	loaners bool
-	cap     quota.Room
-	free    quota.Room // now, for gangs
+	m     *worker.Machine
+	build string
+	zone  string
+	spot  bool
+	cap   quota.Room
+	free  quota.Room // now, for gangs
 
 	committed float64 // machine time that what runs there will still take, seconds
 	spent     float64 // machine time given to waiting work
@@ -40,10 +40,10 @@
 
 // Horizon is how long an array's work may wait and run in all for its class's
 // aims to hold.
-func Horizon(objectives []config.Objective, lane string) float64 {
+func Horizon(objectives []config.Objective, class string) float64 {
 	h := 0.0
 	for _, o := range objectives {
-		if o.Kind == "finished" && o.Class == lane && (h == 0 || o.WithinS < h) {
+		if o.Kind == "finished" && o.Class == class && (h == 0 || o.WithinS < h) {
 			h = o.WithinS
 		}
 	}
@@ -56,7 +56,7 @@
 // Expect estimates a task's run time in seconds.
 func (b *Board) Expect(j *Job) float64 {
 	e := j.Spec.GuessS
-	if r, ok := b.pace[j.Spec.Lane]; ok {
+	if r, ok := b.pace[j.Spec.Class]; ok {
 		e *= r
 	}
 	return max(e, tuning.LeastRun.Seconds())
@@ -77,7 +77,7 @@
 		if m.Faulty || m.Mute(now, config.Seconds(b.facts.Workers.LeaseS)) || m.Closing || !m.Recall.IsZero() || m.State != worker.Up && m.State != worker.Booting && m.State != worker.Silent {
 			continue
 		}
-		bn := &bin{m: m, build: m.Build, committed: b.committed(now, m), yard: m.Yard, loaners: m.Loaners, cap: m.Cap, free: m.FreeForMain()}
+		bn := &bin{m: m, build: m.Type, committed: b.committed(now, m), zone: m.Zone, spot: m.Spot, cap: m.Cap, free: m.FreeForMain()}
 		if m.State == worker.Silent {
 			// takes nothing now, but is not replaced while its lease may stand:
 			// after a cut of the holder all of them are silent for a while
@@ -87,14 +87,14 @@
 	}
 	for i, o := range offers {
 		for range coming[i] {
-			bins = append(bins, &bin{build: o.Build, yard: o.Yard, loaners: o.Loaners, cap: o.Cap, free: o.Cap})
+			bins = append(bins, &bin{build: o.Type, zone: o.Zone, spot: o.Spot, cap: o.Cap, free: o.Cap})
 		}
 	}
-	hires := make([]int, len(offers))
-	open := func(j *Job, yard string) *bin {
+	rentals := make([]int, len(offers))
+	open := func(j *Job, zone string) *bin {
 		best := -1
 		for i, o := range offers {
-			if o.Left-hires[i] <= 0 || yard != "" && o.Yard != yard || !j.allows(o.Build, o.Yard, o.Loaners) || !o.Cap.Fits(j.need) {
+			if o.Left-rentals[i] <= 0 || zone != "" && o.Zone != zone || !j.allows(o.Type, o.Zone, o.Spot) || !o.Cap.Fits(j.need) {
 				continue
 			}
 			if best < 0 || o.Price/float64(o.Cap.Count(j.need, maxCount)) < offers[best].Price/float64(offers[best].Cap.Count(j.need, maxCount)) {
@@ -104,18 +104,18 @@
 		if best < 0 {
 			return nil
 		}
-		hires[best]++
+		rentals[best]++
 		o := offers[best]
-		return &bin{build: o.Build, yard: o.Yard, loaners: o.Loaners, cap: o.Cap, free: o.Cap}
+		return &bin{build: o.Type, zone: o.Zone, spot: o.Spot, cap: o.Cap, free: o.Cap}
 	}
 	budget := map[string]quota.Room{}
 	admit := func(j *Job, r quota.Room) bool {
 		// what a team's limit does not let start needs no machine
-		sum := budget[j.Spec.Crew].Add(r)
-		if !b.book.Admits(j.Spec.Crew, sum, true) {
+		sum := budget[j.Spec.Team].Add(r)
+		if !b.book.Admits(j.Spec.Team, sum, true) {
 			return false
 		}
-		budget[j.Spec.Crew] = sum
+		budget[j.Spec.Team] = sum
 		return true
 	}
 	// Bins that have no room for any gang's task are passed over: thousands of
@@ -137,29 +137,29 @@
 			continue
 		}
 		whole = slices.DeleteFunc(whole, func(bn *bin) bool { return !bn.free.Fits(least) })
-		b.wholeDemand(j, n, &whole, func(j *Job, yard string) *bin {
-			bn := open(j, yard)
+		b.wholeDemand(j, n, &whole, func(j *Job, zone string) *bin {
+			bn := open(j, zone)
 			if bn != nil {
 				hired = append(hired, bn)
 			}
 			return bn
-		}, func(yard string) bool {
+		}, func(zone string) bool {
 			return slices.ContainsFunc(offers, func(o Offer) bool {
-				return o.Yard == yard && o.Left > 0 && j.allows(o.Build, o.Yard, o.Loaners) && o.Cap.Fits(j.need)
+				return o.Zone == zone && o.Left > 0 && j.allows(o.Type, o.Zone, o.Spot) && o.Cap.Fits(j.need)
 			})
 		})
 	}
 	bins = append(bins, hired...)
 	b.arrayDemand(now, bins, open, admit)
-	return hires
+	return rentals
 }
 
 // wholeDemand packs a job whose tasks are placed whole, and hires for those
 // that fit nowhere. A job that has to be in one zone is packed into the zone
 // that lacks the fewest; zones that would get too many tasks are passed over.
-func (b *Board) wholeDemand(j *Job, n int, bins *[]*bin, open func(*Job, string) *bin, offered func(yard string) bool) {
-	pack := func(yard string, commit bool) (lacks int) {
-		inYard := j.yards(true)
+func (b *Board) wholeDemand(j *Job, n int, bins *[]*bin, open func(*Job, string) *bin, offered func(zone string) bool) {
+	pack := func(zone string, commit bool) (lacks int) {
+		inZone := j.zones(true)
 		room := map[*bin]quota.Room{}
 		for range n {
 			var best *bin
@@ -171,15 +171,15 @@
 				if !ok {
 					free = bn.free
 				}
-				if free.Fits(j.need) && j.allows(bn.build, bn.yard, bn.loaners) && (yard == "" || bn.yard == yard) && j.zoneOK(bn.yard, inYard) &&
+				if free.Fits(j.need) && j.allows(bn.build, bn.zone, bn.spot) && (zone == "" || bn.zone == zone) && j.zoneOK(bn.zone, inZone) &&
 					(bn.m == nil || !j.avoids(bn.m)) && (best == nil || cheaper(bn, best)) {
 					best = bn
 				}
 			}
 			if best == nil && commit {
-				want := yard
+				want := zone
 				for _, y := range b.facts.Zones {
-					if want == "" && j.constrained() && j.zoneOK(y, inYard) {
+					if want == "" && j.constrained() && j.zoneOK(y, inZone) {
 						want = y
 					}
 				}
@@ -191,7 +191,7 @@
 				lacks++
 				continue
 			}
-			inYard[best.yard]++
+			inZone[best.zone]++
 			if _, ok := room[best]; !ok {
 				room[best] = best.free
 			}
@@ -207,26 +207,26 @@
 		}
 		return lacks
 	}
-	yard := ""
+	zone := ""
 	if j.Spec.Together {
 		least := n + 1
 		for _, y := range b.facts.Zones {
-			if j.Spec.Yard != "" && j.Spec.Yard != y || !j.zoneOK(y, j.yards(true)) {
+			if j.Spec.Zone != "" && j.Spec.Zone != y || !j.zoneOK(y, j.zones(true)) {
 				continue
 			}
 			// a zone that lacks room is of use only if more can be had there
 			if l := pack(y, false); l < least && (l == 0 || offered(y)) {
-				yard, least = y, l
+				zone, least = y, l
 			}
 		}
 	}
-	pack(yard, true)
+	pack(zone, true)
 }
 
 // cheaper prefers the bin of the cheaper kind, then one already in use.
 func cheaper(a, c *bin) bool {
-	if a.loaners != c.loaners {
-		return a.loaners
+	if a.spot != c.spot {
+		return a.spot
 	}
 	ab, cb := a.m != nil && a.m.Busy > 0, c.m != nil && c.m.Busy > 0
 	return ab && !cb
@@ -264,7 +264,7 @@
 			loads = append(loads, load{j: j, n: n})
 		}
 	}
-	slices.SortStableFunc(loads, func(a, c load) int { return cmp.Compare(c.j.rank, a.j.rank) })
+	slices.SortStableFunc(loads, func(a, c load) int { return cmp.Compare(c.j.priority, a.j.priority) })
 	// Bins that have nothing left for any array of a class are passed over: there
 	// may be thousands of both.
 	least := quota.Unbounded()
@@ -272,13 +272,13 @@
 		least = least.Min(l.j.need)
 	}
 	type kindOf struct {
-		lane    string
-		loaners bool
+		class string
+		spot  bool
 	}
 	left := map[kindOf][]*bin{}
 	for _, l := range loads {
 		j := l.j
-		h := Horizon(b.facts.Objectives, j.Spec.Lane)
+		h := Horizon(b.facts.Objectives, j.Spec.Class)
 		dur := b.Expect(j)
 		work := float64(l.n)
 		each := func(bn *bin) float64 { return dur / float64(max(1, bn.cap.Count(j.need, maxCount))) }
@@ -289,7 +289,7 @@
 			if t <= 0 && !bn.free.Fits(j.need) {
 				return
 			}
-			if !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.yard, bn.loaners) || bn.m != nil && j.avoids(bn.m) {
+			if !bn.cap.Fits(j.need) || !j.allows(bn.build, bn.zone, bn.spot) || bn.m != nil && j.avoids(bn.m) {
 				return
 			}
 			// what is free now takes tasks at once, however long they run
@@ -308,10 +308,10 @@
 			return h-bn.spent-bn.committed <= 0 && !bn.free.Fits(least)
 		}
 		for _, cheap := range []bool{true, false} {
-			of := kindOf{j.Spec.Lane, cheap}
+			of := kindOf{j.Spec.Class, cheap}
 			list, ok := left[of]
 			if !ok {
-				list = slices.DeleteFunc(slices.Clone(bins), func(bn *bin) bool { return bn.loaners != cheap })
+				list = slices.DeleteFunc(slices.Clone(bins), func(bn *bin) bool { return bn.spot != cheap })
 			}
 			kept := list[:0]
 			for i, bn := range list {
@@ -331,7 +331,7 @@
 				break
 			}
 			for of := range left {
-				if of.loaners == bn.loaners {
+				if of.spot == bn.spot {
 					left[of] = append(left[of], bn)
 				}
 			}
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -11,15 +11,15 @@
 )
 
 // allows tells whether a job may run on a machine at all: type, zone and kind.
-func (j *Job) allows(build, yard string, loaners bool) bool {
+func (j *Job) allows(build, zone string, spot bool) bool {
 	s := &j.Spec
-	if loaners && !s.Loaners {
+	if spot && !s.Spot {
 		return false
 	}
-	if s.Yard != "" && s.Yard != yard {
+	if s.Zone != "" && s.Zone != zone {
 		return false
 	}
-	return s.AnyBuild || slices.Contains(s.Builds, build)
+	return s.AnyType || slices.Contains(s.Types, build)
 }
 
 // avoids tells whether the job has failed on a machine, and not so widely that
@@ -30,29 +30,29 @@
 
 // yards counts a job's tasks by zone: those on machines, and with queued also
 // those that have been drawn.
-func (j *Job) yards(queued bool) map[string]int {
+func (j *Job) zones(queued bool) map[string]int {
 	n := map[string]int{}
 	for _, t := range j.tasks {
 		switch {
 		case t.phase >= Sent && t.phase <= Stopping:
-			n[t.at.Yard]++
+			n[t.at.Zone]++
 		case queued && t.main != nil:
-			n[t.main.Yard]++
+			n[t.main.Zone]++
 		}
 	}
 	return n
 }
 
 // zoneOK tells whether one more task of a job may be in a zone, beside n.
-func (j *Job) zoneOK(yard string, n map[string]int) bool {
+func (j *Job) zoneOK(zone string, n map[string]int) bool {
 	if j.Spec.Together {
 		for y, c := range n {
-			if c > 0 && y != yard {
+			if c > 0 && y != zone {
 				return false
 			}
 		}
 	}
-	return !j.Spec.Apart || n[yard]+1 <= (j.Spec.Pieces+1)/2
+	return !j.Spec.Apart || n[zone]+1 <= (j.Spec.Tasks+1)/2
 }
 
 // constrained tells whether where a job's tasks may be depends on the others.
@@ -78,7 +78,7 @@
 	}
 	b.survey.changed = false
 	b.first, b.tried, b.drawn, b.fitted = nil, 0, 0, 0
-	for _, l := range b.byRank(now) {
+	for _, l := range b.byPriority(now) {
 		for _, guaranteed := range []bool{true, false} {
 			if guaranteed && !b.book.Guarantees() {
 				continue
@@ -133,7 +133,7 @@
 		b.drawGang(now, j, guaranteed)
 		return
 	}
-	if guaranteed && !b.book.Guaranteed(j.Spec.Crew, j.need) {
+	if guaranteed && !b.book.Guaranteed(j.Spec.Team, j.need) {
 		return
 	}
 	var spread map[string]int
@@ -147,19 +147,19 @@
 		}
 	}
 	if j.constrained() {
-		spread = j.yards(true)
+		spread = j.zones(true)
 	} else {
 		missed = j.missed[patient]
 	}
 	fit := func(m *worker.Machine) bool {
-		return m.FreeForMain().Fits(j.need) && (spread == nil || j.zoneOK(m.Yard, spread)) && (patient == 0 || b.hasImage(m, j.Spec.Bundle))
+		return m.FreeForMain().Fits(j.need) && (spread == nil || j.zoneOK(m.Zone, spread)) && (patient == 0 || b.hasImage(m, j.Spec.Bundle))
 	}
 	var cands []cell
 	kept := false
 	for _, h := range b.survey.roomy {
 		m := h.m
 		switch {
-		case h.grew < missed || !m.Usable(now) || !fit(m) || !j.allows(m.Build, m.Yard, m.Loaners) || j.avoids(m):
+		case h.grew < missed || !m.Usable(now) || !fit(m) || !j.allows(m.Type, m.Zone, m.Spot) || j.avoids(m):
 		case b.keptFor(now, j, m):
 			kept = true
 		default:
@@ -174,13 +174,13 @@
 			b.survey.again() // what else there is to do goes first
 			return
 		}
-		if j.level >= wire.Ranks+j.rank && n == tuning.BeginTasks {
+		if j.level >= wire.Priorities+j.priority && n == tuning.BeginTasks {
 			return // it has begun; the rest waits for its turn
 		}
-		if guaranteed && !b.book.Guaranteed(j.Spec.Crew, j.need) {
+		if guaranteed && !b.book.Guaranteed(j.Spec.Team, j.need) {
 			return
 		}
-		if !b.book.Admits(j.Spec.Crew, j.need, true) {
+		if !b.book.Admits(j.Spec.Team, j.need, true) {
 			b.waits(j, "team's limit")
 			return
 		}
@@ -204,7 +204,7 @@
 		b.queueMain(now, t, m)
 		b.drawn++
 		if spread != nil {
-			spread[m.Yard]++
+			spread[m.Zone]++
 			cands = slices.DeleteFunc(cands, func(c cell) bool { return !fit(c.m) })
 			for i := range cands {
 				cands[i].tier = b.tier(j, cands[i].m)
@@ -225,7 +225,7 @@
 // others empty and can be returned.
 func (b *Board) tier(j *Job, m *worker.Machine) int {
 	s := 0
-	if j.Spec.Loaners && !m.Loaners {
+	if j.Spec.Spot && !m.Spot {
 		s += 4 * tuning.FillSteps
 	}
 	if !b.hasImage(m, j.Spec.Bundle) {
@@ -282,7 +282,7 @@
 	all := b.reg.All()
 	for range min(tuning.SpareDraws, 2*len(all)) {
 		m := all[b.rng.IntN(len(all))]
-		if m != t.main && m.Usable(now) && j.allows(m.Build, m.Yard, m.Loaners) && m.Cap.Fits(j.need) &&
+		if m != t.main && m.Usable(now) && j.allows(m.Type, m.Zone, m.Spot) && m.Cap.Fits(j.need) &&
 			len(b.host(m).low) < tuning.LowDepth && !j.avoids(m) {
 			b.queueLow(t, m)
 			return
@@ -303,7 +303,7 @@
 		}
 		margin := config.Seconds(b.facts.Workers.ReportS*tuning.RecallReports) + tuning.SaveGrace
 		for _, t := range slices.Clone(h.on) {
-			if t.phase == Live && t.Job.Spec.BookmarkS > 0 && t.stage != wire.PieceFetching &&
+			if t.phase == Live && t.Job.Spec.BookmarkS > 0 && t.stage != wire.TaskFetching &&
 				now.Add(config.Seconds(t.Job.Spec.StowS)+margin).After(m.Recall) {
 				b.yield(now, t, "machine is recalled")
 			}
@@ -329,7 +329,7 @@
 				continue // not stuck: it starts with the next report
 			}
 			if slices.ContainsFunc(b.reg.All(), func(o *worker.Machine) bool {
-				return o != m && o.Usable(now) && j.allows(o.Build, o.Yard, o.Loaners) && !j.avoids(o) &&
+				return o != m && o.Usable(now) && j.allows(o.Type, o.Zone, o.Spot) && !j.avoids(o) &&
 					o.Free().Sub(o.Promised).Fits(j.need)
 			}) {
 				b.Count.Redrawn++
--- a/internal/placement/draw_test.go
+++ b/internal/placement/draw_test.go
@@ -14,12 +14,12 @@
 func TestDrawsAreShort(t *testing.T) {
 	const machines = 3 * tuning.DrawTasks
 	for _, c := range []struct {
-		name   string
-		jobs   int
-		shape  string
-		pieces int
-		gpus   float64
-		most   int // tasks in one go
+		name  string
+		jobs  int
+		shape string
+		tasks int
+		gpus  float64
+		most  int // tasks in one go
 	}{
 		{"a large array", 1, wire.ShapeBatch, 2 * machines, 0, tuning.DrawTasks},
 		{"many arrays", machines, wire.ShapeBatch, 2, 0, tuning.DrawTasks},
@@ -29,7 +29,7 @@
 			x := newBench(t, machines)
 			var jobs []*Job
 			for range c.jobs {
-				j := x.job("blue", c.shape, "normal", c.pieces, c.gpus)
+				j := x.job("blue", c.shape, "normal", c.tasks, c.gpus)
 				jobs = append(jobs, j)
 			}
 			x.now = x.now.Add(time.Second)
@@ -39,7 +39,7 @@
 				}
 				return n
 			}
-			all := c.jobs * c.pieces
+			all := c.jobs * c.tasks
 			for goes := 0; drawn() < all; goes++ {
 				before := drawn()
 				x.b.Draw(x.now)
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -21,7 +21,7 @@
 // drawGang places a waiting gang whole, first fit, or not at all.
 func (b *Board) drawGang(now time.Time, j *Job, guaranteed bool) {
 	if j.located > 0 || j.broken {
-		if b.open && !j.broken && j.located < j.Spec.Pieces-j.done.count && j.try != 0 {
+		if b.open && !j.broken && j.located < j.Spec.Tasks-j.done.count && j.attempt != 0 {
 			b.breakGang(now, j, "incomplete")
 		}
 		return
@@ -29,11 +29,11 @@
 	if len(j.tasks) > 0 || j.Complete() {
 		return
 	}
-	all := j.need.Times(float64(j.Spec.Pieces))
-	if guaranteed && !b.book.Guaranteed(j.Spec.Crew, all) {
+	all := j.need.Times(float64(j.Spec.Tasks))
+	if guaranteed && !b.book.Guaranteed(j.Spec.Team, all) {
 		return
 	}
-	if !b.book.Admits(j.Spec.Crew, all, true) {
+	if !b.book.Admits(j.Spec.Team, all, true) {
 		b.waits(j, "team's limit")
 		return
 	}
@@ -57,13 +57,13 @@
 	if !b.mayBegin(now, j) {
 		return
 	}
-	yards := []string{""}
+	zones := []string{""}
 	if j.Spec.Together {
-		yards = b.facts.Zones
+		zones = b.facts.Zones
 	}
 	var best []place
 	cost := 0.0
-	for _, y := range yards {
+	for _, y := range zones {
 		if got := b.fitGang(now, j, y, guaranteed); got != nil {
 			sum := 0.0
 			for _, p := range got {
@@ -97,7 +97,7 @@
 			}
 		}
 	}
-	j.next, j.returned = j.Spec.Pieces, nil
+	j.next, j.returned = j.Spec.Tasks, nil
 }
 
 // noRoom notes that a gang found no room. Once it has waited for long, no gang
@@ -115,7 +115,7 @@
 			places += m.Cap.Count(j.need, maxCount)
 		}
 	}
-	if places >= j.Spec.Pieces {
+	if places >= j.Spec.Tasks {
 		b.first = j
 	}
 }
@@ -124,7 +124,7 @@
 // tasks would not give way to.
 func (b *Board) keptFor(now time.Time, j *Job, m *worker.Machine) bool {
 	f := b.first
-	return f != nil && f.starved(now) && !j.starved(now) && j.rank >= f.rank && f.allows(m.Build, m.Yard, m.Loaners) && m.Cap.Fits(f.need)
+	return f != nil && f.starved(now) && !j.starved(now) && j.priority >= f.priority && f.allows(m.Type, m.Zone, m.Spot) && m.Cap.Fits(f.need)
 }
 
 // cand is a machine that may have places for a gang, and what one there costs; at
@@ -138,12 +138,12 @@
 // fitGang finds a place for each task of a gang, in one zone if one is named, on
 // the cheapest machines. What has to give way is worked out only for as many of
 // them as it takes.
-func (b *Board) fitGang(now time.Time, j *Job, yard string, guaranteed bool) []place {
+func (b *Board) fitGang(now time.Time, j *Job, zone string, guaranteed bool) []place {
 	var cands []*cand
 	k := j.kind(guaranteed)
 	places := b.survey.reaches[k].on // as counted when the gang was found reachable
 	for _, m := range b.reg.All() {
-		if places[m] == 0 || !m.Usable(now) || !j.allows(m.Build, m.Yard, m.Loaners) || yard != "" && m.Yard != yard || j.avoids(m) {
+		if places[m] == 0 || !m.Usable(now) || !j.allows(m.Type, m.Zone, m.Spot) || zone != "" && m.Zone != zone || j.avoids(m) {
 			continue
 		}
 		c := &cand{place: place{m: m}, room: m.FreeForMain()}
@@ -153,7 +153,7 @@
 		if _, ok := m.Images[j.Spec.Bundle]; !ok {
 			c.score += b.fetchScore(j, m)
 		}
-		if j.Spec.Loaners && !m.Loaners {
+		if j.Spec.Spot && !m.Spot {
 			c.score += tuning.ScoreOrdinary
 		}
 		cands = append(cands, c)
@@ -182,16 +182,16 @@
 		}
 	}
 	var out []place
-	inYard := map[string]int{}
+	inZone := map[string]int{}
 	for _, c := range sure {
-		for len(out) < j.Spec.Pieces && c.room.Fits(j.need) && j.zoneOK(c.m.Yard, inYard) {
+		for len(out) < j.Spec.Tasks && c.room.Fits(j.need) && j.zoneOK(c.m.Zone, inZone) {
 			c.room = c.room.Sub(j.need)
-			inYard[c.m.Yard]++
+			inZone[c.m.Zone]++
 			out = append(out, c.place)
 			c.stop, c.score = nil, 0
 		}
 	}
-	if len(out) < j.Spec.Pieces {
+	if len(out) < j.Spec.Tasks {
 		return nil
 	}
 	return out
@@ -202,12 +202,12 @@
 func (b *Board) enough(sure []*cand, j *Job, score float64) bool {
 	n := 0
 	for _, c := range sure {
-		if n >= j.Spec.Pieces || c.score > score {
+		if n >= j.Spec.Tasks || c.score > score {
 			break
 		}
 		n += c.room.Count(j.need, maxCount)
 	}
-	return n >= j.Spec.Pieces
+	return n >= j.Spec.Tasks
 }
 
 // fetchTime estimates how many seconds a machine takes to fetch a job's image.
@@ -222,7 +222,7 @@
 // if it can be fetched within a time in which its class should have started.
 func (b *Board) fetchScore(j *Job, m *worker.Machine) float64 {
 	for _, o := range b.facts.Objectives {
-		if o.Kind == "wait" && o.Class == j.Spec.Lane && m.Fetch > 0 &&
+		if o.Kind == "wait" && o.Class == j.Spec.Class && m.Fetch > 0 &&
 			j.fetchTime(m)*tuning.FetchSlack+b.facts.Workers.ReportS < o.WithinS {
 			return tuning.ScoreQuickImage
 		}
@@ -243,30 +243,30 @@
 	}
 	ready := now.Sub(j.Since).Seconds() + fetch + tuning.StartTime.Seconds()
 	return slices.ContainsFunc(b.facts.Objectives, func(o config.Objective) bool {
-		return o.Kind == "wait" && o.Class == j.Spec.Lane && ready <= o.WithinS && ready+save > o.WithinS
+		return o.Kind == "wait" && o.Class == j.Spec.Class && ready <= o.WithinS && ready+save > o.WithinS
 	})
 }
 
-// yields tells whether a task may be stopped for a gang: work of lower rank, or of
+// yields tells whether a task may be stopped for a gang: work of lower priority, or of
 // a team beyond its guarantee for one within its own.
 func (b *Board) yields(now time.Time, t *Task, k kind) bool {
 	o := t.Job
 	if t.spare || o.closed {
 		return false // its room counts as free already, or is about to be
 	}
-	if o.Spec.Crew != k.crew {
-		beyond := b.book.Beyond(o.Spec.Crew)
+	if o.Spec.Team != k.team {
+		beyond := b.book.Beyond(o.Spec.Team)
 		if k.guaranteed && beyond {
 			return true
 		}
 		// A team that has only its guarantee keeps it against other teams' work
-		// beyond theirs, whatever its rank: otherwise the two would stop each
-		// other in turn, one by rank and one by its guarantee, for ever.
+		// beyond theirs, whatever its priority: otherwise the two would stop each
+		// other in turn, one by priority and one by its guarantee, for ever.
 		if !k.guaranteed && !beyond {
 			return false
 		}
 	}
-	return o.rank < k.rank && !o.starved(now)
+	return o.priority < k.priority && !o.starved(now)
 }
 
 // victims chooses the tasks to stop on a machine so that a gang's task fits.
@@ -300,11 +300,11 @@
 
 // startGang hands out a placed gang once the room of each task is free.
 func (b *Board) startGang(now time.Time, j *Job) {
-	if len(j.tasks) != j.Spec.Pieces || j.located > 0 || j.broken {
+	if len(j.tasks) != j.Spec.Tasks || j.located > 0 || j.broken {
 		return
 	}
 	ahead := map[*worker.Machine]quota.Room{}
-	for n := range j.Spec.Pieces {
+	for n := range j.Spec.Tasks {
 		t := j.tasks[n]
 		if t == nil || t.main == nil || t.main.State != worker.Up {
 			return
@@ -319,14 +319,14 @@
 		}
 		ahead[t.main] = room.Sub(j.need)
 	}
-	if !b.book.Admits(j.Spec.Crew, j.need.Times(float64(j.Spec.Pieces)), false) {
+	if !b.book.Admits(j.Spec.Team, j.need.Times(float64(j.Spec.Tasks)), false) {
 		return
 	}
-	j.try = b.nextTry(j)
-	for n := range j.Spec.Pieces {
+	j.attempt = b.nextAttempt(j)
+	for n := range j.Spec.Tasks {
 		t := j.tasks[n]
 		m := t.main
 		b.unqueue(t)
-		b.hand(now, t, m, j.try, false, "gang starts")
+		b.hand(now, t, m, j.attempt, false, "gang starts")
 	}
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -37,46 +37,46 @@
 	for i := range machines {
 		m := x.reg.Add(x.now, fmt.Sprintf("i-%d", i), worker.Booting)
 		m.Cap = quota.Room{CPUs: 12, GPUs: 2, MemGB: 96}
-		m.Used, m.Build, m.Yard = true, "g2", "a"
+		m.Used, m.Type, m.Zone = true, "g2", "a"
 		x.report(m)
 	}
 	return x
 }
 
 // report lets a machine report its tasks, all running, and what else is given;
-// it returns the orders of the answer.
-func (x *bench) report(m *worker.Machine, extra ...wire.Piece) []wire.Order {
+// it returns the commands of the answer.
+func (x *bench) report(m *worker.Machine, extra ...wire.Task) []wire.Command {
 	x.t.Helper()
-	rep := &wire.Report{Host: m.Host, Build: "g2", Yard: "a", Stint: 1, Tally: m.Tally + 1}
+	rep := &wire.Report{Host: m.Host, Type: "g2", Zone: "a", Session: 1, Seq: m.Seq + 1}
 	for _, t := range x.b.host(m).on {
-		p := wire.Piece{Piece: t.Name(), Try: t.try, Stage: wire.PieceRunning}
+		p := wire.Task{Task: t.Name(), Attempt: t.attempt, Stage: wire.TaskRunning}
 		for _, e := range extra {
-			if e.Piece == p.Piece {
-				e.Try = t.try
+			if e.Task == p.Task {
+				e.Attempt = t.attempt
 				p = e
 			}
 		}
 		if p.Stage != "" && t.ordered {
-			rep.Pieces = append(rep.Pieces, p)
+			rep.Tasks = append(rep.Tasks, p)
 		}
 	}
 	v := x.reg.Absorb(x.now, m, rep, true)
 	x.b.Reported(x.now, m, v, true)
 	x.b.Draw(x.now)
-	return x.b.Orders(x.now, m, true)
+	return x.b.Commands(x.now, m, true)
 }
 
-func (x *bench) job(team, shape, rank string, pieces int, gpus float64) *Job {
+func (x *bench) job(team, shape, priority string, tasks int, gpus float64) *Job {
 	x.next++
 	x.now = x.now.Add(tuning.TurnsSoon)
-	return x.b.AddJob(x.now, wire.Submission{ID: fmt.Sprintf("job-%d", x.next), Crew: team, Lane: "l", Shape: shape, Rank: rank, Pieces: pieces,
-		Vcpus: 5, Gpus: gpus, MemGb: 30, Bundle: "img", AnyBuild: true, GuessS: 60}, x.now, uint64(x.next), false)
+	return x.b.AddJob(x.now, wire.Submission{ID: fmt.Sprintf("job-%d", x.next), Team: team, Class: "l", Shape: shape, Priority: priority, Tasks: tasks,
+		Vcpus: 5, Gpus: gpus, MemGb: 30, Bundle: "img", AnyType: true, GuessS: 60}, x.now, uint64(x.next), false)
 }
 
-func (x *bench) verbs(orders []wire.Order) string {
+func (x *bench) verbs(commands []wire.Command) string {
 	s := ""
-	for _, o := range orders {
-		s += o.Verb + " " + o.Piece + ";"
+	for _, o := range commands {
+		s += o.Verb + " " + o.Task + ";"
 	}
 	return s
 }
@@ -102,8 +102,8 @@
 		x.report(m)
 	}
 	for n := range 4 {
-		if task := j.tasks[n]; task.phase != Live || task.low != nil || task.try>>tuning.TryBits != 7 {
-			t.Errorf("task %d: phase %v, spare %v, try %d", n, task.phase, task.low, task.try)
+		if task := j.tasks[n]; task.phase != Live || task.low != nil || task.attempt>>tuning.AttemptBits != 7 {
+			t.Errorf("task %d: phase %v, spare %v, try %d", n, task.phase, task.low, task.attempt)
 		}
 	}
 }
@@ -119,7 +119,7 @@
 		check func(x *bench, task *Task, home, away *worker.Machine) string
 	}{
 		{"the spare finishes first", 0, func(x *bench, task *Task, _, away *worker.Machine) {
-			x.report(away, wire.Piece{Piece: task.Name(), Stage: wire.PieceExited, Cause: wire.CauseDone})
+			x.report(away, wire.Task{Task: task.Name(), Stage: wire.TaskExited, Cause: wire.CauseDone})
 		}, func(x *bench, task *Task, home, _ *worker.Machine) string {
 			if len(x.done) != 1 || len(x.b.host(home).high) != 0 || task.main != nil {
 				return "the main is still there"
@@ -136,7 +136,7 @@
 			if o := x.verbs(x.report(home)); o != "" {
 				return "started before the spare's exit was reported: " + o
 			}
-			x.report(away, wire.Piece{Piece: task.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
+			x.report(away, wire.Task{Task: task.Name(), Stage: wire.TaskExited, Cause: wire.CauseHalted})
 			if task.stops != 1 || task.low != away {
 				return "the spare does not wait again"
 			}
@@ -148,7 +148,7 @@
 		{"stopped too often", tuning.DropThreshold - 1, func(x *bench, task *Task, home, away *worker.Machine) {
 			home.Taken = quota.Room{}
 			x.report(home)
-			x.report(away, wire.Piece{Piece: task.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
+			x.report(away, wire.Task{Task: task.Name(), Stage: wire.TaskExited, Cause: wire.CauseHalted})
 		}, func(x *bench, task *Task, home, away *worker.Machine) string {
 			if task.low != nil || task.main != home {
 				return "the spare was not dropped, or the main was"
@@ -195,9 +195,9 @@
 			if task.phase != Sent || !task.spare {
 				t.Fatalf("the spare does not start: %v", task.phase)
 			}
-			x.b.Orders(x.now, away, true)
-			x.reg.Absorb(x.now, away, &wire.Report{Host: away.Host, Build: "g2", Yard: "a", Stint: 1, Tally: away.Tally + 1,
-				Pieces: []wire.Piece{{Piece: task.Name(), Try: task.try, Stage: wire.PieceRunning}}}, true)
+			x.b.Commands(x.now, away, true)
+			x.reg.Absorb(x.now, away, &wire.Report{Host: away.Host, Type: "g2", Zone: "a", Session: 1, Seq: away.Seq + 1,
+				Tasks: []wire.Task{{Task: task.Name(), Attempt: task.attempt, Stage: wire.TaskRunning}}}, true)
 			x.b.Reported(x.now, away, worker.Fresh, true)
 			c.after(x, task, home, away)
 			if bad := c.check(x, task, home, away); bad != "" {
@@ -210,33 +210,33 @@
 // What may be stopped for a gang, by the protocol's rules on preemption.
 func TestPreemption(t *testing.T) {
 	for _, c := range []struct {
-		name               string
-		team, rank         string // of what runs, on both of two machines
-		pieces             int    // of it; 0: as many as fit
-		gangTeam, gangRank string
-		gives              bool
+		name                   string
+		team, priority         string // of what runs, on both of two machines
+		tasks                  int    // of it; 0: as many as fit
+		gangTeam, gangPriority string
+		gives                  bool
 	}{
-		{name: "lower rank gives way", team: "blue", rank: "low", gangTeam: "blue", gangRank: "normal", gives: true},
-		{name: "the same rank does not", team: "blue", rank: "normal", gangTeam: "blue", gangRank: "normal"},
-		{name: "higher rank does not", team: "blue", rank: "high", gangTeam: "blue", gangRank: "normal"},
-		{name: "a guarantee is kept against a higher rank beyond its own", team: "red", rank: "low", pieces: 2, gangTeam: "blue", gangRank: "critical"},
-		{name: "beyond its guarantee gives way to a guarantee", team: "blue", rank: "high", gangTeam: "red", gangRank: "low", gives: true},
+		{name: "lower rank gives way", team: "blue", priority: "low", gangTeam: "blue", gangPriority: "normal", gives: true},
+		{name: "the same rank does not", team: "blue", priority: "normal", gangTeam: "blue", gangPriority: "normal"},
+		{name: "higher rank does not", team: "blue", priority: "high", gangTeam: "blue", gangPriority: "normal"},
+		{name: "a guarantee is kept against a higher rank beyond its own", team: "red", priority: "low", tasks: 2, gangTeam: "blue", gangPriority: "critical"},
+		{name: "beyond its guarantee gives way to a guarantee", team: "blue", priority: "high", gangTeam: "red", gangPriority: "low", gives: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := newBench(t, 2)
 			n := 4
-			if c.pieces > 0 {
-				n = c.pieces
+			if c.tasks > 0 {
+				n = c.tasks
 				x.job("blue", wire.ShapeBatch, "critical", 2, 1)
 			}
-			x.job(c.team, wire.ShapeBatch, c.rank, n, 1)
+			x.job(c.team, wire.ShapeBatch, c.priority, n, 1)
 			x.b.Draw(x.now)
 			for range 2 {
 				for _, m := range x.reg.All() {
 					x.report(m)
 				}
 			}
-			g := x.job(c.gangTeam, wire.ShapeGang, c.gangRank, 1, 2)
+			g := x.job(c.gangTeam, wire.ShapeGang, c.gangPriority, 1, 2)
 			x.b.Draw(x.now)
 			if got := len(g.tasks) == 1; got != c.gives {
 				t.Fatalf("placed: %t, want %t (%s)", got, c.gives, g.why)
@@ -248,9 +248,9 @@
 			if o := x.verbs(x.report(m)); g.located != 0 || len(x.b.host(m).on) != 2 {
 				t.Fatalf("started beside what it stops: %s", o)
 			}
-			var gone []wire.Piece
+			var gone []wire.Task
 			for _, v := range x.b.host(m).on {
-				gone = append(gone, wire.Piece{Piece: v.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
+				gone = append(gone, wire.Task{Task: v.Name(), Stage: wire.TaskExited, Cause: wire.CauseHalted})
 			}
 			if o := x.verbs(x.report(m, gone...)); g.located != 1 {
 				t.Errorf("did not start once the room was free: %s", o)
@@ -265,7 +265,7 @@
 	x := newBench(t, 3)
 	g := x.job("blue", wire.ShapeGang, "high", 3, 2)
 	x.b.Draw(x.now)
-	if g.located != 3 || g.tasks[0].try != g.tasks[2].try {
+	if g.located != 3 || g.tasks[0].attempt != g.tasks[2].attempt {
 		t.Fatalf("%d tasks handed out", g.located)
 	}
 	if kicks := x.b.Kicks(x.now); len(kicks) != 3 {
@@ -275,7 +275,7 @@
 		x.report(m)
 		x.report(m)
 	}
-	first := g.try
+	first := g.attempt
 	x.b.Lost(x.now, g.tasks[1].at, "test")
 	x.b.Draw(x.now)
 	if g.located != 2 || !g.broken {
@@ -288,18 +288,18 @@
 			}
 		}
 		if len(x.b.host(m).on) > 0 {
-			x.report(m, wire.Piece{Piece: x.b.host(m).on[0].Name(), Stage: wire.PieceExited, Cause: wire.CauseMatesGone})
+			x.report(m, wire.Task{Task: x.b.host(m).on[0].Name(), Stage: wire.TaskExited, Cause: wire.CauseMatesGone})
 		}
 	}
 	x.b.Draw(x.now)
-	if g.located != 3 || g.try == first {
-		t.Fatalf("second attempt: %d tasks, try %d", g.located, g.try)
+	if g.located != 3 || g.attempt == first {
+		t.Fatalf("second attempt: %d tasks, try %d", g.located, g.attempt)
 	}
 	for _, m := range x.reg.All() {
 		x.report(m)
 	}
 	// one is done, so all are; a machine lost now must not bring one back
-	x.report(g.tasks[0].at, wire.Piece{Piece: g.tasks[0].Name(), Stage: wire.PieceExited, Cause: wire.CauseDone})
+	x.report(g.tasks[0].at, wire.Task{Task: g.tasks[0].Name(), Stage: wire.TaskExited, Cause: wire.CauseDone})
 	if !g.Complete() {
 		t.Fatal("one task is done, the gang is not")
 	}
@@ -312,7 +312,7 @@
 
 // An order that was never reported: only a report after the one whose answer
 // carried it shows that it was not executed.
-func TestUnreportedOrder(t *testing.T) {
+func TestUnreportedCommand(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		direct  bool // the order went out by direct command
@@ -330,12 +330,12 @@
 			m := x.reg.All()[0]
 			j := x.job("blue", wire.ShapeBatch, "low", 1, 1)
 			x.b.Draw(x.now)
-			orders := x.b.Orders(x.now, m, !c.direct)
+			commands := x.b.Commands(x.now, m, !c.direct)
 			if c.settled {
-				x.b.Answered(m, orders)
+				x.b.Answered(m, commands)
 			}
 			x.b.CloseJob(x.now, j.Spec.ID, x.now.Add(time.Minute))
-			rep := &wire.Report{Host: m.Host, Build: "g2", Yard: "a", Stint: 1, Tally: m.Tally + 1}
+			rep := &wire.Report{Host: m.Host, Type: "g2", Zone: "a", Session: 1, Seq: m.Seq + 1}
 			x.b.Reported(x.now, m, x.reg.Absorb(x.now, m, rep, c.checkin), c.checkin)
 			if got := m.Busy == 0; got != c.gone {
 				t.Errorf("gone: %t, want %t", got, c.gone)
@@ -355,14 +355,14 @@
 	j := x.job("blue", wire.ShapeBatch, "low", 2, 1)
 	x.b.Draw(x.now)
 	x.report(m)
-	end := wire.Piece{Piece: j.tasks[0].Name(), Stage: wire.PieceExited, Cause: wire.CauseDone}
+	end := wire.Task{Task: j.tasks[0].Name(), Stage: wire.TaskExited, Cause: wire.CauseDone}
 	for _, o := range x.report(m, end) {
 		if o.Verb == wire.VerbReap {
 			t.Error("reaped before the outcome is durable")
 		}
 	}
 	j.Durable(0)
-	if o := x.b.Orders(x.now, m, true); x.verbs(o) != "reap job-1/0;" {
+	if o := x.b.Commands(x.now, m, true); x.verbs(o) != "reap job-1/0;" {
 		t.Errorf("orders %s, want the reap", x.verbs(o))
 	}
 }
@@ -459,12 +459,12 @@
 				}
 				for _, m := range x.reg.All() {
 					// tasks end after ten seconds, or as soon as they are told
-					var ends []wire.Piece
+					var ends []wire.Task
 					for _, task := range x.b.host(m).on {
 						if task.phase == Stopping {
-							ends = append(ends, wire.Piece{Piece: task.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
+							ends = append(ends, wire.Task{Task: task.Name(), Stage: wire.TaskExited, Cause: wire.CauseHalted})
 						} else if x.now.Sub(task.sentAt) > 10*time.Second {
-							ends = append(ends, wire.Piece{Piece: task.Name(), Stage: wire.PieceExited, Cause: wire.CauseDone})
+							ends = append(ends, wire.Task{Task: task.Name(), Stage: wire.TaskExited, Cause: wire.CauseDone})
 						}
 					}
 					x.report(m, ends...)
@@ -474,7 +474,7 @@
 	}
 }
 
-// A machine is lost under a gang while work of lower rank waits: the gang goes on
+// A machine is lost under a gang while work of lower priority waits: the gang goes on
 // whole, under a new attempt, as soon as there is room for all of it, and what the
 // other work took meanwhile gives way.
 func TestLossOfAMachine(t *testing.T) {
@@ -484,7 +484,7 @@
 	m0, m1 := x.reg.All()[0], x.reg.All()[1]
 	x.report(m0)
 	x.report(m1)
-	before := g.try
+	before := g.attempt
 	low := x.job("blue", wire.ShapeBatch, "low", 8, 1)
 	x.b.Lost(x.now, m0, "lease surely over")
 	x.reg.Set(x.now, m0, worker.Lapsed, "test")
@@ -492,23 +492,23 @@
 	if o := x.verbs(x.report(m1)); o != "stop "+mate.Name()+";" {
 		t.Fatalf("its mate is told: %s", o)
 	}
-	x.report(m1, wire.Piece{Piece: mate.Name(), Stage: wire.PieceExited, Cause: wire.CauseMatesGone})
+	x.report(m1, wire.Task{Task: mate.Name(), Stage: wire.TaskExited, Cause: wire.CauseMatesGone})
 	x.report(m1)
 	if g.located != 0 || low.located != 2 {
 		t.Fatalf("%d of the gang and %d of the rest run on the machine left", g.located, low.located)
 	}
 	m2 := x.reg.Add(x.now, "i-2", worker.Booting)
-	m2.Cap, m2.Used, m2.Build, m2.Yard = m0.Cap, true, "g2", "a"
+	m2.Cap, m2.Used, m2.Type, m2.Zone = m0.Cap, true, "g2", "a"
 	x.report(m2)
 	if len(g.tasks) != 2 || g.located != 0 || low.located != 2 {
 		t.Fatalf("the gang has %d places, %d of it run beside %d", len(g.tasks), g.located, low.located)
 	}
-	var gone []wire.Piece
+	var gone []wire.Task
 	for _, v := range x.b.host(m1).on {
-		gone = append(gone, wire.Piece{Piece: v.Name(), Stage: wire.PieceExited, Cause: wire.CauseHalted})
+		gone = append(gone, wire.Task{Task: v.Name(), Stage: wire.TaskExited, Cause: wire.CauseHalted})
 	}
 	x.report(m1, gone...)
-	if g.located != 2 || low.located != 0 || g.try <= before || g.tasks[0].try != g.tasks[1].try {
-		t.Errorf("%d of the gang under %d (before: %d), %d of the rest", g.located, g.try, before, low.located)
+	if g.located != 2 || low.located != 0 || g.attempt <= before || g.tasks[0].attempt != g.tasks[1].attempt {
+		t.Errorf("%d of the gang under %d (before: %d), %d of the rest", g.located, g.attempt, before, low.located)
 	}
 }
