--- a/internal/placement/reports.go
+++ b/internal/placement/reports.go
@@ -18,17 +18,17 @@
 		h.direct = nil // commands of an earlier session are void
 		m.Images = map[string]time.Time{}
 	}
-	shown := make(map[string]*wire.Piece, len(m.Pieces))
-	for i := range m.Pieces {
-		p := &m.Pieces[i]
-		shown[p.Piece] = p
+	shown := make(map[string]*wire.Task, len(m.Tasks))
+	for i := range m.Tasks {
+		p := &m.Tasks[i]
+		shown[p.Task] = p
 	}
 	for _, t := range slices.Clone(h.on) {
 		if t.at != m {
 			continue // an earlier one took its whole gang along
 		}
 		p := shown[t.Name()]
-		if p != nil && p.Try == t.try {
+		if p != nil && p.Attempt == t.attempt {
 			b.saw(now, m, t, p)
 			continue
 		}
@@ -38,7 +38,7 @@
 		// or in a direct command that nobody answered.
 		if t.reported {
 			b.gone(now, t, 0, "no longer reported")
-		} else if t.phase == Stopping && t.openDo == 0 && (!t.ordered || checkin && (t.tally == 0 || m.Tally > t.tally)) {
+		} else if t.phase == Stopping && t.openDo == 0 && (!t.ordered || checkin && (t.seq == 0 || m.Seq > t.seq)) {
 			b.gone(now, t, 0, "never started")
 		}
 	}
@@ -46,17 +46,17 @@
 }
 
 // saw handles a task that its machine reports.
-func (b *Board) saw(now time.Time, m *worker.Machine, t *Task, p *wire.Piece) {
+func (b *Board) saw(now time.Time, m *worker.Machine, t *Task, p *wire.Task) {
 	t.reported = true
-	if p.Stage != wire.PieceExited {
-		if p.Stage != wire.PieceFetching {
+	if p.Stage != wire.TaskExited {
+		if p.Stage != wire.TaskFetching {
 			m.Images[t.Job.Spec.Bundle] = now
 		}
-		if p.Stage == wire.PieceRunning && t.runFrom.IsZero() {
+		if p.Stage == wire.TaskRunning && t.runFrom.IsZero() {
 			t.runFrom = now
 		}
 		if t.stage != p.Stage {
-			b.log.Debug("task stage", "task", p.Piece, "try", p.Try, "host", m.Host, "stage", p.Stage)
+			b.log.Debug("task stage", "task", p.Task, "attempt", p.Attempt, "host", m.Host, "stage", p.Stage)
 		}
 		t.stage = p.Stage
 		if t.phase == Sent {
@@ -65,7 +65,7 @@
 		return
 	}
 	j := t.Job
-	b.log.Debug("task exited", "task", p.Piece, "try", p.Try, "host", m.Host, "cause", p.Cause, "stored", p.Stored)
+	b.log.Debug("task exited", "task", p.Task, "attempt", p.Attempt, "host", m.Host, "cause", p.Cause, "stored", p.Stored)
 	switch {
 	case p.Cause == wire.CauseDone && j.Standing():
 		b.gone(now, t, tuning.RetryPause, "a service's task ended")
@@ -81,7 +81,7 @@
 		b.failed(now, m, t)
 		b.gone(now, t, tuning.RetryPause, p.Cause)
 	case wire.CauseNoRoom, wire.CauseInUse, wire.CauseUnknown:
-		b.log.Info("start refused", "task", p.Piece, "host", m.Host, "cause", p.Cause)
+		b.log.Info("start refused", "task", p.Task, "host", m.Host, "cause", p.Cause)
 		b.gone(now, t, tuning.RefusedPause, p.Cause)
 	default:
 		b.gone(now, t, 0, p.Cause)
@@ -98,7 +98,7 @@
 			delete(j.tasks, t.N)
 		}
 	}
-	for n := range j.Spec.Pieces {
+	for n := range j.Spec.Tasks {
 		j.done.add(n)
 	}
 	if !j.closed {
@@ -142,23 +142,23 @@
 // unexplained handles what a machine reports that the board does not expect
 // there: tasks that an earlier tenure started, and the remains of jobs that
 // are over.
-func (b *Board) unexplained(now time.Time, m *worker.Machine, shown map[string]*wire.Piece) {
+func (b *Board) unexplained(now time.Time, m *worker.Machine, shown map[string]*wire.Task) {
 	delete(b.strays, m)
 	m.Stranger = false
-	for _, p := range m.Pieces {
-		id, n, ok := wire.ParsePiece(p.Piece)
+	for _, p := range m.Tasks {
+		id, n, ok := wire.ParseTask(p.Task)
 		var j *Job
 		if ok {
 			j = b.jobs[id]
 		}
-		if j != nil && n < j.Spec.Pieces {
-			if t := j.tasks[n]; t != nil && t.at == m && t.try == p.Try {
+		if j != nil && n < j.Spec.Tasks {
+			if t := j.tasks[n]; t != nil && t.at == m && t.attempt == p.Attempt {
 				continue
 			}
 		} else {
 			j = nil
 		}
-		if p.Stage == wire.PieceExited {
+		if p.Stage == wire.TaskExited {
 			if j != nil && p.Cause == wire.CauseDone && !j.Standing() && !j.done.has(n) {
 				b.foundDone(now, j, n)
 			}
@@ -170,7 +170,7 @@
 				continue
 			}
 		}
-		b.log.Info("stray task", "task", p.Piece, "try", p.Try, "host", m.Host)
+		b.log.Info("stray task", "task", p.Task, "attempt", p.Attempt, "host", m.Host)
 		b.strays[m] = append(b.strays[m], p)
 		m.Stranger = m.Stranger || j == nil
 	}
@@ -197,23 +197,23 @@
 }
 
 // adopt takes over a task that an earlier tenure started.
-func (b *Board) adopt(now time.Time, j *Job, n int, m *worker.Machine, p wire.Piece) {
+func (b *Board) adopt(now time.Time, j *Job, n int, m *worker.Machine, p wire.Task) {
 	t := j.tasks[n]
 	if t == nil {
 		t = &Task{Job: j, N: n}
 		j.tasks[n] = t
 	}
 	b.unqueue(t)
-	b.hand(now, t, m, p.Try, false, "adopted")
+	b.hand(now, t, m, p.Attempt, false, "adopted")
 	t.ordered = true
 	b.saw(now, m, t, &p)
 	if !j.Gang() {
 		return
 	}
 	switch {
-	case j.try == 0 || j.located == 1:
-		j.try = p.Try
-	case j.try != p.Try:
+	case j.attempt == 0 || j.located == 1:
+		j.attempt = p.Attempt
+	case j.attempt != p.Attempt:
 		b.breakGang(now, j, "two attempts found")
 	}
 }
--- a/internal/placement/survey.go
+++ b/internal/placement/survey.go
@@ -128,31 +128,31 @@
 type kind struct {
 	need       quota.Room
 	builds     string // allowed types, "*" for any
-	yard       string
-	loaners    bool
-	rank       int
-	crew       string
+	zone       string
+	spot       bool
+	priority   int
+	team       string
 	guaranteed bool
 }
 
 func (j *Job) kind(guaranteed bool) kind {
-	k := kind{j.need, "*", j.Spec.Yard, j.Spec.Loaners, j.rank, j.Spec.Crew, guaranteed}
-	if !j.Spec.AnyBuild {
-		k.builds = strings.Join(j.Spec.Builds, " ")
+	k := kind{j.need, "*", j.Spec.Zone, j.Spec.Spot, j.priority, j.Spec.Team, guaranteed}
+	if !j.Spec.AnyType {
+		k.builds = strings.Join(j.Spec.Types, " ")
 	}
 	return k
 }
 
 func (k *kind) allows(m *worker.Machine) bool {
-	return (k.loaners || !m.Loaners) && (k.yard == "" || k.yard == m.Yard) &&
-		(k.builds == "*" || slices.Contains(strings.Fields(k.builds), m.Build))
+	return (k.spot || !m.Spot) && (k.zone == "" || k.zone == m.Zone) &&
+		(k.builds == "*" || slices.Contains(strings.Fields(k.builds), m.Type))
 }
 
 // reach is how many tasks of a kind of gang could be placed on each machine,
 // other work giving way where it has to.
 type reach struct {
 	on    map[*worker.Machine]int
-	yards map[string]int
+	zones map[string]int
 	total int
 }
 
@@ -161,7 +161,7 @@
 	if d == 0 {
 		return
 	}
-	r.yards[m.Yard] += d
+	r.zones[m.Zone] += d
 	r.total += d
 	if n == 0 {
 		delete(r.on, m)
@@ -196,17 +196,17 @@
 		if len(b.survey.reaches) >= tuning.GangKinds {
 			clear(b.survey.reaches)
 		}
-		r = &reach{on: map[*worker.Machine]int{}, yards: map[string]int{}}
+		r = &reach{on: map[*worker.Machine]int{}, zones: map[string]int{}}
 		for _, m := range b.reg.All() {
 			r.set(m, b.places(now, k, m))
 		}
 		b.survey.reaches[k] = r
 	}
 	if !j.Spec.Together {
-		return r.total >= j.Spec.Pieces
+		return r.total >= j.Spec.Tasks
 	}
-	for _, n := range r.yards {
-		if n >= j.Spec.Pieces {
+	for _, n := range r.zones {
+		if n >= j.Spec.Tasks {
 			return true
 		}
 	}
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -42,12 +42,12 @@
 
 	// the copy handed out
 	at       *worker.Machine
-	try      uint64
+	attempt  uint64
 	spare    bool
 	reported bool      // a report has shown this attempt
 	ordered  bool      // the run order has gone out at least once
-	stint    uint64    // the worker's session when it was ordered
-	tally    uint64    // the newest report whose answer carried the order
+	session  uint64    // the worker's session when it was ordered
+	seq      uint64    // the newest report whose answer carried the order
 	openDo   int       // direct commands with the order that were not answered
 	sentAt   time.Time // when it was handed out
 	runFrom  time.Time // when first reported running
@@ -63,23 +63,23 @@
 }
 
 // Name is the task's name.
-func (t *Task) Name() string { return wire.PieceName(t.Job.Spec.ID, t.N) }
+func (t *Task) Name() string { return wire.TaskName(t.Job.Spec.ID, t.N) }
 
 // Job is an open job, or a closed one whose tasks are not all gone yet.
 type Job struct {
-	Spec  wire.Submission
-	At    time.Time // when it was accepted, by the time of day
-	Since time.Time // since when it has been known, by the steady clock
-	Stamp uint64    // version of its record
-	Early bool      // accepted before this tenure: its tasks may be on machines not heard yet
+	Spec    wire.Submission
+	At      time.Time // when it was accepted, by the time of day
+	Since   time.Time // since when it has been known, by the steady clock
+	Version uint64    // version of its record
+	Early   bool      // accepted before this tenure: its tasks may be on machines not heard yet
 
 	Before bool // marked as begun by an earlier tenure
 
-	rank   int
-	level  int // the rank, raised for age
-	need   quota.Room
-	closed bool
-	goneBy time.Time // of a closed job: when none of its tasks may be left
+	priority int
+	level    int // the priority, raised for age
+	need     quota.Room
+	closed   bool
+	goneBy   time.Time // of a closed job: when none of its tasks may be left
 
 	tasks    map[int]*Task // queued or on a machine
 	next     int           // the first task never taken up
@@ -88,7 +88,7 @@
 	durable  bitset
 	located  int // tasks on machines
 
-	try       uint64 // the gang's attempt
+	attempt   uint64 // the gang's attempt
 	broken    bool   // the gang's attempt is over; its tasks have to go
 	seq       uint64
 	notBefore time.Time
@@ -139,10 +139,10 @@
 }
 
 // Complete tells whether every task has completed.
-func (j *Job) Complete() bool { return j.done.count == j.Spec.Pieces }
+func (j *Job) Complete() bool { return j.done.count == j.Spec.Tasks }
 
 // held is how many tasks are neither done nor taken up.
-func (j *Job) held() int { return j.Spec.Pieces - j.done.count - len(j.tasks) }
+func (j *Job) held() int { return j.Spec.Tasks - j.done.count - len(j.tasks) }
 
 // sorted lists the tasks that are queued or on a machine, by number.
 func (j *Job) sorted() []*Task {
@@ -165,7 +165,7 @@
 		}
 		return c.n, true
 	}
-	for j.next < j.Spec.Pieces {
+	for j.next < j.Spec.Tasks {
 		n := j.next
 		j.next++
 		if !j.done.has(n) && j.tasks[n] == nil {
--- a/internal/placement/turns.go
+++ b/internal/placement/turns.go
@@ -13,7 +13,7 @@
 	"juniperchute/internal/worker"
 )
 
-// level is the open jobs of a rank, in the order of their turns.
+// level is the open jobs of a priority, in the order of their turns.
 type level struct {
 	all, gangs []*Job
 }
@@ -24,8 +24,8 @@
 	b.survey.again()
 }
 
-// byRank lists the open jobs by rank and turn, as of a moment ago.
-func (b *Board) byRank(now time.Time) []level {
+// byPriority lists the open jobs by priority and turn, as of a moment ago.
+func (b *Board) byPriority(now time.Time) []level {
 	if since := now.Sub(b.turnsAt); since < tuning.TurnsEvery && (!b.resort || since < tuning.TurnsSoon) {
 		return b.turns
 	}
@@ -34,7 +34,7 @@
 	levels := map[int][]*Job{}
 	least := quota.Unbounded()
 	for _, j := range b.order {
-		j.level = j.rank + b.raised(now, j)
+		j.level = j.priority + b.raised(now, j)
 		levels[j.level] = append(levels[j.level], j)
 		if !j.Gang() {
 			least = least.Min(j.need)
@@ -74,18 +74,18 @@
 	return out
 }
 
-// raised is by how many ranks a job is raised because it has waited for so long
+// raised is by how many priorities a job is raised because it has waited for so long
 // that it would starve: no burst of others, however long, may keep it from
 // beginning. One of which nothing has started goes first until something has;
-// one whose tasks have waited longer still goes up rank by rank, and stays there.
+// one whose tasks have waited longer still goes up priority by priority, and stays there.
 func (b *Board) raised(now time.Time, j *Job) int {
 	if j.starved(now) && j.located == 0 {
-		return wire.Ranks
+		return wire.Priorities
 	}
-	up := min(j.level-j.rank, wire.Ranks-1)
+	up := min(j.level-j.priority, wire.Priorities-1)
 	if over := now.Sub(j.Since) - tuning.StarveAfter; over >= 0 && (j.held() > 0 || len(j.tasks) > j.located) {
-		up = max(up, 1+min(int(over/tuning.StarveStep), wire.Ranks-2))
-	} else if up == wire.Ranks-1 {
+		up = max(up, 1+min(int(over/tuning.StarveStep), wire.Priorities-2))
+	} else if up == wire.Priorities-1 {
 		up = 0 // it has begun
 	}
 	return up
@@ -97,7 +97,7 @@
 	return j.done.count == 0 && now.Sub(j.Since) > tuning.BeginBy
 }
 
-// byTurn orders jobs of one rank by age. Gangs go a while before arrays, and
+// byTurn orders jobs of one priority by age. Gangs go a while before arrays, and
 // arrays with more work waiting a while after ones with less, so that when there
 // is too much the many small jobs are in time and not only the oldest. Both are
 // bounded, so that neither arrays nor the largest of them starve.
@@ -129,8 +129,8 @@
 // is no machine to tell.
 func (j *Job) share(reg *worker.Registry) float64 {
 	for _, m := range reg.All() {
-		if m.Cap.Fits(j.need) && j.allows(m.Build, m.Yard, m.Loaners) {
-			return 1 / float64(max(1, m.Cap.Count(j.need, wire.MaxPieces)))
+		if m.Cap.Fits(j.need) && j.allows(m.Type, m.Zone, m.Spot) {
+			return 1 / float64(max(1, m.Cap.Count(j.need, wire.MaxTasks)))
 		}
 	}
 	return 1
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -51,11 +51,11 @@
 	}
 	var out struct {
 		wire.Item
-		Items  []wire.Item
-		More   bool
-		Epoch  uint64
-		Failed []string `json:"failed"`
-		Events []wire.Change
+		Items    []wire.Item
+		More     bool
+		Revision uint64   `json:"Epoch"`
+		Failed   []string `json:"failed"`
+		Events   []wire.Change
 	}
 	if err := json.Unmarshal(raw, &out); err != nil && resp.StatusCode == http.StatusOK {
 		// an answer that cannot be read is as good as none
@@ -63,7 +63,7 @@
 	}
 	res.Status = resp.StatusCode
 	res.Item, res.Items, res.More = out.Item, out.Items, out.More
-	res.Epoch, res.Failed, res.Hold, res.Events = out.Epoch, out.Failed, out.Hold, out.Events
+	res.Revision, res.Failed, res.Lease, res.Events = out.Revision, out.Failed, out.Lease, out.Events
 	return res
 }
 
@@ -84,7 +84,7 @@
 		b, _ := json.Marshal(struct{ LifeMs int64 }{c.Life.Milliseconds()})
 		return http.MethodPost, "/grants", b
 	case OpTouch:
-		return http.MethodPost, "/grants/" + strconv.FormatUint(c.Hold, 10) + "/touch", []byte("{}")
+		return http.MethodPost, "/grants/" + strconv.FormatUint(c.Lease, 10) + "/touch", []byte("{}")
 	}
 	b, _ := json.Marshal(c.Multi)
 	return http.MethodPost, "/multi", b
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -31,18 +31,18 @@
 	call   Caller
 	change func(now time.Time, key string, it wire.Item, gone bool)
 
-	state  mirrorState
-	round  int // tells answers of an abandoned round apart
-	lists  int // counts the lists begun
-	synced bool
-	epoch  uint64
-	heard  time.Time
-	fresh  time.Time // all that was written by then has been taken in
-	listed time.Time // when the first call of the list under way was sent
-	retry  time.Time
-	items  map[string]wire.Item
-	seen   map[string]bool // keys listed in this round
-	base   uint64          // the revision that this round's list began at
+	state    mirrorState
+	round    int // tells answers of an abandoned round apart
+	lists    int // counts the lists begun
+	synced   bool
+	revision uint64
+	heard    time.Time
+	fresh    time.Time // all that was written by then has been taken in
+	listed   time.Time // when the first call of the list under way was sent
+	retry    time.Time
+	items    map[string]wire.Item
+	seen     map[string]bool // keys listed in this round
+	base     uint64          // the revision that this round's list began at
 
 	syncing  bool
 	syncDue  time.Time
@@ -94,7 +94,7 @@
 		return
 	}
 	round := m.lists
-	m.call(Call{Op: OpChanges, Class: ClassUser, Under: m.under, Since: m.epoch}, func(now time.Time, r Result) {
+	m.call(Call{Op: OpChanges, Class: ClassUser, Under: m.under, Since: m.revision}, func(now time.Time, r Result) {
 		if !r.OK() || m.lists != round {
 			finish(now, false) // a list under way tells what it finds in its own time
 			return
@@ -112,15 +112,15 @@
 			m.fresh = r.Sent
 		}
 	}()
-	if r.Epoch <= m.epoch {
+	if r.Revision <= m.revision {
 		return // another answer, sent later, was here first
 	}
 	for _, ev := range r.Events {
-		if ev.Stamp > m.epoch {
+		if ev.Version > m.revision {
 			m.apply(now, ev)
 		}
 	}
-	m.epoch = r.Epoch
+	m.revision = r.Revision
 }
 
 // Each calls f for every key, in key order.
@@ -137,7 +137,7 @@
 }
 
 // Stamp returns a key's version, 0 when it does not exist.
-func (m *Mirror) Stamp(key string) uint64 { return m.items[key].Stamp }
+func (m *Mirror) Version(key string) uint64 { return m.items[key].Version }
 
 func (m *Mirror) set(s mirrorState) { m.state = s }
 
@@ -175,7 +175,7 @@
 		}
 		m.heard = now
 		if m.base == 0 {
-			m.base, m.listed = r.Epoch, r.Sent
+			m.base, m.listed = r.Revision, r.Sent
 		}
 		last := after
 		for _, it := range r.Items {
@@ -193,7 +193,7 @@
 				m.change(now, k, it, true)
 			}
 		}
-		m.seen, m.epoch, m.synced = nil, m.base, true
+		m.seen, m.revision, m.synced = nil, m.base, true
 		if m.listed.After(m.fresh) {
 			m.fresh = m.listed
 		}
@@ -202,7 +202,7 @@
 }
 
 func (m *Mirror) put(now time.Time, it wire.Item) {
-	if old, ok := m.items[it.Path]; ok && old.Stamp >= it.Stamp {
+	if old, ok := m.items[it.Path]; ok && old.Version >= it.Version {
 		return
 	}
 	m.items[it.Path] = it
@@ -213,7 +213,7 @@
 	m.set(mirrorFollowing)
 	m.round++
 	round := m.round
-	m.call(Call{Op: OpChanges, Class: ClassLease, Under: m.under, Since: m.epoch, WaitMs: int(tuning.WatchWait.Milliseconds())}, func(now time.Time, r Result) {
+	m.call(Call{Op: OpChanges, Class: ClassLease, Under: m.under, Since: m.revision, WaitMs: int(tuning.WatchWait.Milliseconds())}, func(now time.Time, r Result) {
 		if m.round != round {
 			return
 		}
@@ -240,10 +240,10 @@
 
 func (m *Mirror) apply(now time.Time, ev wire.Change) {
 	if ev.Write != "" {
-		m.put(now, wire.Item{Path: ev.Write, Value: ev.Value, Stamp: ev.Stamp})
+		m.put(now, wire.Item{Path: ev.Write, Value: ev.Value, Version: ev.Version})
 		return
 	}
-	if it, ok := m.items[ev.Remove]; ok && it.Stamp < ev.Stamp {
+	if it, ok := m.items[ev.Remove]; ok && it.Version < ev.Version {
 		delete(m.items, ev.Remove)
 		m.change(now, ev.Remove, it, true)
 	}
--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -50,9 +50,9 @@
 		where: map[string]*page{}}
 }
 
-func (p *Pages) add(n int, stamp uint64) *page {
+func (p *Pages) add(n int, version uint64) *page {
 	g := &page{entries: map[string]json.RawMessage{}}
-	g.file = NewRecord(p.under+strconv.Itoa(n), stamp, p.class, p.tenure, p.call, func(now time.Time, ver int) {
+	g.file = NewRecord(p.under+strconv.Itoa(n), version, p.class, p.tenure, p.call, func(now time.Time, ver int) {
 		due := g.waiting
 		g.waiting = nil
 		for _, w := range due {
@@ -82,7 +82,7 @@
 			p.log.Error("page cannot be read", "key", it.Path)
 			continue
 		}
-		g := p.add(n, it.Stamp)
+		g := p.add(n, it.Version)
 		for _, k := range slices.Sorted(maps.Keys(entries)) {
 			g.entries[k] = entries[k]
 			g.size += entrySize(k, entries[k])
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -22,25 +22,25 @@
 // late transactions: each write is conditioned on the version before it and on
 // the tenure, so that a late one fails.
 type Record struct {
-	Key    string
-	class  Class
-	tenure wire.Cond
-	call   Caller
-	stamp  uint64
-	state  recordState
-	want   json.RawMessage // nil: no key
-	ver    int             // of what is wanted
-	kept   int             // newest version that is durable
-	retry  time.Time
-	done   func(now time.Time, ver int)
-	lost   func(now time.Time)
+	Key     string
+	class   Class
+	tenure  wire.Cond
+	call    Caller
+	version uint64
+	state   recordState
+	want    json.RawMessage // nil: no key
+	ver     int             // of what is wanted
+	kept    int             // newest version that is durable
+	retry   time.Time
+	done    func(now time.Time, ver int)
+	lost    func(now time.Time)
 }
 
 // NewRecord makes the record of a key that now has the given version. done is
 // told of each version that has become durable, lost when the tenure is over.
-func NewRecord(key string, stamp uint64, class Class, tenure wire.Cond, call Caller,
+func NewRecord(key string, version uint64, class Class, tenure wire.Cond, call Caller,
 	done func(now time.Time, ver int), lost func(now time.Time)) *Record {
-	return &Record{Key: key, stamp: stamp, class: class, tenure: tenure, call: call, done: done, lost: lost}
+	return &Record{Key: key, version: version, class: class, tenure: tenure, call: call, done: done, lost: lost}
 }
 
 // Set wants a new value, nil for no key, and returns its version.
@@ -70,19 +70,19 @@
 	w := Remove(r.Key)
 	if want != nil {
 		w = wire.Write{Write: r.Key, Value: want}
-	} else if r.stamp == 0 {
+	} else if r.version == 0 {
 		r.settle(now, ver)
 		return
 	}
 	r.set(recordWriting)
 	r.call(Call{Op: OpMulti, Class: r.class, Multi: wire.Multi{
-		When: []wire.Cond{r.tenure, Is(r.Key, r.stamp)}, Writes: []wire.Write{w},
+		When: []wire.Cond{r.tenure, Is(r.Key, r.version)}, Writes: []wire.Write{w},
 	}}, func(now time.Time, res Result) {
 		switch {
 		case res.OK():
-			r.stamp = res.Epoch
+			r.version = res.Revision
 			if want == nil {
-				r.stamp = 0
+				r.version = 0
 			}
 			r.settle(now, ver)
 		case res.Status == 409 && slices.Contains(res.Failed, r.tenure.Path):
@@ -115,9 +115,9 @@
 		r.set(recordDirty)
 		switch res.Status {
 		case 200:
-			r.stamp = res.Item.Stamp
+			r.version = res.Item.Version
 		case 404:
-			r.stamp = 0
+			r.version = 0
 		default:
 			r.retry = now.Add(tuning.RecordRetry)
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -49,7 +49,7 @@
 	Since  uint64 // OpChanges
 	Page   int    // OpList
 	Multi  wire.Multi
-	Hold   uint64        // OpTouch
+	Lease  uint64        // OpTouch
 	Life   time.Duration // OpGrant
 	WaitMs int           // OpChanges
 }
@@ -67,15 +67,15 @@
 
 // Result is what came of a call.
 type Result struct {
-	Status int // the HTTP status; 0 when no response came
-	Sent   time.Time
-	Item   wire.Item
-	Items  []wire.Item
-	More   bool
-	Epoch  uint64
-	Failed []string
-	Hold   uint64
-	Events []wire.Change
+	Status   int // the HTTP status; 0 when no response came
+	Sent     time.Time
+	Item     wire.Item
+	Items    []wire.Item
+	More     bool
+	Revision uint64
+	Failed   []string
+	Lease    uint64
+	Events   []wire.Change
 }
 
 // OK tells whether the call was executed as asked.
@@ -85,16 +85,16 @@
 func (r Result) Refused() bool { return r.Status == 429 || r.Status == 503 }
 
 // Put is a write of a value.
-func Put(key string, value any, hold uint64) wire.Write {
+func Put(key string, value any, lease uint64) wire.Write {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		panic("store: value of " + key + " cannot be written as JSON: " + err.Error())
 	}
-	return wire.Write{Write: key, Value: raw, Hold: hold}
+	return wire.Write{Write: key, Value: raw, Lease: lease}
 }
 
 // Remove is the removal of a key.
 func Remove(key string) wire.Write { return wire.Write{Remove: key} }
 
 // Is is the condition that a key has a version; 0: that it does not exist.
-func Is(key string, stamp uint64) wire.Cond { return wire.Cond{Path: key, Stamp: stamp} }
+func Is(key string, version uint64) wire.Cond { return wire.Cond{Path: key, Version: version} }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -64,15 +64,15 @@
 		check  func(r Result) bool
 	}{
 		{"get", Call{Op: OpGet, Key: "j/job-1"}, 200, `{"Path":"j/job-1","Value":{"x":1},"Stamp":412,"Hold":7}`, "GET /kv/j/job-1 ",
-			func(r Result) bool { return r.OK() && r.Item.Stamp == 412 && string(r.Item.Value) == `{"x":1}` }},
+			func(r Result) bool { return r.OK() && r.Item.Version == 412 && string(r.Item.Value) == `{"x":1}` }},
 		{"get nothing", Call{Op: OpGet, Key: "a"}, 404, `{"Epoch":431}`, "GET /kv/a ", func(r Result) bool { return r.Status == 404 }},
 		{"list", Call{Op: OpList, Under: "q/0/", After: "q/0/x", Page: 10}, 200, `{"Items":[{"Path":"q/0/y","Value":1,"Stamp":2}],"More":true,"Epoch":9}`,
-			"GET /kv?Under=q%2F0%2F&After=q%2F0%2Fx&Page=10 ", func(r Result) bool { return len(r.Items) == 1 && r.More && r.Epoch == 9 }},
+			"GET /kv?Under=q%2F0%2F&After=q%2F0%2Fx&Page=10 ", func(r Result) bool { return len(r.Items) == 1 && r.More && r.Revision == 9 }},
 		{"transaction", Call{Op: OpMulti, Multi: wire.Multi{When: []wire.Cond{Is("a", 0)}, Writes: []wire.Write{Put("a", 1, 7), Remove("b")}}}, 409,
 			`{"failed":["a"],"Epoch":4}`, `POST /multi {"When":[{"Path":"a","Stamp":0}],"Writes":[{"Write":"a","Value":1,"Hold":7},{"Remove":"b"}]}`,
 			func(r Result) bool { return r.Status == 409 && r.Failed[0] == "a" }},
-		{"grant", Call{Op: OpGrant, Life: 3500 * time.Millisecond}, 200, `{"Hold":7}`, `POST /grants {"LifeMs":3500}`, func(r Result) bool { return r.Hold == 7 }},
-		{"touch", Call{Op: OpTouch, Hold: 7}, 404, ``, `POST /grants/7/touch {}`, func(r Result) bool { return r.Status == 404 }},
+		{"grant", Call{Op: OpGrant, Life: 3500 * time.Millisecond}, 200, `{"Hold":7}`, `POST /grants {"LifeMs":3500}`, func(r Result) bool { return r.Lease == 7 }},
+		{"touch", Call{Op: OpTouch, Lease: 7}, 404, ``, `POST /grants/7/touch {}`, func(r Result) bool { return r.Status == 404 }},
 		{"watch", Call{Op: OpChanges, Under: "c/", Since: 5, WaitMs: 10}, 200, `{"Epoch":6,"Events":[{"Remove":"c/d","Stamp":6}]}`,
 			"GET /changes?Under=c%2F&After=5&WaitMs=10 ", func(r Result) bool { return r.Events[0].Remove == "c/d" }},
 		{"an answer that cannot be read is none", Call{Op: OpGet, Key: "a"}, 200, `{"Path"`, "GET /kv/a ", func(r Result) bool { return r.Status == 0 }},
@@ -121,22 +121,22 @@
 		}
 		seen += key + string(it.Value) + " "
 	})
-	item := func(key, v string, stamp uint64) wire.Item {
-		return wire.Item{Path: key, Value: json.RawMessage(v), Stamp: stamp}
+	item := func(key, v string, version uint64) wire.Item {
+		return wire.Item{Path: key, Value: json.RawMessage(v), Version: version}
 	}
 	now := time.Unix(0, 0)
 	m.Tick(now)
-	f.answer(t, Result{Status: 200, Epoch: 10, More: true, Items: []wire.Item{item("q/a", "1", 3)}})
-	f.answer(t, Result{Status: 200, Epoch: 12, Items: []wire.Item{item("q/b", "2", 12)}})
+	f.answer(t, Result{Status: 200, Revision: 10, More: true, Items: []wire.Item{item("q/a", "1", 3)}})
+	f.answer(t, Result{Status: 200, Revision: 12, Items: []wire.Item{item("q/b", "2", 12)}})
 	if c := f.calls[0]; c.Op != OpChanges || c.Since != 10 {
 		t.Fatalf("follows from %d, want the first page's revision", c.Since)
 	}
 	// what the list already showed, and what is older than it, comes again
-	f.answer(t, Result{Status: 200, Epoch: 13, Events: []wire.Change{
-		{Remove: "q/b", Stamp: 11}, {Write: "q/b", Value: json.RawMessage("2"), Stamp: 12}, {Remove: "q/a", Stamp: 13}}})
+	f.answer(t, Result{Status: 200, Revision: 13, Events: []wire.Change{
+		{Remove: "q/b", Version: 11}, {Write: "q/b", Value: json.RawMessage("2"), Version: 12}, {Remove: "q/a", Version: 13}}})
 	// fallen too far behind: everything is read again
 	f.answer(t, Result{Status: 410})
-	f.answer(t, Result{Status: 200, Epoch: 900, Items: []wire.Item{item("q/c", "3", 700)}})
+	f.answer(t, Result{Status: 200, Revision: 900, Items: []wire.Item{item("q/c", "3", 700)}})
 	if want := "q/a1 q/b2 -q/a1 q/c3 -q/b2 "; seen != want {
 		t.Errorf("told of %q, want %q", seen, want)
 	}
@@ -147,25 +147,25 @@
 func TestPages(t *testing.T) {
 	now := time.Unix(0, 0)
 	kv := map[string]wire.Item{}
-	epoch, writes := uint64(10), 0
+	revision, writes := uint64(10), 0
 	call := func(c Call, then func(time.Time, Result)) {
 		for _, cond := range c.Multi.When {
-			if cond.Path != "c/b/0" && kv[cond.Path].Stamp != cond.Stamp {
+			if cond.Path != "c/b/0" && kv[cond.Path].Version != cond.Version {
 				then(now, Result{Status: 409, Failed: []string{cond.Path}})
 				return
 			}
 		}
-		epoch++
+		revision++
 		for _, w := range c.Multi.Writes {
 			if writes++; len(w.Value) > 1024 {
 				t.Errorf("%s has %d bytes", w.Write, len(w.Value))
 			}
 			delete(kv, w.Remove)
 			if w.Write != "" {
-				kv[w.Write] = wire.Item{Path: w.Write, Value: w.Value, Stamp: epoch}
+				kv[w.Write] = wire.Item{Path: w.Write, Value: w.Value, Version: revision}
 			}
 		}
-		then(now, Result{Status: 200, Epoch: epoch})
+		then(now, Result{Status: 200, Revision: revision})
 	}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	open := func() *Pages {
@@ -220,12 +220,12 @@
 		answers []Result
 		kept    bool
 		lost    bool
-		stamp   uint64 // condition of the last write
+		version uint64 // condition of the last write
 	}{
-		{"written", []Result{{Status: 200, Epoch: 5}}, true, false, 3},
-		{"refused, then written", []Result{{Status: 503}, {Status: 200, Epoch: 5}}, true, false, 3},
-		{"no answer, and it had been written", []Result{{}, {Status: 409, Failed: []string{"k"}}, {Status: 200, Item: wire.Item{Stamp: 4}}, {Status: 200, Epoch: 5}}, true, false, 4},
-		{"conflict, and the key is gone", []Result{{Status: 409, Failed: []string{"k"}}, {Status: 404}, {Status: 200, Epoch: 5}}, true, false, 0},
+		{"written", []Result{{Status: 200, Revision: 5}}, true, false, 3},
+		{"refused, then written", []Result{{Status: 503}, {Status: 200, Revision: 5}}, true, false, 3},
+		{"no answer, and it had been written", []Result{{}, {Status: 409, Failed: []string{"k"}}, {Status: 200, Item: wire.Item{Version: 4}}, {Status: 200, Revision: 5}}, true, false, 4},
+		{"conflict, and the key is gone", []Result{{Status: 409, Failed: []string{"k"}}, {Status: 404}, {Status: 200, Revision: 5}}, true, false, 0},
 		{"the tenure is over", []Result{{Status: 409, Failed: []string{"c/b/0"}}}, false, true, 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -243,7 +243,7 @@
 			if r.Settled() != c.kept || lost != c.lost {
 				t.Errorf("settled %t, lost %t", r.Settled(), lost)
 			}
-			if last.Multi.When[0] != Is("c/b/0", 2) || last.Multi.When[1] != Is("k", c.stamp) {
+			if last.Multi.When[0] != Is("c/b/0", 2) || last.Multi.When[1] != Is("k", c.version) {
 				t.Errorf("conditions %v", last.Multi.When)
 			}
 		})
--- a/internal/submission/query_test.go
+++ b/internal/submission/query_test.go
@@ -18,8 +18,8 @@
 		stage   string
 	}{
 		{"it goes on", nil, nil, wire.JobRunning},
-		{"it was called off", []wire.Change{{Remove: OpenKey("job-1"), Stamp: 13}}, []store.Result{rec(wire.JobWithdrawn)}, wire.JobWithdrawn},
-		{"it is done", []wire.Change{{Remove: OpenKey("job-1"), Stamp: 13}}, []store.Result{rec(wire.JobDone)}, wire.JobDone},
+		{"it was called off", []wire.Change{{Remove: OpenKey("job-1"), Version: 13}}, []store.Result{rec(wire.JobWithdrawn)}, wire.JobWithdrawn},
+		{"it is done", []wire.Change{{Remove: OpenKey("job-1"), Version: 13}}, []store.Result{rec(wire.JobDone)}, wire.JobDone},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := newDesk(types)
@@ -27,9 +27,9 @@
 			d.s.progress = func(_ time.Time, _ int, _ string, then func(time.Time, Progress)) { told = then }
 			var got *Response
 			d.s.Query(now, "job-1", func(r Response) { got = &r })
-			d.answer(store.Result{Status: 200, Epoch: 12, Events: []wire.Change{{Write: OpenKey("job-1"), Value: rec(wire.JobPending).Item.Value, Stamp: 12}}})
+			d.answer(store.Result{Status: 200, Revision: 12, Events: []wire.Change{{Write: OpenKey("job-1"), Value: rec(wire.JobPending).Item.Value, Version: 12}}})
 			d.open.Sync(now, 0, func(time.Time, bool) {})
-			d.answer(store.Result{Status: 200, Epoch: 13, Events: c.meets})
+			d.answer(store.Result{Status: 200, Revision: 13, Events: c.meets})
 			told(now, Progress{Known: true, Running: 1})
 			for _, a := range c.answers {
 				d.answer(a)
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -69,16 +69,16 @@
 
 // Slice is this node's part in answering users.
 type Slice struct {
-	facts    config.Facts
-	blocks   int
-	wall     func() time.Time
-	call     store.Caller
-	log      *slog.Logger
-	flavors  func() map[string]wire.Flavor
-	open     *store.Mirror
-	gap      time.Duration // between two looks at the open jobs
-	progress func(now time.Time, block int, id string, then func(now time.Time, p Progress))
-	told     func(now time.Time, id string) // of a cancellation that a user is about to be told of
+	facts        config.Facts
+	blocks       int
+	wall         func() time.Time
+	call         store.Caller
+	log          *slog.Logger
+	machineTypes func() map[string]wire.MachineType
+	open         *store.Mirror
+	gap          time.Duration // between two looks at the open jobs
+	progress     func(now time.Time, block int, id string, then func(now time.Time, p Progress))
+	told         func(now time.Time, id string) // of a cancellation that a user is about to be told of
 
 	inHand  int // submissions and cancellations under way
 	queries int // questions under way
@@ -87,14 +87,14 @@
 
 // New makes the slice.
 func New(facts config.Facts, blocks int, wall func() time.Time, call store.Caller, log *slog.Logger,
-	flavors func() map[string]wire.Flavor, open *store.Mirror,
+	machineTypes func() map[string]wire.MachineType, open *store.Mirror,
 	progress func(now time.Time, block int, id string, then func(now time.Time, p Progress)),
 	told func(now time.Time, id string)) *Slice {
 	gap := time.Duration(0)
 	if facts.State.RPS > 0 {
 		gap = time.Duration(float64(max(1, facts.Nodes)) / (facts.State.RPS * tuning.SyncShare) * float64(time.Second))
 	}
-	return &Slice{facts: facts, blocks: blocks, wall: wall, call: call, log: log, flavors: flavors, open: open, gap: gap, progress: progress, told: told,
+	return &Slice{facts: facts, blocks: blocks, wall: wall, call: call, log: log, machineTypes: machineTypes, open: open, gap: gap, progress: progress, told: told,
 		finals: finals{m: map[string]wire.JobState{}}}
 }
 
@@ -129,8 +129,8 @@
 
 // block chooses the block of a new job.
 func (s *Slice) block(spec *wire.Submission) int {
-	if quota.Limited(s.facts.Teams, spec.Crew) {
-		return quota.Home(s.facts.Teams, spec.Crew, s.blocks)
+	if quota.Limited(s.facts.Teams, spec.Team) {
+		return quota.Home(s.facts.Teams, spec.Team, s.blocks)
 	}
 	n := 0
 	for _, c := range spec.ID {
@@ -142,41 +142,41 @@
 // check tells why a job can never run; undecided means that this node cannot
 // tell yet.
 func (s *Slice) check(spec *wire.Submission) (why string, undecided bool) {
-	i := slices.IndexFunc(s.facts.Teams, func(t config.Team) bool { return t.Name == spec.Crew })
+	i := slices.IndexFunc(s.facts.Teams, func(t config.Team) bool { return t.Name == spec.Team })
 	if i < 0 {
 		return "unknown team", false
 	}
 	team := s.facts.Teams[i]
 	n := 1.0
 	if spec.Shape != wire.ShapeBatch {
-		n = float64(spec.Pieces)
+		n = float64(spec.Tasks)
 	}
 	if team.CPUsMax > 0 && n*spec.Vcpus > team.CPUsMax+1e-6 || team.GPUsMax > 0 && n*spec.Gpus > team.GPUsMax+1e-6 {
 		return "needs more than the team's limit", false
 	}
-	flavors := s.flavors()
-	if len(flavors) == 0 {
+	machineTypes := s.machineTypes()
+	if len(machineTypes) == 0 {
 		return "", true
 	}
 	need := quota.Room{CPUs: spec.Vcpus, GPUs: spec.Gpus, MemGB: spec.MemGb}
-	yards := map[string]bool{}
-	for _, f := range flavors {
-		if !spec.AnyBuild && !slices.Contains(spec.Builds, f.Name) {
+	zones := map[string]bool{}
+	for _, f := range machineTypes {
+		if !spec.AnyType && !slices.Contains(spec.Types, f.Name) {
 			continue
 		}
 		if !(quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}).Fits(need) {
 			continue
 		}
-		for _, y := range f.Yards {
-			if spec.Yard == "" || spec.Yard == y {
-				yards[y] = true
+		for _, y := range f.Zones {
+			if spec.Zone == "" || spec.Zone == y {
+				zones[y] = true
 			}
 		}
 	}
 	switch {
-	case len(yards) == 0:
+	case len(zones) == 0:
 		return "a task fits no allowed machine type", false
-	case spec.Shape != wire.ShapeBatch && spec.Apart && spec.Pieces > 1 && (spec.Together || len(yards) == 1):
+	case spec.Shape != wire.ShapeBatch && spec.Apart && spec.Tasks > 1 && (spec.Together || len(zones) == 1):
 		return "its tasks cannot be spread over zones", false
 	}
 	return "", false
@@ -194,9 +194,9 @@
 		return
 	}
 	refusal := 422
-	if !spec.AnyBuild && why == "" && !undecided {
+	if !spec.AnyType && why == "" && !undecided {
 		// names of no type would only take room in the record
-		spec.Builds = slices.DeleteFunc(slices.Clone(spec.Builds), func(b string) bool { _, ok := s.flavors()[b]; return !ok })
+		spec.Types = slices.DeleteFunc(slices.Clone(spec.Types), func(b string) bool { _, ok := s.machineTypes()[b]; return !ok })
 	}
 	rec := OpenRec{Spec: spec, At: s.wall().UnixMilli(), Block: s.block(&spec)}
 	if raw, err := json.Marshal(rec); why == "" && (err != nil || s.facts.State.ValueKB > 0 && len(raw) > int(s.facts.State.ValueKB*1024*tuning.PageFill)) {
@@ -228,10 +228,10 @@
 
 // found is what a look at the records told of a job.
 type found struct {
-	sure  bool   // the records were read
-	stage string // "" if there is no such job
-	done  int
-	stamp uint64 // of the open entry
+	sure    bool   // the records were read
+	stage   string // "" if there is no such job
+	done    int
+	version uint64 // of the open entry
 }
 
 // find reads a job's records: the open entry first, then the end. As a job goes
@@ -243,7 +243,7 @@
 		case r.Status == 404:
 			s.end(now, id, then)
 		case r.OK() && json.Unmarshal(r.Item.Value, &rec) == nil:
-			then(found{sure: true, stage: wire.JobPending, stamp: r.Item.Stamp})
+			then(found{sure: true, stage: wire.JobPending, version: r.Item.Version})
 		default:
 			then(found{})
 		}
@@ -277,7 +277,7 @@
 	}}, func(now time.Time, r store.Result) {
 		switch {
 		case r.OK():
-			s.log.Debug("job accepted", "job", id, "class", rec.Spec.Lane, "block", rec.Block)
+			s.log.Debug("job accepted", "job", id, "class", rec.Spec.Class, "block", rec.Block)
 			reply(Response{Status: 201, Body: wire.Accepted{ID: id, Stage: wire.JobPending}})
 		case r.Status == 409:
 			s.find(now, id, func(f found) {
@@ -394,7 +394,7 @@
 			return
 		}
 		s.call(store.Call{Op: store.OpMulti, Class: store.ClassUser, Multi: wire.Multi{
-			When: []wire.Cond{store.Is(OpenKey(id), f.stamp)},
+			When: []wire.Cond{store.Is(OpenKey(id), f.version)},
 			Writes: []wire.Write{
 				store.Put(JobKey(id), JobRec{Stage: wire.JobWithdrawn}, 0),
 				store.Remove(OpenKey(id)),
--- a/internal/submission/submission_test.go
+++ b/internal/submission/submission_test.go
@@ -24,7 +24,7 @@
 	told  []string // cancellations of which users are told
 }
 
-func newDesk(flavors map[string]wire.Flavor) *desk {
+func newDesk(machineTypes map[string]wire.MachineType) *desk {
 	d := &desk{}
 	facts := config.Facts{Zones: []string{"a", "b"}, State: config.State{ValueKB: 4}, Teams: []config.Team{{Name: "red", GPUsMax: 8}, {Name: "free"}}}
 	call := func(c store.Call, then func(time.Time, store.Result)) {
@@ -32,9 +32,9 @@
 	}
 	d.open = store.NewMirror(OpenUnder, call, func(time.Time, string, wire.Item, bool) {})
 	d.open.Tick(now)
-	d.answer(store.Result{Status: 200, Epoch: 10})
+	d.answer(store.Result{Status: 200, Revision: 10})
 	d.answer(none) // no watch beside the questions
-	d.s = New(facts, 1, func() time.Time { return now }, call, slog.New(slog.NewTextHandler(io.Discard, nil)), func() map[string]wire.Flavor { return flavors }, d.open,
+	d.s = New(facts, 1, func() time.Time { return now }, call, slog.New(slog.NewTextHandler(io.Discard, nil)), func() map[string]wire.MachineType { return machineTypes }, d.open,
 		func(now time.Time, _ int, _ string, then func(time.Time, Progress)) {
 			then(now, Progress{Known: true, Done: 3, Running: 2})
 		}, func(_ time.Time, id string) { d.told = append(d.told, id) })
@@ -53,7 +53,7 @@
 	if stage == wire.JobPending {
 		raw, _ = json.Marshal(OpenRec{Spec: job(nil)})
 	}
-	return store.Result{Status: 200, Item: wire.Item{Value: raw, Stamp: 5}}
+	return store.Result{Status: 200, Item: wire.Item{Value: raw, Version: 5}}
 }
 
 var (
@@ -63,11 +63,11 @@
 	conflict = store.Result{Status: 409}
 	outage   = store.Result{Status: 503}
 	limited  = store.Result{Status: 429}
-	types    = map[string]wire.Flavor{"g8": {Name: "g8", Vcpus: 96, Gpus: 8, MemGb: 768, Yards: []string{"a", "b"}}, "c1": {Name: "c1", Vcpus: 4, MemGb: 8, Yards: []string{"a"}}}
+	types    = map[string]wire.MachineType{"g8": {Name: "g8", Vcpus: 96, Gpus: 8, MemGb: 768, Zones: []string{"a", "b"}}, "c1": {Name: "c1", Vcpus: 4, MemGb: 8, Zones: []string{"a"}}}
 )
 
 func job(change func(s *wire.Submission)) wire.Submission {
-	s := wire.Submission{ID: "job-1", Crew: "red", Lane: "l", Shape: wire.ShapeGang, Rank: "low", Pieces: 2, Vcpus: 8, Gpus: 1, MemGb: 10, AnyBuild: true}
+	s := wire.Submission{ID: "job-1", Team: "red", Class: "l", Shape: wire.ShapeGang, Priority: "low", Tasks: 2, Vcpus: 8, Gpus: 1, MemGb: 10, AnyType: true}
 	if change != nil {
 		change(&s)
 	}
@@ -76,12 +76,12 @@
 
 func TestSubmit(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		change  func(s *wire.Submission)
-		flavors map[string]wire.Flavor
-		answers []store.Result
-		status  int
-		stage   string
+		name         string
+		change       func(s *wire.Submission)
+		machineTypes map[string]wire.MachineType
+		answers      []store.Result
+		status       int
+		stage        string
 	}{
 		{"new", nil, types, []store.Result{ok}, 201, wire.JobPending},
 		{"known", nil, types, []store.Result{conflict, rec(wire.JobPending)}, 200, wire.JobPending},
@@ -90,25 +90,25 @@
 		{"no answer twice", nil, types, []store.Result{none, none}, 503, ""},
 		{"outage", nil, types, []store.Result{outage}, 503, ""},
 		{"rate limit", nil, types, []store.Result{limited}, 503, ""},
-		{"unknown team", func(s *wire.Submission) { s.Crew = "green" }, types, []store.Result{missing, missing}, 422, ""},
-		{"unknown team, but accepted once", func(s *wire.Submission) { s.Crew = "green" }, types, []store.Result{rec(wire.JobPending)}, 200, wire.JobPending},
-		{"gang beyond the limit", func(s *wire.Submission) { s.Pieces = 9 }, types, []store.Result{missing, missing}, 422, ""},
-		{"array beyond the limit in all", func(s *wire.Submission) { s.Pieces, s.Shape = 9, wire.ShapeBatch }, types, []store.Result{ok}, 201, wire.JobPending},
+		{"unknown team", func(s *wire.Submission) { s.Team = "green" }, types, []store.Result{missing, missing}, 422, ""},
+		{"unknown team, but accepted once", func(s *wire.Submission) { s.Team = "green" }, types, []store.Result{rec(wire.JobPending)}, 200, wire.JobPending},
+		{"gang beyond the limit", func(s *wire.Submission) { s.Tasks = 9 }, types, []store.Result{missing, missing}, 422, ""},
+		{"array beyond the limit in all", func(s *wire.Submission) { s.Tasks, s.Shape = 9, wire.ShapeBatch }, types, []store.Result{ok}, 201, wire.JobPending},
 		{"too large a task", func(s *wire.Submission) { s.MemGb = 800 }, types, []store.Result{missing, missing}, 422, ""},
-		{"unknown types only", func(s *wire.Submission) { s.AnyBuild, s.Builds = false, []string{"x"} }, types, []store.Result{missing, missing}, 422, ""},
-		{"no type allowed", func(s *wire.Submission) { s.AnyBuild = false }, types, []store.Result{missing, missing}, 422, ""},
-		{"unknown zone", func(s *wire.Submission) { s.Yard = "z" }, types, []store.Result{missing, missing}, 422, ""},
+		{"unknown types only", func(s *wire.Submission) { s.AnyType, s.Types = false, []string{"x"} }, types, []store.Result{missing, missing}, 422, ""},
+		{"no type allowed", func(s *wire.Submission) { s.AnyType = false }, types, []store.Result{missing, missing}, 422, ""},
+		{"unknown zone", func(s *wire.Submission) { s.Zone = "z" }, types, []store.Result{missing, missing}, 422, ""},
 		{"a gang together and apart", func(s *wire.Submission) { s.Together, s.Apart = true, true }, types, []store.Result{missing, missing}, 422, ""},
-		{"one task together and apart", func(s *wire.Submission) { s.Together, s.Apart, s.Pieces = true, true, 1 }, types, []store.Result{ok}, 201, wire.JobPending},
+		{"one task together and apart", func(s *wire.Submission) { s.Together, s.Apart, s.Tasks = true, true, 1 }, types, []store.Result{ok}, 201, wire.JobPending},
 		{"types not known yet", nil, nil, []store.Result{missing, missing}, 503, ""},
 		{"types not known yet, but accepted once", nil, nil, []store.Result{rec(wire.JobPending)}, 200, wire.JobPending},
 		{"too large to be kept", func(s *wire.Submission) { s.Bundle = strings.Repeat("x", 5000) }, types, []store.Result{missing, missing}, 400, ""},
 		{"too large to be kept, but accepted once", func(s *wire.Submission) { s.Bundle = strings.Repeat("x", 5000) }, types, []store.Result{rec(wire.JobPending)}, 200, wire.JobPending},
 		{"too large to be kept, and the state service is down", func(s *wire.Submission) { s.Bundle = strings.Repeat("x", 5000) }, types, []store.Result{outage}, 503, ""},
-		{"can never run, and the state service is down", func(s *wire.Submission) { s.Crew = "green" }, types, []store.Result{outage}, 503, ""},
+		{"can never run, and the state service is down", func(s *wire.Submission) { s.Team = "green" }, types, []store.Result{outage}, 503, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d := newDesk(c.flavors)
+			d := newDesk(c.machineTypes)
 			var got *Response
 			d.s.Submit(now, job(c.change), func(r Response) { got = &r })
 			for _, a := range c.answers {
@@ -185,7 +185,7 @@
 	if len(d.calls) != 1 || d.calls[0].Op != store.OpChanges || d.calls[0].WaitMs != 0 {
 		t.Fatalf("under way: %+v, want one look at the changes", d.calls)
 	}
-	d.answer(store.Result{Status: 200, Epoch: 11}) // the job was submitted after this look
+	d.answer(store.Result{Status: 200, Revision: 11}) // the job was submitted after this look
 	if len(d.calls) != 2 || d.calls[0].Key != JobKey("job-1") {
 		t.Fatalf("under way: %+v, want how the job ended, and another look", d.calls)
 	}
@@ -193,14 +193,14 @@
 	if len(got) != 1 || got[0] != 404 {
 		t.Fatalf("answers %v", got)
 	}
-	d.answer(store.Result{Status: 200, Epoch: 12, Events: []wire.Change{{Write: OpenKey("job-1"), Value: rec(wire.JobPending).Item.Value, Stamp: 12}}})
+	d.answer(store.Result{Status: 200, Revision: 12, Events: []wire.Change{{Write: OpenKey("job-1"), Value: rec(wire.JobPending).Item.Value, Version: 12}}})
 	if len(got) != 3 || got[1] != 200 || got[2] != 200 || len(d.calls) != 0 {
 		t.Fatalf("answers %v, under way %+v", got, d.calls)
 	}
 	// looks are spaced while questions keep coming
 	d.s.gap = time.Second
 	ask()
-	d.answer(store.Result{Status: 200, Epoch: 12})
+	d.answer(store.Result{Status: 200, Revision: 12})
 	ask()
 	if len(d.calls) != 0 {
 		t.Fatal("a look too soon after another")
@@ -221,7 +221,7 @@
 	for range 500 {
 		s := job(nil)
 		n++
-		s.ID = wire.PieceName("job", n)
+		s.ID = wire.TaskName("job", n)
 		d.s.Submit(now, s, func(r Response) {
 			if r.Status == 503 && r.RetryAfter > 0 {
 				busy++
--- a/internal/submission/told_test.go
+++ b/internal/submission/told_test.go
@@ -70,7 +70,7 @@
 
 // Whichever way a node comes to tell a user of a cancellation, it notes that first.
 func TestTellsOfCancellation(t *testing.T) {
-	read := store.Result{Status: 200, Epoch: 11}
+	read := store.Result{Status: 200, Revision: 11}
 	for _, c := range []struct {
 		name    string
 		ask     func(d *desk, reply func(Response))
@@ -83,7 +83,7 @@
 		{"a question", func(d *desk, r func(Response)) { d.s.Query(now, "job-1", r) }, []store.Result{read, rec(wire.JobWithdrawn)}, true},
 		{"a repeated submission", func(d *desk, r func(Response)) { d.s.Submit(now, job(nil), r) }, []store.Result{conflict, missing, rec(wire.JobWithdrawn)}, true},
 		{"a repeat of one that would be refused now", func(d *desk, r func(Response)) {
-			d.s.Submit(now, job(func(s *wire.Submission) { s.Crew = "green" }), r)
+			d.s.Submit(now, job(func(s *wire.Submission) { s.Team = "green" }), r)
 		}, []store.Result{missing, rec(wire.JobWithdrawn)}, true},
 		{"a job that is done", func(d *desk, r func(Response)) { d.s.Query(now, "job-1", r) }, []store.Result{read, rec(wire.JobDone)}, false},
 		{"no answer", func(d *desk, r func(Response)) { d.s.Cancel(now, "job-1", r) }, []store.Result{rec(wire.JobPending), outage}, false},
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -157,8 +157,8 @@
 	MuteLeases = 2
 	// GoneKept is how many returned machines' names are remembered.
 	GoneKept = 20000
-	// TryBits is how many low bits of an attempt number count within a tenure.
-	TryBits = 20
+	// AttemptBits is how many low bits of an attempt number count within a tenure.
+	AttemptBits = 20
 )
 
 // Placement.
@@ -180,10 +180,10 @@
 	// the middle. Small ones first, but the largest do not starve.
 	TurnMost = 800 * time.Second
 	// GangsAhead is how much earlier the turn of a gang comes than an array's
-	// of its rank: a gang that waits holds no machine up, an array fills
+	// of its priority: a gang that waits holds no machine up, an array fills
 	// whatever is left. Bounded, or a burst of gangs would starve the arrays.
 	GangsAhead = 120 * time.Second
-	// GangPatience is how long a gang waits before no later one of its rank may
+	// GangPatience is how long a gang waits before no later one of its priority may
 	// be placed before it.
 	GangPatience = 60 * time.Second
 	// BeginAhead is how many arrays that are next in turn are marked as begun
@@ -207,7 +207,7 @@
 	BeginBy    = 150 * time.Second
 	BeginTasks = 8
 	// StarveAfter is how long a job waits for all its tasks to start before it
-	// is raised by a rank, and by another after each StarveStep.
+	// is raised by a priority, and by another after each StarveStep.
 	StarveAfter = 260 * time.Second
 	StarveStep  = 15 * time.Second
 	// CloseEvery is the least time between two times that machines are emptied
@@ -296,8 +296,8 @@
 	CloudRetryMost = 3 * time.Second
 	// CloudCalls is how many calls may be under way at once.
 	CloudCalls = 4
-	// FlavorsEvery is how often prices are read.
-	FlavorsEvery = 30 * time.Second
+	// MachineTypesEvery is how often prices are read.
+	MachineTypesEvery = 30 * time.Second
 	// ListEvery is how often the machines are listed.
 	ListEvery = 5 * time.Second
 	// DemandEvery is how often the demand is compared with the machines.
@@ -419,9 +419,9 @@
 	// WorkerAnswerBytes bounds a worker's answer: a report has at most one
 	// entry a task.
 	WorkerAnswerBytes = 1 << 20
-	// OrdersMost bounds the orders in one answer, so that it stays far below
+	// CommandsMost bounds the commands in one answer, so that it stays far below
 	// the protocol's 64 KiB a line.
-	OrdersMost = 300
+	CommandsMost = 300
 	// StatusJobs bounds the jobs in a status.
 	StatusJobs = 200
 	// MeasuredCPU, in cores, MeasuredMemoryMB and MeasuredSockets are the smallest
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -10,8 +10,8 @@
 	"strings"
 )
 
-// MaxPieces is the largest number of tasks in one job.
-const MaxPieces = 100000
+// MaxTasks is the largest number of tasks in one job.
+const MaxTasks = 100000
 
 // maxName bounds the names a user may choose, in bytes, so that a job always
 // fits one value of the state service.
@@ -20,33 +20,33 @@
 // Submission is a job as its user described it.
 type Submission struct {
 	ID        string `json:"Id"`
-	Lane      string
-	Crew      string
+	Class     string `json:"Lane"`
+	Team      string `json:"Crew"`
 	Shape     string
-	Rank      string
-	Pieces    int
+	Priority  string `json:"Rank"`
+	Tasks     int    `json:"Pieces"`
 	Vcpus     float64
 	Gpus      float64
 	MemGb     float64
 	Bundle    string
 	ImageGb   float64
-	Builds    []string `json:",omitempty"`
-	AnyBuild  bool     `json:",omitempty"`
-	Yard      string   `json:",omitempty"`
+	Types     []string `json:"Builds,omitempty"`
+	AnyType   bool     `json:"AnyBuild,omitempty"`
+	Zone      string   `json:"Yard,omitempty"`
 	Together  bool     `json:",omitempty"`
 	Apart     bool     `json:",omitempty"`
-	Loaners   bool     `json:",omitempty"`
+	Spot      bool     `json:"Loaners,omitempty"`
 	GuessS    float64
 	BookmarkS float64
 	StowS     float64
 	DueS      float64 `json:",omitempty"`
 }
 
-// Ranks is how many ranks there are.
-const Ranks = 4
+// Priorities is how many there are.
+const Priorities = 4
 
-// Rank orders priorities: a larger one goes first.
-func Rank(name string) (int, bool) {
+// Priority orders them: a larger one goes first.
+func Priority(name string) (int, bool) {
 	switch name {
 	case "critical":
 		return 3, true
@@ -74,19 +74,19 @@
 	return true
 }
 
-// PieceName names one task of a job.
-func PieceName(job string, n int) string {
+// TaskName names one task of a job.
+func TaskName(job string, n int) string {
 	return job + "/" + strconv.Itoa(n)
 }
 
-// ParsePiece splits a task's name.
-func ParsePiece(name string) (job string, n int, ok bool) {
+// ParseTask splits a task's name.
+func ParseTask(name string) (job string, n int, ok bool) {
 	job, num, found := strings.Cut(name, "/")
 	if !found || !ValidID(job) {
 		return "", 0, false
 	}
 	n, err := strconv.Atoi(num)
-	if err != nil || n < 0 || n >= MaxPieces || strconv.Itoa(n) != num {
+	if err != nil || n < 0 || n >= MaxTasks || strconv.Itoa(n) != num {
 		return "", 0, false
 	}
 	return job, n, true
@@ -157,17 +157,17 @@
 	if f.err == nil && !ValidID(s.ID) {
 		f.fail("Id", "not a job id")
 	}
-	s.Lane = f.text("Lane")
-	s.Crew = f.text("Crew")
+	s.Class = f.text("Lane")
+	s.Team = f.text("Crew")
 	s.Shape = f.text("Shape")
 	if f.err == nil && s.Shape != ShapeBatch && s.Shape != ShapeGang && s.Shape != ShapeStanding {
 		f.fail("Shape", "unknown")
 	}
-	s.Rank = f.text("Rank")
-	if _, ok := Rank(s.Rank); f.err == nil && !ok {
+	s.Priority = f.text("Rank")
+	if _, ok := Priority(s.Priority); f.err == nil && !ok {
 		f.fail("Rank", "unknown")
 	}
-	if f.get("Pieces", &s.Pieces, false) && (s.Pieces < 1 || s.Pieces > MaxPieces) {
+	if f.get("Pieces", &s.Tasks, false) && (s.Tasks < 1 || s.Tasks > MaxTasks) {
 		f.fail("Pieces", "out of range")
 	}
 	s.Vcpus = f.amount("Vcpus", 0)
@@ -175,18 +175,18 @@
 	s.MemGb = f.amount("MemGb", 0)
 	s.Bundle = f.text("Bundle")
 	s.ImageGb = f.amount("ImageGb", 0)
-	s.AnyBuild = !f.get("Builds", &s.Builds, true)
-	for _, b := range s.Builds {
+	s.AnyType = !f.get("Builds", &s.Types, true)
+	for _, b := range s.Types {
 		if b == "" || len(b) > maxName {
 			f.fail("Builds", "length out of range")
 		}
 	}
-	if f.get("Yard", &s.Yard, true) && (s.Yard == "" || len(s.Yard) > maxName) {
+	if f.get("Yard", &s.Zone, true) && (s.Zone == "" || len(s.Zone) > maxName) {
 		f.fail("Yard", "length out of range")
 	}
 	s.Together = f.flag("Together")
 	s.Apart = f.flag("Apart")
-	s.Loaners = f.flag("Loaners")
+	s.Spot = f.flag("Loaners")
 	s.GuessS = f.amount("GuessS", 0)
 	s.BookmarkS = f.amount("BookmarkS", 0)
 	s.StowS = f.amount("StowS", 0)
--- a/internal/wire/submission_test.go
+++ b/internal/wire/submission_test.go
@@ -76,7 +76,7 @@
 	}
 }
 
-func TestParsePiece(t *testing.T) {
+func TestParseTask(t *testing.T) {
 	for _, c := range []struct {
 		in string
 		n  int
@@ -85,7 +85,7 @@
 		{"job-000412/3", 3, true}, {"job-1/0", 0, true}, {"job-1/99999", 99999, true},
 		{"job-1/100000", 0, false}, {"job-1/-1", 0, false}, {"job-1/03", 0, false}, {"job-1", 0, false}, {"x/1", 0, false}, {"job-1/1/2", 0, false},
 	} {
-		if _, n, ok := ParsePiece(c.in); n != c.n || ok != c.ok {
+		if _, n, ok := ParseTask(c.in); n != c.n || ok != c.ok {
 			t.Errorf("ParsePiece(%q) = %d, %t, want %d, %t", c.in, n, ok, c.n, c.ok)
 		}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,11 +23,11 @@
 
 // Stages of a task as its worker reports them.
 const (
-	PieceFetching = "fetching"
-	PieceWaiting  = "waiting"
-	PieceRunning  = "running"
-	PieceSaving   = "saving"
-	PieceExited   = "exited"
+	TaskFetching = "fetching"
+	TaskWaiting  = "waiting"
+	TaskRunning  = "running"
+	TaskSaving   = "saving"
+	TaskExited   = "exited"
 )
 
 // Causes of a task's exit.
@@ -74,44 +74,44 @@
 type Report struct {
 	Host    string
 	Address string
-	Build   string
-	Yard    string
-	Loaners bool
-	Stint   uint64
-	Tally   uint64
-	Baton   uint64
+	Type    string `json:"Build"`
+	Zone    string `json:"Yard"`
+	Spot    bool   `json:"Loaners"`
+	Session uint64 `json:"Stint"`
+	Seq     uint64 `json:"Tally"`
+	Token   uint64 `json:"Baton"`
 	RecallS *float64
-	Pieces  []Piece
+	Tasks   []Task `json:"Pieces"`
 }
 
-// Piece is one task in a report.
-type Piece struct {
-	Piece  string
-	Try    uint64
-	Stage  string
-	Cause  string `json:",omitempty"`
-	Stored bool   `json:",omitempty"`
+// Task is one task in a report.
+type Task struct {
+	Task    string `json:"Piece"`
+	Attempt uint64 `json:"Try"`
+	Stage   string
+	Cause   string `json:",omitempty"`
+	Stored  bool   `json:",omitempty"`
 }
 
 // Order is one command to a worker.
-type Order struct {
-	Verb      string
-	Piece     string
-	Try       uint64
+type Command struct {
+	Verb      string   `json:"Verb"`
+	Task      string   `json:"Piece"`
+	Attempt   uint64   `json:"Try"`
 	WindDownS *float64 `json:",omitempty"`
 }
 
 // Orders answers a report.
-type Orders struct {
-	Baton  uint64
-	Orders []Order
+type Commands struct {
+	Token    uint64    `json:"Baton"`
+	Commands []Command `json:"Orders"`
 }
 
 // Do is a direct command to a worker.
 type Do struct {
-	Baton  uint64
-	Stint  uint64
-	Orders []Order
+	Token    uint64    `json:"Baton"`
+	Session  uint64    `json:"Stint"`
+	Commands []Command `json:"Orders"`
 }
 
 // Redirect answers a report that belongs to another node.
@@ -119,8 +119,8 @@
 	ReportsTo string `json:",omitempty"`
 }
 
-// Flavor is one machine type.
-type Flavor struct {
+// MachineType is one machine type.
+type MachineType struct {
 	Name        string
 	Vcpus       float64
 	Gpus        float64
@@ -130,21 +130,21 @@
 	Price       float64
 	LowPrice    float64
 	BootS       float64
-	Yards       []string
+	Zones       []string `json:"Yards"`
 }
 
-// Flavors is the cloud's answer about its machine types.
-type Flavors struct {
-	Builds []Flavor
+// MachineTypes is the cloud's answer about its machine types.
+type MachineTypes struct {
+	Types []MachineType `json:"Builds"`
 }
 
 // Hire asks the cloud for machines.
-type Hire struct {
-	Hire    string
-	Build   string
-	Yard    string
-	Loaners bool
-	Number  int
+type Rental struct {
+	Rental string `json:"Hire"`
+	Type   string `json:"Build"`
+	Zone   string `json:"Yard"`
+	Spot   bool   `json:"Loaners"`
+	Number int
 }
 
 // HostNames lists machines by name, in requests and answers.
@@ -156,9 +156,9 @@
 type Host struct {
 	ID      string `json:"Id"`
 	Address string
-	Build   string
-	Yard    string
-	Loaners bool
+	Type    string `json:"Build"`
+	Zone    string `json:"Yard"`
+	Spot    bool   `json:"Loaners"`
 	Stage   string
 	AgeS    float64
 }
@@ -171,15 +171,15 @@
 
 // Cond is a condition of a transaction: the key has this version.
 type Cond struct {
-	Path  string
-	Stamp uint64
+	Path    string
+	Version uint64 `json:"Stamp"`
 }
 
 // Write is one change of a transaction: a put or a removal.
 type Write struct {
 	Write  string          `json:",omitempty"`
 	Value  json.RawMessage `json:",omitempty"`
-	Hold   uint64          `json:",omitempty"`
+	Lease  uint64          `json:"Hold,omitempty"`
 	Remove string          `json:",omitempty"`
 }
 
@@ -191,16 +191,16 @@
 
 // Item is one key of the state service.
 type Item struct {
-	Path  string
-	Value json.RawMessage
-	Stamp uint64
-	Hold  uint64
+	Path    string
+	Value   json.RawMessage
+	Version uint64 `json:"Stamp"`
+	Lease   uint64 `json:"Hold"`
 }
 
 // Change is one event of a watch.
 type Change struct {
-	Write  string
-	Value  json.RawMessage
-	Remove string
-	Stamp  uint64
+	Write   string
+	Value   json.RawMessage
+	Remove  string
+	Version uint64 `json:"Stamp"`
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -43,17 +43,17 @@
 type Machine struct {
 	Host    string
 	Address string
-	Build   string
-	Yard    string
-	Loaners bool
+	Type    string
+	Zone    string
+	Spot    bool
 	Cap     quota.Room
 	Fetch   float64 // GB of images a second, 0: not known
 
 	State   State
 	Since   time.Time // of the state
 	Born    time.Time // when this tenure learned of it, less its age if known
-	Stint   uint64
-	Tally   uint64
+	Session uint64
+	Seq     uint64
 	Heard   time.Time // last report or answer
 	Checked time.Time // last report
 	// Answered is when the last report that was answered came in. The
@@ -66,9 +66,9 @@
 	// Unproven is since when its reports have come without being so; zero: not.
 	Unproven time.Time
 	// The newest session and report seen in any message, absorbed or not.
-	SeenStint, SeenTally uint64
+	SeenSession, SeenSeq uint64
 	Recall               time.Time // when the cloud takes it away; zero: no notice
-	Pieces               []wire.Piece
+	Tasks                []wire.Task
 	Stranger             bool // has tasks that no open job explains
 	Recorded             bool // its hire record names it
 	Used                 bool // its hire record says that it may have tasks
@@ -194,10 +194,10 @@
 // Glimpse takes note of a report from which nothing else may be concluded, as
 // it may be a late copy, and tells whether it is at least the newest one seen.
 func (m *Machine) Glimpse(rep *wire.Report) bool {
-	if rep.Stint < m.SeenStint || rep.Stint == m.SeenStint && rep.Tally <= m.SeenTally {
+	if rep.Session < m.SeenSession || rep.Session == m.SeenSession && rep.Seq <= m.SeenSeq {
 		return false
 	}
-	m.SeenStint, m.SeenTally = rep.Stint, rep.Tally
+	m.SeenSession, m.SeenSeq = rep.Session, rep.Seq
 	return true
 }
 
@@ -207,12 +207,12 @@
 // with other reports in between.
 func (m *Machine) proves(now time.Time, rep *wire.Report, checkin bool) bool {
 	switch {
-	case !checkin || m.Stint == 0:
-		return true // the command has just been answered; the Baton has reached it
-	case rep.Stint != m.Stint:
+	case !checkin || m.Session == 0:
+		return true // the command has just been answered; the token has reached it
+	case rep.Session != m.Session:
 		return false
 	}
-	return rep.Tally == m.Tally+1 || !m.Checked.IsZero() && now.Sub(m.Checked) < tuning.WorkerPatience
+	return rep.Seq == m.Seq+1 || !m.Checked.IsZero() && now.Sub(m.Checked) < tuning.WorkerPatience
 }
 
 // Absorb takes in a worker's account of itself. checkin tells a report from
@@ -220,12 +220,12 @@
 func (r *Registry) Absorb(now time.Time, m *Machine, rep *wire.Report, checkin bool) Verdict {
 	// Reports held back by a cut arrive late and out of order: their task
 	// list is as old as they are.
-	if m.Stint != 0 && (rep.Stint < m.Stint || rep.Stint == m.Stint && rep.Tally <= m.Tally) {
+	if m.Session != 0 && (rep.Session < m.Session || rep.Session == m.Session && rep.Seq <= m.Seq) {
 		return Stale
 	}
 	// What a session that is surely over had to say is old, however late it
 	// comes.
-	if m.State == Lapsed && rep.Stint <= m.SeenStint {
+	if m.State == Lapsed && rep.Session <= m.SeenSession {
 		return Stale
 	}
 	m.Glimpse(rep)
@@ -234,16 +234,16 @@
 		m.Proven, m.Unproven = true, time.Time{}
 	case m.Unproven.IsZero():
 		// once is nothing: an answer was lost, or the holder is a new one
-		m.Proven, m.Unproven = m.Proven && rep.Stint == m.Stint, now
+		m.Proven, m.Unproven = m.Proven && rep.Session == m.Session, now
 	default:
 		m.Proven = false
 	}
 	v := Fresh
-	if m.Stint != 0 && rep.Stint > m.Stint {
+	if m.Session != 0 && rep.Session > m.Session {
 		v = Renewed
 		m.OpenDo = 0 // commands of an earlier session are void
 	}
-	m.Stint, m.Tally, m.Heard = rep.Stint, rep.Tally, now
+	m.Session, m.Seq, m.Heard = rep.Session, rep.Seq, now
 	if checkin {
 		m.Checked = now
 	}
@@ -251,12 +251,12 @@
 		// from here on the worker drops whatever an earlier tenure answers
 		m.Answered = now
 	}
-	m.Address, m.Build, m.Yard, m.Loaners = rep.Address, rep.Build, rep.Yard, rep.Loaners
+	m.Address, m.Type, m.Zone, m.Spot = rep.Address, rep.Type, rep.Zone, rep.Spot
 	m.Recall = time.Time{}
 	if rep.RecallS != nil {
 		m.Recall = now.Add(config.Seconds(*rep.RecallS))
 	}
-	m.Pieces = rep.Pieces
+	m.Tasks = rep.Tasks
 	if m.State != Deleting && m.State != Gone {
 		r.Set(now, m, Up, "reported")
 	}
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -18,7 +18,7 @@
 
 func TestAbsorb(t *testing.T) {
 	type msg struct {
-		stint, tally uint64
+		session, seq uint64
 		want         Verdict
 	}
 	for _, c := range []struct {
@@ -36,7 +36,7 @@
 			r := registry()
 			m := r.Add(time.Unix(0, 0), "i-1", Booting)
 			for i, s := range c.msgs {
-				rep := &wire.Report{Host: "i-1", Stint: s.stint, Tally: s.tally}
+				rep := &wire.Report{Host: "i-1", Session: s.session, Seq: s.seq}
 				if got := r.Absorb(time.Unix(int64(i), 0), m, rep, true); got != s.want {
 					t.Errorf("message %d: %v, want %v", i, got, s.want)
 				}
@@ -50,7 +50,7 @@
 func TestProven(t *testing.T) {
 	type msg struct {
 		at           float64
-		stint, tally uint64
+		session, seq uint64
 		do           bool
 		want         bool
 	}
@@ -70,7 +70,7 @@
 			r := registry()
 			m := r.Add(time.Unix(0, 0), "i-1", Booting)
 			for i, s := range c.msgs {
-				r.Absorb(time.Unix(0, int64(s.at*1e9)), m, &wire.Report{Host: "i-1", Stint: s.stint, Tally: s.tally}, !s.do)
+				r.Absorb(time.Unix(0, int64(s.at*1e9)), m, &wire.Report{Host: "i-1", Session: s.session, Seq: s.seq}, !s.do)
 				if m.Proven != s.want {
 					t.Errorf("message %d: proven %t, want %t", i, m.Proven, s.want)
 				}
@@ -134,7 +134,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := registry()
 			m := r.Add(time.Unix(0, 0), "i-1", Booting)
-			r.Absorb(time.Unix(0, 0), m, &wire.Report{Host: "i-1", Stint: 1, Tally: 1}, true)
+			r.Absorb(time.Unix(0, 0), m, &wire.Report{Host: "i-1", Session: 1, Seq: 1}, true)
 			r.Behind = c.behind
 			r.Quiet(time.Unix(0, 0).Add(c.after), time.Time{})
 			if m.State != c.want {
