Services placed apart from arrays; limits to come; versions told

Replicas waited for reports (4 s), counted as never done work that goes before all others, and made every machine with a CPU free one that has room for arrays. Now a replica is handed out at once by a direct command, spread, preempting as the protocol allows; room for one more service is kept on two machines that are not spot; a recalled machine's replica moves once another place with its image is there. Nothing is written larger than the limits to come allow, pages left larger are split when rewritten; the rate stays the present one until the service refuses.

--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -18,15 +18,14 @@
 
 	"github.com/spf13/cobra"
 
+	"juniperchute/internal/admin"
 	"juniperchute/internal/config"
 	"juniperchute/internal/node"
 	"juniperchute/internal/peer"
 	"juniperchute/internal/peer/peerpb"
+	"juniperchute/internal/wire"
 )
 
-// version is the service's own.
-const version = "0.1.0"
-
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "juniperchute:", err)
@@ -40,7 +39,7 @@
 		Use:           "juniperchute --config FILE",
 		Short:         "A cluster scheduler: runs users' jobs on machines hired from a cloud",
 		Long:          "juniperchute --config FILE serves as one controller until it is killed.\nThe other commands are for operators.",
-		Version:       version,
+		Version:       admin.Version(),
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
@@ -154,6 +153,13 @@
 	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
 	defer w.Flush()
 	fmt.Fprintf(w, "asked\t%s\nleader\t%s\nmembers\t%v\n", s.Member, s.Leader, s.Members)
+	for _, m := range s.Members {
+		v := s.Versions[m]
+		if v == "" {
+			v = "not told, as before 0.2.0"
+		}
+		fmt.Fprintf(w, "version of %s\t%s\n", m, v)
+	}
 	for _, b := range s.Blocks {
 		fmt.Fprintf(w, "block %d\theld by %s\ttoken %d\n", b.Block, b.Holder, b.Token)
 	}
@@ -174,8 +180,17 @@
 		for _, t := range b.Teams {
 			fmt.Fprintf(w, "%s\t%g\t%g\t%g\t%g\n", t.Name, t.CpusUsed, t.CpusMax, t.GpusUsed, t.GpusMax)
 		}
+		fmt.Fprintln(w, "\nservice\tclass\tteam\treplicas wanted\trunning\ton machines\twaits for")
+		for _, j := range b.Jobs {
+			if j.Shape == wire.ShapeStanding {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", j.Id, j.Class, j.Team, j.Tasks, j.Running, j.OnMachines, j.WaitsFor)
+			}
+		}
 		fmt.Fprintln(w, "\njob\tclass\tteam\tpriority\ttasks\tdone\ton machines\twaits for")
 		for _, j := range b.Jobs {
+			if j.Shape == wire.ShapeStanding {
+				continue
+			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", j.Id, j.Class, j.Team, j.Priority, j.Tasks, j.Done, j.OnMachines, j.WaitsFor)
 		}
 		fmt.Fprintln(w)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -52,6 +53,57 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next are the limits that the service will have from some moment on,
+	// unannounced. One that is not named stays as it is.
+	Next NextState `toml:"next"`
+}
+
+// NextState is a table of limits to come, as written; fields not known are ignored.
+type NextState map[string]any
+
+// Coming are the limits to come, those not named as they are now.
+func (s State) Coming() State {
+	out := State{RPS: s.RPS, WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps}
+	for name, to := range map[string]*float64{"rps": &out.RPS, "write_rps": &out.WriteRPS, "value_kb": &out.ValueKB} {
+		if v, ok := amount(s.Next[name]); ok {
+			*to = v
+		}
+	}
+	if v, ok := amount(s.Next["txn_ops"]); ok {
+		out.TxnOps = int(v)
+	}
+	return out
+}
+
+// Stored are the limits for what is stored: whatever is written has to fit the service
+// before and after the change, as nobody tells when it comes.
+func (s State) Stored() State {
+	c := s.Coming()
+	c.ValueKB, c.TxnOps = min(c.ValueKB, s.ValueKB), min(c.TxnOps, s.TxnOps)
+	return c
+}
+
+func amount(v any) (float64, bool) {
+	switch n := v.(type) {
+	case float64:
+		return n, true
+	case int64:
+		return float64(n), true
+	}
+	return 0, false
+}
+
+func (n NextState) check() error {
+	for _, name := range []string{"rps", "write_rps", "value_kb", "txn_ops"} {
+		raw, named := n[name]
+		if !named {
+			continue
+		}
+		if v, ok := amount(raw); !ok || !(v > 0) || math.IsInf(v, 0) || name == "txn_ops" && v != math.Trunc(v) {
+			return fmt.Errorf("facts.state.next.%s: %v is not a number above 0", name, raw)
+		}
+	}
+	return nil
 }
 
 // Cloud are the limits of the cloud.
@@ -223,6 +275,12 @@
 			return fmt.Errorf("%s: missing or not above 0", p.name)
 		}
 	}
+	if err := f.State.Next.check(); err != nil {
+		return err
+	}
+	if f.State.Stored().TxnOps < tuning.TxnOpsLeast {
+		return fmt.Errorf("facts.state.txn_ops, or next.txn_ops: below %d, the changes that go together", tuning.TxnOpsLeast)
+	}
 	if f.TimeBoundMS < 0 {
 		return errors.New("facts.time_bound_ms: negative")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -68,6 +69,13 @@
 		{"memory that is no number", "memory_mb = 98.0", "memory_mb = nan", "facts.machine_limits.memory_mb"},
 		{"negative sockets", "sockets = 900", "sockets = -1", "facts.machine_limits.sockets"},
 		{"negative limit", "gpus_max = 8.0", "gpus_max = -8.0", "facts.teams[0]"},
+		{"limits to come", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\nvalue_kb = 2\nwrite_rps = 15.0\nburst = true", ""},
+		{"a limit to come of zero", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\nvalue_kb = 0.0", "facts.state.next.value_kb"},
+		{"a negative limit to come", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\nwrite_rps = -1", "facts.state.next.write_rps"},
+		{"a limit to come that is no number", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\nrps = nan", "facts.state.next.rps"},
+		{"a limit to come in words", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\ntxn_ops = \"four\"", "facts.state.next.txn_ops"},
+		{"half an operation to come", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\ntxn_ops = 2.5", "facts.state.next.txn_ops"},
+		{"fewer operations than go together", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\ntxn_ops = 1", "next.txn_ops"},
 		{"whole numbers as amounts", "lease_s = 10.0", "lease_s = 10", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -112,3 +120,27 @@
 		})
 	}
 }
+
+// What is written fits both the present limits and the ones to come; the rate stays the
+// present one until the service shows the other.
+func TestLimitsToCome(t *testing.T) {
+	now := State{RPS: 200, WriteRPS: 20, ValueKB: 4, TxnOps: 8}
+	for _, c := range []struct {
+		name           string
+		next           NextState
+		coming, stored State
+	}{
+		{"none", nil, now, now},
+		{"lower ones", NextState{"value_kb": 2.0, "txn_ops": int64(4), "write_rps": 15.0}, State{RPS: 200, WriteRPS: 15, ValueKB: 2, TxnOps: 4}, State{RPS: 200, WriteRPS: 15, ValueKB: 2, TxnOps: 4}},
+		{"a higher one: the present limit for a value holds until then", NextState{"value_kb": 8.0, "rps": int64(100)}, State{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 8}, State{RPS: 100, WriteRPS: 20, ValueKB: 4, TxnOps: 8}},
+	} {
+		s := now
+		s.Next = c.next
+		if got := s.Coming(); !reflect.DeepEqual(got, c.coming) {
+			t.Errorf("%s: coming %+v, want %+v", c.name, got, c.coming)
+		}
+		if got := s.Stored(); !reflect.DeepEqual(got, c.stored) {
+			t.Errorf("%s: stored %+v, want %+v", c.name, got, c.stored)
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,7 +114,7 @@
 		rentals: map[string]*rental{}, by: map[string]*rental{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
 		listed: map[string]bool{}, missing: map[string]int{}, entered: map[string]bool{},
 	}
-	s.used = store.NewPages(UsedUnder(block), facts.State.ValueKB, tuning.UsedEvery, store.ClassTenure, tenure, state, log, lost)
+	s.used = store.NewPages(UsedUnder(block), facts.State.Stored().ValueKB, tuning.UsedEvery, store.ClassTenure, tenure, state, log, lost)
 	return s
 }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -117,7 +117,13 @@
 // Status tells an operator what this controller knows.
 func (c *Core) Status(now time.Time, lat map[string]int64) *peerpb.StatusReply {
 	names, lead := c.leader.Members()
-	out := &peerpb.StatusReply{Member: c.cfg.Member, Leader: lead, Members: names, Blocks: c.holdings()}
+	out := &peerpb.StatusReply{Member: c.cfg.Member, Leader: lead, Members: names, Blocks: c.holdings(),
+		Versions: map[string]string{c.cfg.Member: admin.Version()}}
+	for name, p := range c.peers {
+		if now.Sub(p.heard) < 3*tuning.PulseEvery {
+			out.Versions[name] = p.version
+		}
+	}
 	for b := range c.blocks {
 		if t := c.tenures[b]; t != nil {
 			out.Held = append(out.Held, t.status(lat))
@@ -148,7 +154,8 @@
 			break
 		}
 		out.Jobs = append(out.Jobs, &peerpb.Job{Id: j.Spec.ID, Class: j.Spec.Class, Team: j.Spec.Team, Priority: j.Spec.Priority,
-			Tasks: int32(j.Spec.Tasks), Done: int32(j.Done()), OnMachines: int32(j.Located()), WaitsFor: j.WaitsFor()})
+			Tasks: int32(j.Spec.Tasks), Done: int32(j.Done()), OnMachines: int32(j.Located()),
+			Shape: j.Spec.Shape, Running: int32(j.Running()), WaitsFor: j.WaitsFor()})
 	}
 	return out
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -74,6 +74,7 @@
 	heard   time.Time     // when it last said so
 	silent  time.Duration // since the state service answered it
 	process uint64        // of its newest message
+	version string        // as it told
 	mark    int64         // its clock's in that message
 	owed    []string      // cancellations that it passed on and has not been told of having
 }
@@ -253,7 +254,7 @@
 
 // pulseMessage is what a peer is told.
 func (c *Core) pulseMessage(now time.Time, to string) *peerpb.PulseMessage {
-	m := &peerpb.PulseMessage{Member: c.cfg.Member, StateSilentMs: c.silent(now).Milliseconds(), Process: c.process}
+	m := &peerpb.PulseMessage{Member: c.cfg.Member, StateSilentMs: c.silent(now).Milliseconds(), Process: c.process, Version: admin.Version()}
 	if !c.born.IsZero() {
 		up := now.Sub(c.born)
 		m.UpMs, m.MarkNs = up.Milliseconds(), int64(up)
@@ -325,6 +326,7 @@
 	p := c.peers[name]
 	if p != nil {
 		p.heard, p.silent = now, time.Duration(m.StateSilentMs)*time.Millisecond
+		p.version = m.Version
 		if p.process != m.Process || m.MarkNs > p.mark {
 			p.process, p.mark = m.Process, m.MarkNs
 		}
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -84,7 +84,7 @@
 		cloud:      fleet.NewClient(cfg.External.Cloud, transport(tuning.CloudCalls, tuning.DialTimeout)),
 		workers:    &http.Client{Transport: transport(tuning.DoIdle, tuning.WorkerDial)},
 		peers:      peer.NewClients(cfg.Known),
-		budget:     store.NewBudget(cfg.Facts.State.RPS, cfg.Facts.State.WriteRPS, len(cfg.Known)+1),
+		budget:     store.NewBudget(cfg.Facts.State, len(cfg.Known)+1),
 		readSlots:  make(chan struct{}, tuning.StateReads),
 		cloudSlots: make(chan struct{}, tuning.CloudCalls),
 		doSlots:    make(chan struct{}, p.do),
@@ -246,6 +246,12 @@
 		}
 		start := time.Now()
 		res := r.state.Do(r.ctx, c)
+		r.budgetLock.Lock()
+		lowered := r.budget.Note(time.Now(), c, res.Status)
+		r.budgetLock.Unlock()
+		if lowered {
+			r.log.Warn("the state service has lowered its limits", "status", res.Status)
+		}
 		if c.Op != store.OpChanges {
 			r.lat.note(latState, time.Since(start))
 		}
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -88,9 +88,9 @@
 	t.fleet = fleet.New(now, l.Block, l.Token, t.cond(), c.cfg.Facts, t.cloud, t.call, t.log, t.reg, t.board, t.lost,
 		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) },
 		func(host string) bool { return c.foreign(l.Block, host) })
-	t.tallies = tallies{chunk: int(c.cfg.Facts.State.ValueKB*1024) * tuning.TallyBits, jobs: map[string]int{},
-		pages: store.NewPages(tallyUnder(l.Block), c.cfg.Facts.State.ValueKB, tuning.TallyEvery, store.ClassTally, t.cond(), t.call, t.log, t.lost)}
-	t.begun = store.NewPages(begunUnder(l.Block), c.cfg.Facts.State.ValueKB, tuning.BegunEvery, store.ClassTenure, t.cond(), t.call, t.log, t.lost)
+	state := c.cfg.Facts.State
+	t.tallies = newTallies(store.NewPages(tallyUnder(l.Block), state.Stored().ValueKB, tuning.TallyEvery, store.ClassTally, t.cond(), t.call, t.log, t.lost), state.ValueKB)
+	t.begun = store.NewPages(begunUnder(l.Block), state.Stored().ValueKB, tuning.BegunEvery, store.ClassTenure, t.cond(), t.call, t.log, t.lost)
 	t.board.Begin = func(now time.Time, j *placement.Job) {
 		t.begun.Put(j.Spec.ID, 1, func(now time.Time) {
 			t.board.Begun(j)
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -76,6 +76,7 @@
 	first    *Job // the gang before which no other of its priority is placed
 	strays   map[*worker.Machine][]wire.Task
 	pace     map[string]float64 // by class: run time over the owner's estimate
+	seen     map[string]bool    // classes of which a job has come
 	closeDue time.Time
 	finished func(now time.Time, j *Job)
 }
@@ -86,7 +87,7 @@
 	return &Board{
 		Set: Settings{DropThreshold: tuning.DropThreshold}, facts: facts, token: token, book: book, reg: reg, rng: rng, log: log,
 		jobs: map[string]*Job{}, hosts: map[*worker.Machine]*host{}, survey: newSurvey(),
-		strays: map[*worker.Machine][]wire.Task{}, pace: map[string]float64{}, finished: finished,
+		strays: map[*worker.Machine][]wire.Task{}, pace: map[string]float64{}, seen: map[string]bool{}, finished: finished,
 	}
 }
 
@@ -115,6 +116,7 @@
 		failedOn: map[string]int{}, wellOn: map[string]bool{},
 	}
 	b.jobs[spec.ID] = j
+	b.seen[spec.Class] = true
 	i, _ := slices.BinarySearchFunc(b.order, j, func(a, x *Job) int {
 		if a.priority != x.priority {
 			return x.priority - a.priority
@@ -272,8 +274,8 @@
 	t.at, t.attempt, t.spare = m, attempt, spare
 	t.reported, t.ordered, t.openDo, t.seq, t.session, t.stopDue, t.grace = false, false, 0, 0, 0, false, 0
 	b.setPhase(now, t, Sent, why)
-	if t.Job.Gang() {
-		b.kick(m) // its mates wait for it
+	if t.Job.Gang() || t.Job.Standing() {
+		b.kick(m) // its mates, or its users, wait for it
 	}
 }
 
--- a/internal/placement/commands.go
+++ b/internal/placement/commands.go
@@ -210,7 +210,7 @@
 		pending, ready := false, false
 		for _, t := range h.on {
 			switch {
-			case t.phase == Sent && !t.ordered && t.Job.Gang() && len(h.direct) < tuning.DirectMost:
+			case t.phase == Sent && !t.ordered && (t.Job.Gang() || t.Job.Standing()) && len(h.direct) < tuning.DirectMost:
 				pending, ready = true, true
 			case t.phase == Stopping && t.stopDue && !t.Job.closed:
 				pending, ready = true, ready || t.ordered
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -94,10 +94,13 @@
 	open := func(j *Job, zone string) *bin {
 		best := -1
 		for i, o := range offers {
+			if j.Standing() && o.Spot && best >= 0 && !offers[best].Spot {
+				continue
+			}
 			if o.Left-rentals[i] <= 0 || zone != "" && o.Zone != zone || !j.allows(o.Type, o.Zone, o.Spot) || !o.Cap.Fits(j.need) {
 				continue
 			}
-			if best < 0 || o.Price/float64(o.Cap.Count(j.need, maxCount)) < offers[best].Price/float64(offers[best].Cap.Count(j.need, maxCount)) {
+			if best < 0 || j.Standing() && !o.Spot && offers[best].Spot || o.Price/float64(o.Cap.Count(j.need, maxCount)) < offers[best].Price/float64(offers[best].Cap.Count(j.need, maxCount)) {
 				best = i
 			}
 		}
@@ -150,6 +153,7 @@
 		})
 	}
 	bins = append(bins, hired...)
+	b.reserve(now, offers, bins, open)
 	b.arrayDemand(now, bins, open, admit)
 	return rentals
 }
@@ -172,7 +176,7 @@
 					free = bn.free
 				}
 				if free.Fits(j.need) && j.allows(bn.build, bn.zone, bn.spot) && (zone == "" || bn.zone == zone) && j.zoneOK(bn.zone, inZone) &&
-					(bn.m == nil || !j.avoids(bn.m)) && (best == nil || cheaper(bn, best)) {
+					(bn.m == nil || !j.avoids(bn.m)) && (best == nil || cheaper(bn, best, j.Standing())) {
 					best = bn
 				}
 			}
@@ -223,10 +227,11 @@
 	pack(zone, true)
 }
 
-// cheaper prefers the bin of the cheaper kind, then one already in use.
-func cheaper(a, c *bin) bool {
+// cheaper prefers the bin of the cheaper kind, for services of the one that is not taken
+// back, then one already in use.
+func cheaper(a, c *bin, standing bool) bool {
 	if a.spot != c.spot {
-		return a.spot
+		return a.spot != standing
 	}
 	ab, cb := a.m != nil && a.m.Busy > 0, c.m != nil && c.m.Busy > 0
 	return ab && !cb
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -25,7 +25,7 @@
 // avoids tells whether the job has failed on a machine, and not so widely that
 // the job itself must be at fault.
 func (j *Job) avoids(m *worker.Machine) bool {
-	return len(j.failedOn) > 0 && j.failedOn[m.Host] > 0 && len(j.failedOn) < tuning.BadJobMachines
+	return len(j.failedOn) > 0 && j.failedOn[m.Host] > 0 && (len(j.failedOn) < tuning.BadJobMachines || j.Standing() && len(j.wellOn) > 0)
 }
 
 // yards counts a job's tasks by zone: those on machines, and with queued also
@@ -88,7 +88,7 @@
 			for _, image := range []bool{true, false} {
 				jobs := l.all
 				if len(b.survey.roomy) == 0 {
-					jobs = l.gangs // work may give way to them
+					jobs = l.whole // work may give way to them
 				}
 				for _, j := range jobs {
 					b.drawJob(now, j, guaranteed, image)
@@ -112,11 +112,12 @@
 
 func (b *Board) drawJob(now time.Time, j *Job, guaranteed, image bool) {
 	// most jobs have nothing waiting: that is told first
-	if j.Gang() {
-		if image {
-			return // where a gang's image is counts in its places' scores
+	switch {
+	case j.Gang() || j.Standing():
+		if image || j.Standing() && j.held() == 0 {
+			return // where the image is counts in the places' scores
 		}
-	} else if j.held() == 0 || len(b.survey.roomy) == 0 {
+	case j.held() == 0 || len(b.survey.roomy) == 0:
 		return
 	}
 	if j.closed || now.Before(j.notBefore) {
@@ -133,6 +134,10 @@
 		b.drawGang(now, j, guaranteed)
 		return
 	}
+	if j.Standing() {
+		b.drawStanding(now, j, guaranteed)
+		return
+	}
 	if guaranteed && !b.book.Guaranteed(j.Spec.Team, j.need) {
 		return
 	}
@@ -214,9 +219,7 @@
 		} else {
 			cands = slices.Delete(cands, at, at+1)
 		}
-		if !j.Standing() {
-			b.drawSpare(now, t)
-		}
+		b.drawSpare(now, t)
 	}
 }
 
@@ -303,6 +306,10 @@
 		}
 		margin := config.Seconds(b.facts.Workers.ReportS*tuning.RecallReports) + tuning.SaveGrace
 		for _, t := range slices.Clone(h.on) {
+			if t.phase == Live && t.Job.Standing() {
+				b.moveReplica(now, t, now.Add(margin).After(m.Recall))
+				continue
+			}
 			if t.phase == Live && t.Job.Spec.BookmarkS > 0 && t.stage != wire.TaskFetching &&
 				now.Add(config.Seconds(t.Job.Spec.StowS)+margin).After(m.Recall) {
 				b.yield(now, t, "machine is recalled")
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -47,7 +47,11 @@
 // it returns the commands of the answer.
 func (x *bench) report(m *worker.Machine, extra ...wire.Task) []wire.Command {
 	x.t.Helper()
-	rep := &wire.Report{Host: m.Host, Type: "g2", Zone: "a", Session: 1, Seq: m.Seq + 1}
+	rep := &wire.Report{Host: m.Host, Type: "g2", Zone: "a", Spot: m.Spot, Session: 1, Seq: m.Seq + 1}
+	if !m.Recall.IsZero() {
+		left := m.Recall.Sub(x.now).Seconds()
+		rep.RecallS = &left
+	}
 	for _, t := range x.b.host(m).on {
 		p := wire.Task{Task: t.Name(), Attempt: t.attempt, Stage: wire.TaskRunning}
 		for _, e := range extra {
--- a/internal/placement/reports.go
+++ b/internal/placement/reports.go
@@ -59,6 +59,7 @@
 			b.log.Debug("task stage", "task", p.Task, "attempt", p.Attempt, "host", m.Host, "stage", p.Stage)
 		}
 		t.stage = p.Stage
+		t.Job.servedWell(now, t)
 		if t.phase == Sent {
 			b.setPhase(now, t, Live, p.Stage)
 		}
@@ -68,7 +69,12 @@
 	b.log.Debug("task exited", "task", p.Task, "attempt", p.Attempt, "host", m.Host, "cause", p.Cause, "stored", p.Stored)
 	switch {
 	case p.Cause == wire.CauseDone && j.Standing():
-		b.gone(now, t, tuning.RetryPause, "a service's task ended")
+		// at once, unless it ends as soon as it has begun
+		wait := tuning.RetryPause
+		if j.servedWell(now, t); j.wellOn[m.Host] && now.Sub(t.runFrom) >= tuning.ServiceWell {
+			wait = 0
+		}
+		b.gone(now, t, wait, "a service's replica ended")
 		return
 	}
 	switch p.Cause {
--- a/internal/store/budget.go
+++ b/internal/store/budget.go
@@ -1,11 +1,14 @@
 package store
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
 
+	"juniperchute/internal/config"
 	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
 )
 
 // Budget is this node's share of the state service's rates. The nodes do not
@@ -16,26 +19,57 @@
 	writes *rate.Limiter
 	// kept back, in writes, from each class for the classes before it
 	reserve [Classes]float64
+
+	nodes   int
+	coming  config.State
+	lowered bool
+	refused int       // since
+	since   time.Time // the first refusal counted
 }
 
 // NewBudget makes the budget of one of n nodes.
-func NewBudget(rps, writeRPS float64, n int) *Budget {
-	if n < 1 {
-		n = 1
-	}
+func NewBudget(limits config.State, n int) *Budget {
+	b := &Budget{nodes: max(1, n), coming: limits.Coming()}
+	b.set(limits.RPS, limits.WriteRPS)
+	return b
+}
+
+func (b *Budget) set(rps, writeRPS float64) {
 	share := tuning.StateShare
-	if n == 1 {
+	if b.nodes == 1 {
 		share = 1
 	}
 	calls, writes := rps*share, writeRPS*share
-	b := &Budget{
-		calls:  rate.NewLimiter(rate.Limit(calls), max(1, int(calls))),
-		writes: rate.NewLimiter(rate.Limit(writes), max(1, int(writes))),
-	}
+	b.calls = rate.NewLimiter(rate.Limit(calls), max(1, int(calls)))
+	b.writes = rate.NewLimiter(rate.Limit(writes), max(1, int(writes)))
 	for c := range b.reserve {
 		b.reserve[c] = writes * tuning.WriteReserve[c]
 	}
-	return b
+}
+
+// Note takes in what came of a call and tells whether it shows that the service has
+// lowered its limits to the ones to come, which nobody announces: refusals for the rate
+// beyond what the nodes' uneven shares explain, or one for a value's or transaction's
+// size.
+func (b *Budget) Note(now time.Time, c Call, status int) bool {
+	writes := len(c.Multi.Writes) > 0
+	switch {
+	case b.lowered:
+		return false
+	case status == 400 && writes && !slices.ContainsFunc(c.Multi.Writes, func(w wire.Write) bool { return w.Lease != 0 }):
+	case status == 429:
+		if now.Sub(b.since) > tuning.LowerWithin {
+			b.refused, b.since = 0, now
+		}
+		if b.refused++; b.refused < tuning.LowerAfter {
+			return false
+		}
+	default:
+		return false
+	}
+	b.lowered = true
+	b.set(b.coming.RPS, b.coming.WriteRPS)
+	return true
 }
 
 // Take spends the rate for a call, or tells how long to wait before asking
--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -15,7 +15,8 @@
 
 // Pages keeps many small entries in few keys, so that a change of some of them
 // costs one write each while, and not one each. A page that would outgrow the
-// service's limit for a value is left as it is and the next one begun.
+// service's limit for a value is left as it is and the next one begun. One that is
+// larger, as it was written under an earlier limit, is split before it is written again.
 type Pages struct {
 	under  string
 	limit  int // bytes a page's entries may take
@@ -27,6 +28,7 @@
 	lost   func(now time.Time)
 	pages  []*page
 	where  map[string]*page
+	also   map[string][]*page // pages that hold an older copy of an entry, until the newer one is durable
 }
 
 type page struct {
@@ -47,7 +49,7 @@
 // in a while.
 func NewPages(under string, valueKB float64, every time.Duration, class Class, tenure wire.Cond, call Caller, log *slog.Logger, lost func(now time.Time)) *Pages {
 	return &Pages{under: under, limit: int(valueKB * 1024 * tuning.PageFill), every: every, class: class, tenure: tenure, call: call, log: log, lost: lost,
-		where: map[string]*page{}}
+		where: map[string]*page{}, also: map[string][]*page{}}
 }
 
 func (p *Pages) add(n int, version uint64) *page {
@@ -84,6 +86,10 @@
 		}
 		g := p.add(n, it.Version)
 		for _, k := range slices.Sorted(maps.Keys(entries)) {
+			if o := p.where[k]; o != nil {
+				// its holder ended while it was moved: which copy is newer is not known
+				p.also[k] = append(p.also[k], o)
+			}
 			g.entries[k] = entries[k]
 			g.size += entrySize(k, entries[k])
 			p.where[k] = g
@@ -97,54 +103,109 @@
 	raw := Put(key, value, 0).Value
 	g := p.where[key]
 	if g != nil && g.size+len(raw)-len(g.entries[key]) > p.limit {
-		p.Drop(key)
+		p.also[key] = append(p.also[key], g)
 		g = nil
 	}
 	if g == nil {
-		need := entrySize(key, raw)
-		for _, o := range p.pages {
-			if o != nil && o.size+need <= p.limit {
-				g = o
-				break
-			}
-		}
-		if g == nil {
-			n := slices.Index(p.pages, nil)
-			if n < 0 {
-				n = len(p.pages)
-			}
-			g = p.add(n, 0)
-		}
-		g.size += need
+		g = p.roomFor(entrySize(key, raw), p.where[key])
+		g.size += entrySize(key, raw)
 		p.where[key] = g
 	} else {
 		g.size += len(raw) - len(g.entries[key])
 	}
 	g.entries[key] = raw
 	g.changed = true
-	g.waiting = append(g.waiting, waiter{then: then})
+	g.waiting = append(g.waiting, waiter{then: func(now time.Time) {
+		p.shed(key)
+		then(now)
+	}})
+}
+
+// shed removes the older copies of an entry.
+func (p *Pages) shed(key string) {
+	for _, o := range p.also[key] {
+		if o != p.where[key] {
+			o.strip(key)
+		}
+	}
+	delete(p.also, key)
+}
+
+func (g *page) strip(key string) {
+	if raw, ok := g.entries[key]; ok {
+		g.size -= entrySize(key, raw)
+		delete(g.entries, key)
+		g.changed = true
+	}
+}
+
+// roomFor finds a page with room, or begins one.
+func (p *Pages) roomFor(need int, but *page) *page {
+	for _, o := range p.pages {
+		if o != nil && o != but && o.size+need <= p.limit {
+			return o
+		}
+	}
+	n := slices.Index(p.pages, nil)
+	if n < 0 {
+		n = len(p.pages)
+	}
+	return p.add(n, 0)
+}
+
+// Size is what an entry may take at most.
+func (p *Pages) Size() int { return p.limit }
+
+// split moves entries of a page that is too large for the service to take to others.
+// Each stays where it is until it is durable there: what is read after a holder's end
+// may name it twice, and never not at all.
+func (p *Pages) split(g *page) {
+	left := 0
+	var here []string
+	for _, k := range slices.Sorted(maps.Keys(g.entries)) {
+		if p.where[k] == g {
+			left += entrySize(k, g.entries[k])
+			here = append(here, k)
+		}
+	}
+	for _, k := range here {
+		need := entrySize(k, g.entries[k])
+		if left <= p.limit {
+			return
+		}
+		if need > p.limit {
+			continue // whoever put it there has to make it smaller
+		}
+		left -= need
+		o := p.roomFor(need, g)
+		o.entries[k], o.changed = g.entries[k], true
+		o.size += need
+		p.where[k], p.also[k] = o, append(p.also[k], g)
+		o.waiting = append(o.waiting, waiter{then: func(time.Time) { p.shed(k) }})
+	}
 }
 
 // Drop removes an entry. Nothing waits for it, so it goes with the page's next
 // write.
 func (p *Pages) Drop(key string) {
-	g := p.where[key]
-	if g == nil {
-		return
+	if g := p.where[key]; g != nil {
+		g.strip(key)
+		delete(p.where, key)
+		p.shed(key)
 	}
-	g.size -= entrySize(key, g.entries[key])
-	delete(g.entries, key)
-	delete(p.where, key)
-	g.changed = true
 }
 
 // Tick starts what is due.
 func (p *Pages) Tick(now time.Time) {
-	for _, g := range p.pages {
+	for i := 0; i < len(p.pages); i++ { // a split adds pages
+		g := p.pages[i]
 		if g == nil {
 			continue
 		}
-		if g.changed && !now.Before(g.due) {
+		if g.changed && g.size > p.limit {
+			p.split(g)
+		}
+		if g.changed && !now.Before(g.due) && g.size <= p.limit {
 			g.changed, g.due = false, now.Add(p.every)
 			var want any
 			if len(g.entries) > 0 {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"juniperchute/internal/config"
 	"juniperchute/internal/wire"
 )
 
@@ -20,7 +21,7 @@
 	write := func(c Class) Call {
 		return Call{Op: OpMulti, Class: c, Multi: wire.Multi{Writes: []wire.Write{Remove("a")}}}
 	}
-	b := NewBudget(200, 20, 1)
+	b := NewBudget(config.State{RPS: 200, WriteRPS: 20}, 1)
 	spend := func(c Class) (n int) {
 		for {
 			if _, ok := b.Take(now, write(c)); !ok {
@@ -249,3 +250,132 @@
 		})
 	}
 }
+
+// A page that was written under a higher limit is split before it is written again, in
+// an order in which no entry is ever missing from what is stored.
+func TestSplit(t *testing.T) {
+	const limit = 1024
+	want := map[string]bool{}
+	old := map[string]string{}
+	for i := range 60 {
+		k := fmt.Sprintf("i-%06d", i)
+		old[k], want[k] = fmt.Sprintf("10.0.0.%d:9000", i), true
+	}
+	raw, _ := json.Marshal(old)
+	kv := map[string]wire.Item{"u/0/0": {Path: "u/0/0", Value: raw, Version: 5}}
+	stored := func() map[string]bool {
+		out := map[string]bool{}
+		for _, it := range kv {
+			entries := map[string]json.RawMessage{}
+			_ = json.Unmarshal(it.Value, &entries)
+			for k := range entries {
+				out[k] = true
+			}
+		}
+		return out
+	}
+	type pending struct {
+		c    Call
+		then func(time.Time, Result)
+	}
+	var calls []pending
+	now, revision := time.Unix(0, 0), uint64(10)
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	p := NewPages("u/0/", 1, time.Second, ClassTenure, Is("c/b/0", 2), func(c Call, then func(time.Time, Result)) { calls = append(calls, pending{c, then}) }, quiet,
+		func(time.Time) { t.Error("lost") })
+	p.Load([]wire.Item{kv["u/0/0"]}, func(string, json.RawMessage) {})
+	p.Tick(now)
+	if len(calls) != 0 {
+		t.Fatal("a page that nothing changed was written")
+	}
+	p.Put("i-000060", "10.0.0.60:9000", func(time.Time) {})
+	want["i-000060"] = true
+	p.Drop("i-000003")
+	for range 12 {
+		now = now.Add(2 * time.Second)
+		p.Tick(now)
+		// the newest first: whatever the order in which they are carried out
+		for i := len(calls) - 1; i >= 0; i-- {
+			revision++
+			for _, w := range calls[i].c.Multi.Writes {
+				if len(w.Value) > limit {
+					t.Fatalf("%s is written with %d bytes", w.Write, len(w.Value))
+				}
+				delete(kv, w.Remove)
+				if w.Write != "" {
+					kv[w.Write] = wire.Item{Path: w.Write, Value: w.Value, Version: revision}
+				}
+			}
+			for k := range want {
+				if k != "i-000003" && k != "i-000060" && !stored()[k] {
+					t.Fatalf("%s is in no page any more", k)
+				}
+			}
+			then := calls[i].then
+			calls = append(calls[:i:i], calls[i+1:]...)
+			then(now, Result{Status: 200, Revision: revision})
+		}
+	}
+	delete(want, "i-000003")
+	got := map[string]int{}
+	for _, it := range kv {
+		entries := map[string]json.RawMessage{}
+		_ = json.Unmarshal(it.Value, &entries)
+		for k := range entries {
+			got[k]++
+		}
+	}
+	if len(got) != len(want) || len(kv) < 2 {
+		t.Errorf("%d entries in %d pages, want %d", len(got), len(kv), len(want))
+	}
+	for k, n := range got {
+		if n != 1 || !want[k] {
+			t.Errorf("%s is in %d pages", k, n)
+		}
+	}
+}
+
+// Nobody tells when the limits fall: refusals beyond what uneven shares explain do, or
+// one for a size. Until then the present rate is used.
+func TestBudgetLowers(t *testing.T) {
+	write := Call{Op: OpMulti, Class: ClassUser, Multi: wire.Multi{Writes: []wire.Write{Remove("a")}}}
+	leased := Call{Op: OpMulti, Multi: wire.Multi{Writes: []wire.Write{{Write: "c/leader", Lease: 7}}}}
+	for _, c := range []struct {
+		name   string
+		call   Call
+		status int
+		every  time.Duration
+		n      int
+		want   bool
+	}{
+		{"answers as usual", write, 200, time.Millisecond, 100, false},
+		{"conflicts", write, 409, time.Millisecond, 100, false},
+		{"an outage", write, 503, time.Millisecond, 100, false},
+		{"a few refusals in a burst", write, 429, 100 * time.Millisecond, 8, false},
+		{"refusals now and then", write, 429, 2 * time.Second, 60, false},
+		{"a rate of refusals", write, 429, 300 * time.Millisecond, 20, true},
+		{"one for a size", write, 400, 0, 1, true},
+		{"a lease that has ended", leased, 400, 0, 3, false},
+		{"a malformed question", Call{Op: OpGet}, 400, 0, 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(100, 0)
+			b := NewBudget(config.State{RPS: 100, WriteRPS: 20, Next: config.NextState{"write_rps": 10.0}}, 1)
+			lowered := false
+			for range c.n {
+				now = now.Add(c.every)
+				lowered = b.Note(now, c.call, c.status) || lowered
+			}
+			now = now.Add(time.Minute)
+			n := 0
+			for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+				if _, ok := b.Take(now, write); ok {
+					n++
+				}
+			}
+			if low := n < 150; lowered != c.want || low != c.want {
+				t.Errorf("lowered %v, %d writes in 10 s", lowered, n)
+			}
+		})
+	}
+}
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -199,7 +199,7 @@
 		spec.Types = slices.DeleteFunc(slices.Clone(spec.Types), func(b string) bool { _, ok := s.machineTypes()[b]; return !ok })
 	}
 	rec := OpenRec{Spec: spec, At: s.wall().UnixMilli(), Block: s.block(&spec)}
-	if raw, err := json.Marshal(rec); why == "" && (err != nil || s.facts.State.ValueKB > 0 && len(raw) > int(s.facts.State.ValueKB*1024*tuning.PageFill)) {
+	if raw, err := json.Marshal(rec); why == "" && (err != nil || s.facts.State.ValueKB > 0 && len(raw) > int(s.facts.State.Stored().ValueKB*1024*tuning.PageFill)) {
 		why, refusal = "too large to be kept", 400
 	}
 	if why != "" || undecided {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -65,6 +65,14 @@
 	// PageFill is the part of a value's limit that a page's entries may take:
 	// the service counts the JSON around them too.
 	PageFill = 0.85
+	// TxnOpsLeast is how many puts and deletes one transaction needs: a job's end and
+	// its entry, a token and the block that gets it.
+	TxnOpsLeast = 2
+	// LowerAfter is how many refusals for the rate, or one for a value's size, within
+	// LowerWithin tell a node that the service has lowered its limits: a few come in
+	// bursts, as the nodes share the rate without asking each other.
+	LowerAfter  = 12
+	LowerWithin = 10 * time.Second
 	// PagesMost bounds the numbers of pages, far above any use.
 	PagesMost = 10000
 	// RecordRetry is the pause after a failed write of a record.
@@ -259,6 +267,15 @@
 	// BadJobMachines is on how many machines a job must have failed, without
 	// any success, to be taken for a job with a mistake.
 	BadJobMachines = 3
+	// ServiceWell is how long a replica must run for its machine, and its service, to
+	// count as sound.
+	ServiceWell = 10 * time.Second
+	// ReserveMachines is on how many machines that are not spot there is room for one
+	// more service like the largest, lower work giving way: one may be lost.
+	ReserveMachines = 2
+	// UnseenBoots is how many times shorter than a boot a class's aim for its start must
+	// be for a machine to be kept before its first job has come.
+	UnseenBoots = 5.0
 	// PaceWeight is the weight of the newest run time in a class's pace.
 	PaceWeight = 0.1
 )
@@ -364,6 +381,8 @@
 	// TallyBits is how many bits of a tally go into one byte of a value's
 	// limit: base64 takes its part, and a page should hold several jobs'.
 	TallyBits = 2
+	// TallyName is what a tally's name and the JSON around it take of its page, bytes.
+	TallyName = 64
 	// BegunEvery is how often jobs are marked as begun: a gang waits for it.
 	BegunEvery = 100 * time.Millisecond
 	// UsedEvery is how often machines heard for the first time are entered as
