--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -25,6 +25,9 @@
 	if m.rng.IntN(3) == 0 {
 		s.Shape, s.Tasks = wire.ShapeGang, 1+m.rng.IntN(3)
 	}
+	if m.rng.IntN(6) == 0 {
+		s.Class, s.Shape, s.Tasks, s.Gpus, s.Priority, s.GuessS = "serve", wire.ShapeStanding, 1+m.rng.IntN(3), 0, "critical", 0
+	}
 	if change != nil {
 		change(&s)
 	}
--- a/internal/node/standin_state_test.go
+++ b/internal/node/standin_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -66,7 +67,14 @@
 	watches  []*watch
 	down     bool
 	page     int // keys a list shows at most
-	kept     int // changes that are remembered
+	limits   struct {
+		value, ops int     // 0: none
+		writes     float64 // a second; 0: no limit
+	}
+	spent    float64 // of a second's writes
+	spentAt  time.Time
+	tooLarge []string // writes refused for their size
+	kept     int      // changes that are remembered
 }
 
 type lease struct {
@@ -236,6 +244,24 @@
 }
 
 func (s *stateService) multi(m wire.Multi) store.Result {
+	if s.limits.ops > 0 && len(m.Writes) > s.limits.ops {
+		s.tooLarge = append(s.tooLarge, fmt.Sprintf("%d changes at once", len(m.Writes)))
+		return store.Result{Status: 400}
+	}
+	for _, w := range m.Writes {
+		if s.limits.value > 0 && len(w.Value) > s.limits.value {
+			s.tooLarge = append(s.tooLarge, fmt.Sprintf("%s with %d bytes", w.Write, len(w.Value)))
+			return store.Result{Status: 400}
+		}
+	}
+	if n := float64(len(m.Writes)); s.limits.writes > 0 && n > 0 {
+		s.spent = max(0, s.spent-s.clk.now.Sub(s.spentAt).Seconds()*s.limits.writes)
+		s.spentAt = s.clk.now
+		if s.spent+n > s.limits.writes {
+			return store.Result{Status: 429}
+		}
+		s.spent += n
+	}
 	for _, w := range m.Writes {
 		if w.Lease != 0 && s.holds[w.Lease] == nil {
 			return store.Result{Status: 400}
--- a/internal/node/world_run_test.go
+++ b/internal/node/world_run_test.go
@@ -46,12 +46,14 @@
 		lease        float64
 		seeds        int
 		scale        int
+		upgrade      bool // all controllers get the new version one after the other, then the state service's limits fall
 	}{
-		{"one zone, short leases", []string{"a"}, small, one, 1, 1.5, 10, 6, 1},
-		{"one zone, long leases", []string{"a"}, small, one, 1, 3, 18, 4, 1},
-		{"two zones, two types, wide gangs", []string{"a", "b"}, small, two, 1, 1.5, 10, 6, 1},
-		{"three blocks", []string{"a", "b"}, small, two, 3, 1.5, 10, 4, 1},
-		{"a fleet: a tenth and more of the machines hit at a time", []string{"a", "b"}, wide, two, 1, 5, 26.5, 2, 20},
+		{"one zone, short leases", []string{"a"}, small, one, 1, 1.5, 10, 6, 1, false},
+		{"one zone, long leases", []string{"a"}, small, one, 1, 3, 18, 4, 1, false},
+		{"two zones, two types, wide gangs", []string{"a", "b"}, small, two, 1, 1.5, 10, 6, 1, false},
+		{"three blocks", []string{"a", "b"}, small, two, 3, 1.5, 10, 4, 1, false},
+		{"a fleet: a tenth and more of the machines hit at a time", []string{"a", "b"}, wide, two, 1, 5, 26.5, 2, 20, false},
+		{"an upgrade, and limits that fall", []string{"a"}, wide, one, 1, 1.5, 10, 6, 4, true},
 	} {
 		for seed := range day.seeds * seedFactor() {
 			t.Run(fmt.Sprintf("%s/%d", day.name, seed), func(t *testing.T) {
@@ -65,6 +67,9 @@
 				}
 				w.cloud.never = 0.02
 				w.chaos, w.scale = true, day.scale
+				if day.upgrade {
+					w.begins()
+				}
 				play(w, day.zones, day.machineTypes)
 				if len(w.broken) > 0 {
 					t.Fatalf("seed %d: %s", seed, w.broken[0])
@@ -74,6 +79,42 @@
 	}
 }
 
+// begins makes a deployment of the earlier version, with limits to come that make its
+// pages too large.
+func (w *world) begins() {
+	w.upgrade = true
+	w.cfg.Facts.State.ValueKB = 1
+	w.cfg.Facts.State.Next = config.NextState{"value_kb": 0.5, "txn_ops": int64(4), "write_rps": 12.0}
+	w.state.limits.value, w.state.limits.ops = 1024, 8
+	for _, n := range w.nodes {
+		n.crash(0)
+	}
+}
+
+// upgrades gives one more controller the new version; once all have it the state
+// service's limits fall, in the midst of whatever is going on.
+func (w *world) upgrades() {
+	for _, n := range w.nodes {
+		if !n.next {
+			n.next = true
+			n.crash(time.Duration(100+w.rng.IntN(3000)) * time.Millisecond)
+			return
+		}
+	}
+	if w.state.limits.value == 1024 {
+		w.clk.in(time.Duration(w.rng.IntN(20000))*time.Millisecond, func() {
+			w.state.limits.value, w.state.limits.ops, w.state.limits.writes = 512, 4, 12
+			switch w.rng.IntN(3) {
+			case 0:
+				w.state.setDown(true)
+				w.clk.in(4*time.Second, func() { w.state.setDown(false) })
+			case 1:
+				w.nodes[w.rng.IntN(len(w.nodes))].crash(time.Second)
+			}
+		})
+	}
+}
+
 // play lets users submit for a while under troubles, then lets the troubles
 // pass and waits for every job's end.
 func play(w *world, zones []string, machineTypes []wire.MachineType) {
@@ -86,6 +127,9 @@
 		if w.rng.IntN(3) > 0 {
 			randomJob(w, i, zones, machineTypes)
 		}
+		if w.upgrade && i >= 10 && i%6 == 0 {
+			w.upgrades()
+		}
 		if i > 3 && w.rng.IntN(2) == 0 {
 			w.trouble()
 		}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -46,6 +46,7 @@
 	seq     int            // counts odd requests
 	kept    []*wire.Report // copies of reports, for the next leader
 	leads   uint64         // the highest token seen in a tenure
+	upgrade bool           // its controllers begin as the earlier version
 	calm    time.Time      // since when there are no troubles; zero: there are
 	apart   string         // a zone that is cut off: its machines and controllers reach each other only
 }
@@ -91,6 +92,7 @@
 	core  *Core
 	alive bool
 	gen   int
+	next  bool // it has the new version
 
 	cutState, cutWorkers, cutPeers, cutCloud bool
 	refused                                  bool   // the state service answers 503 to it alone
@@ -163,6 +165,9 @@
 			cfg.Known = append(cfg.Known, config.Known{Member: o.name, Address: "127.0.0.1:1"})
 		}
 	}
+	if n.w.upgrade && !n.next {
+		cfg.Facts.State.Next = nil // it knows nothing of limits to come, and fills its pages
+	}
 	rng := rand.New(rand.NewPCG(n.w.rng.Uint64(), 1))
 	n.core = NewCore(&cfg, n.w.blocks, &simEnv{n: n, gen: gen}, rng, func() time.Time { return n.w.clk.now }, n.w.logger(n.name))
 	var tick func()
@@ -932,6 +937,9 @@
 	for !w.clk.q[0].at.After(end) && len(w.broken) == 0 {
 		w.clk.step()
 		w.check()
+		if len(w.state.tooLarge) > 0 {
+			w.fail("too large for the state service: %s", w.state.tooLarge[0])
+		}
 		if w.clk.now.Sub(w.looked) > 500*time.Millisecond {
 			w.looked = w.clk.now
 			w.checkHorizons()
