A cancellation told while the records are read is not lost; rentals fit the limits to come

Found by reading: a holder that had read the jobs, but not yet the rest, answered a peer that it had a cancellation, dropped it, and took the job up as open. The peer then vouched, so in an outage its tasks could have gone on past cancel_s.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,7 +18,7 @@
 	"juniperchute/internal/worker"
 )
 
-// yard is a fleet whose calls are caught.
+// zone is a fleet whose calls are caught.
 type zone struct {
 	t     *testing.T
 	now   time.Time
@@ -318,3 +318,32 @@
 		t.Fatalf("not adopted: %+v", m)
 	}
 }
+
+// A rental request's record names all its machines: it asks for no more than fit the state
+// service's limits, present and to come.
+func TestRentalFitsLimits(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		valueKB float64
+		most    int
+	}{
+		{"as now", 4, tuning.HirePage},
+		{"half of that", 2, tuning.HirePage},
+		{"half a KiB", 0.5, 17},
+		{"next to nothing", 0.1, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			y := newZone(t)
+			y.s.facts.State = config.State{ValueKB: 4, Next: config.NextState{"value_kb": c.valueKB}}
+			n := y.s.rentalMost()
+			rec := RentalRec{Type: "g2", Zone: "a", Spot: true, Number: n}
+			for i := range n {
+				rec.Hosts = append(rec.Hosts, fmt.Sprintf("i-%06d", i))
+			}
+			raw, _ := json.Marshal(rec)
+			if n != c.most || n > 1 && float64(len(raw)) > c.valueKB*1024 {
+				t.Errorf("%d machines, %d bytes", n, len(raw))
+			}
+		})
+	}
+}
--- a/internal/fleet/rental.go
+++ b/internal/fleet/rental.go
@@ -182,7 +182,8 @@
 func (s *Slice) demand(now time.Time) {
 	var offers []placement.Offer
 	// as many as can be asked for by the time of the next look
-	left := tuning.HirePage * max(1, int(s.facts.Cloud.RPS*tuning.CloudShare*tuning.HireShare*tuning.DemandEvery.Seconds()))
+	page := s.rentalMost()
+	left := page * max(1, int(s.facts.Cloud.RPS*tuning.CloudShare*tuning.HireShare*tuning.DemandEvery.Seconds()))
 	room := s.room()
 	for _, name := range slices.Sorted(maps.Keys(s.machineTypes)) {
 		f := s.machineTypes[name]
@@ -219,12 +220,19 @@
 		o := offers[i]
 		n = min(n, room)
 		room -= n
-		for ; n > 0; n -= tuning.HirePage {
-			s.rental(now, RentalRec{Type: o.Type, Zone: o.Zone, Spot: o.Spot, Number: min(n, tuning.HirePage)})
+		for ; n > 0; n -= page {
+			s.rental(now, RentalRec{Type: o.Type, Zone: o.Zone, Spot: o.Spot, Number: min(n, page)})
 		}
 	}
 }
 
+// rentalMost is how many machines one rental request may ask for: its record names them
+// all, and has to fit the state service now and after its limits fall.
+func (s *Slice) rentalMost() int {
+	bytes := int(s.facts.State.Stored().ValueKB*1024*tuning.PageFill) - tuning.RentalBytes
+	return max(1, min(tuning.HirePage, bytes/tuning.HostBytes))
+}
+
 // room is how many machines may still be hired by the operators' bound, which
 // counts those asked for and not yet granted.
 func (s *Slice) room() int {
--- a/internal/node/gap_test.go
+++ b/internal/node/gap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -290,6 +291,44 @@
 	}
 }
 
+// A cancellation is passed to a holder that is still reading the records, and has read
+// the jobs already: it says that it has it, so it may not take the job up as open.
+func TestToldWhileLoading(t *testing.T) {
+	w := calm(t, 6, 8)
+	w.holder().crash(time.Hour)
+	for range 100000 {
+		w.clk.step()
+		for _, n := range w.nodes {
+			te := n.core.tenures[0]
+			if !n.alive || te == nil || te.state != tenureLoading {
+				continue
+			}
+			id := w.order[3].spec.ID
+			if _, open := n.core.open.Get(submission.OpenKey(id)); !open {
+				t.Fatalf("%s is not open", id)
+			}
+			other := w.nodes[0]
+			if other == n {
+				other = w.nodes[1]
+			}
+			m := other.core.pulseMessage(w.clk.now, n.name)
+			m.Withdrawn = []string{id}
+			r := n.core.Pulse(w.clk.now, m)
+			if !slices.Contains(r.Have, id) {
+				t.Fatal("it does not say that it has it")
+			}
+			for te.state == tenureLoading {
+				w.clk.step()
+			}
+			if te.state != tenureFencing || te.board.Job(id) != nil || te.board.Job(w.order[4].spec.ID) == nil {
+				t.Errorf("%v: the job that was called off is open: %v", te.state, te.board.Job(id) != nil)
+			}
+			return
+		}
+	}
+	t.Fatal("no successor")
+}
+
 // A direct command with a start is held up on its way for longer than a cancelled job's
 // tasks have, on machines that others' work keeps busy. A stop cannot overtake it: only
 // the end of the session voids it.
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -53,22 +53,23 @@
 	board *placement.Board
 	fleet *fleet.Slice
 
-	tallies  tallies
-	begun    *store.Pages // jobs that may have tasks on machines
-	found    []wire.Item  // tallies, used machines and begun jobs as read, before they are taken over
-	used     []wire.Item
-	marks    []wire.Item
-	reading  int // reads that are still under way
-	tallyDue time.Time
-	countDue time.Time
-	deaf     bool // no worker is heard any more
-	probeDue time.Time
-	dirty    map[string]*placement.Job
-	finals   map[string]bool // jobs whose end is being written
-	finalDue map[string]time.Time
-	fenceDue map[string]time.Time
-	sessions map[string]uint64 // sessions learned while fencing
-	horizon  *leader.Horizon   // of the cancellations known here
+	tallies   tallies
+	begun     *store.Pages // jobs that may have tasks on machines
+	found     []wire.Item  // tallies, used machines and begun jobs as read, before they are taken over
+	used      []wire.Item
+	marks     []wire.Item
+	reading   int // reads that are still under way
+	tallyDue  time.Time
+	countDue  time.Time
+	deaf      bool // no worker is heard any more
+	probeDue  time.Time
+	dirty     map[string]*placement.Job
+	finals    map[string]bool // jobs whose end is being written
+	finalDue  map[string]time.Time
+	fenceDue  map[string]time.Time
+	sessions  map[string]uint64 // sessions learned while fencing
+	horizon   *leader.Horizon   // of the cancellations known here
+	calledOff []string          // cancellations told of while the records are read
 }
 
 func newTenure(now time.Time, c *Core, l leader.Tenure, inc uint64) *tenure {
@@ -175,6 +176,10 @@
 		}
 	}
 	t.set(now, tenureFencing, "records read")
+	for _, id := range t.calledOff {
+		t.withdrawn(now, id)
+	}
+	t.calledOff = nil
 	for _, m := range slices.Clone(t.reg.All()) {
 		if m.State == worker.Up {
 			t.board.Reported(now, m, worker.Fresh, false)
@@ -242,9 +247,13 @@
 
 // withdrawn is told of a cancellation that a node has told a user of. The state service
 // may not tell of it for long, so it counts before it is read there. While the records
-// are being read there is nothing to end: what is read then is newer.
+// are being read it is remembered: the jobs may have been read before it was written, and
+// whoever told of it is answered that it is known.
 func (t *tenure) withdrawn(now time.Time, id string) {
-	if t.board.Job(id) != nil {
+	switch {
+	case t.state == tenureLoading:
+		t.calledOff = append(t.calledOff, id)
+	case t.board.Job(id) != nil:
 		t.over(now, id)
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -332,6 +332,10 @@
 	HirePage = 50
 	// CapacityRetry is the pause after the cloud had none of a kind.
 	CapacityRetry = 10 * time.Second
+	// RentalBytes is what a rental request's record takes without its machines, and
+	// HostBytes what each of their names does, both with room to spare.
+	RentalBytes = 160
+	HostBytes   = 16
 	// DeletePage is the most machines in one deletion, by the protocol.
 	DeletePage = 100
 	// StuckBoots is after how many times its usual boot time a machine that
