--- a/internal/node/gap_test.go
+++ b/internal/node/gap_test.go
@@ -329,6 +329,28 @@
 	t.Fatal("no successor")
 }
 
+// A cancellation is passed to a holder before it has read that the job was submitted, as
+// the state service's answers are slow: what it reads then is old.
+func TestToldBeforeRead(t *testing.T) {
+	w := calm(t, 6, 2)
+	n := w.holder()
+	other := w.nodes[0]
+	if other == n {
+		other = w.nodes[1]
+	}
+	m := other.core.pulseMessage(w.clk.now, n.name)
+	m.Withdrawn = []string{"job-900"}
+	n.core.Pulse(w.clk.now, m)
+	for _, id := range []string{"job-900", "job-901"} {
+		w.add(wire.Submission{ID: id, Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "normal", Tasks: 1,
+			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 5}, 5*time.Second)
+	}
+	w.runFor(2 * time.Second)
+	if b := n.core.tenures[0].board; b.Job("job-900") != nil || b.Job("job-901") == nil {
+		t.Errorf("called off and open: %v; another open: %v", b.Job("job-900") != nil, b.Job("job-901") != nil)
+	}
+}
+
 // A direct command with a start is held up on its way for longer than a cancelled job's
 // tasks have, on machines that others' work keeps busy. A stop cannot overtake it: only
 // the end of the session voids it.
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -67,16 +67,16 @@
 	finals    map[string]bool // jobs whose end is being written
 	finalDue  map[string]time.Time
 	fenceDue  map[string]time.Time
-	sessions  map[string]uint64 // sessions learned while fencing
-	horizon   *leader.Horizon   // of the cancellations known here
-	calledOff []string          // cancellations told of while the records are read
+	sessions  map[string]uint64    // sessions learned while fencing
+	horizon   *leader.Horizon      // of the cancellations known here
+	calledOff map[string]time.Time // cancellations told of: what is read of them as open is old
 }
 
 func newTenure(now time.Time, c *Core, l leader.Tenure, inc uint64) *tenure {
 	t := &tenure{
 		Tenure: l, c: c, inc: inc, since: now, log: c.log.With("block", l.Block, "token", l.Token),
 		dirty:  map[string]*placement.Job{},
-		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, sessions: map[string]uint64{},
+		finals: map[string]bool{}, finalDue: map[string]time.Time{}, fenceDue: map[string]time.Time{}, sessions: map[string]uint64{}, calledOff: map[string]time.Time{},
 	}
 	var peers []string
 	for _, k := range c.cfg.Known {
@@ -176,10 +176,6 @@
 		}
 	}
 	t.set(now, tenureFencing, "records read")
-	for _, id := range t.calledOff {
-		t.withdrawn(now, id)
-	}
-	t.calledOff = nil
 	for _, m := range slices.Clone(t.reg.All()) {
 		if m.State == worker.Up {
 			t.board.Reported(now, m, worker.Fresh, false)
@@ -246,14 +242,19 @@
 }
 
 // withdrawn is told of a cancellation that a node has told a user of. The state service
-// may not tell of it for long, so it counts before it is read there. While the records
-// are being read it is remembered: the jobs may have been read before it was written, and
-// whoever told of it is answered that it is known.
+// may not tell of it for long, so it counts before it is read there, and whoever told of
+// it is answered that it is known. What is read later may be older: the answer of a slow
+// service, or the jobs as they were when this tenure began. The job is not taken up then.
 func (t *tenure) withdrawn(now time.Time, id string) {
-	switch {
-	case t.state == tenureLoading:
-		t.calledOff = append(t.calledOff, id)
-	case t.board.Job(id) != nil:
+	if _, known := t.calledOff[id]; known {
+		return
+	}
+	if len(t.calledOff) >= tuning.ToldKept {
+		keep := config.Seconds(t.c.cfg.Facts.Workers.CancelS) * tuning.ToldCancels
+		maps.DeleteFunc(t.calledOff, func(_ string, at time.Time) bool { return now.Sub(at) > keep })
+	}
+	t.calledOff[id] = now
+	if t.board.Job(id) != nil {
 		t.over(now, id)
 	}
 }
@@ -282,7 +283,7 @@
 		t.log.Error("job entry cannot be read", "key", it.Path, "error", err)
 		return
 	}
-	if rec.Block != t.Block {
+	if _, off := t.calledOff[id]; off || rec.Block != t.Block {
 		return
 	}
 	// The predecessor started nothing after its lease ended, and that was
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -243,14 +243,16 @@
 		v = Renewed
 		m.OpenDo = 0 // commands of an earlier session are void
 	}
+	if m.Answered.IsZero() || rep.Session > m.Session {
+		// From here on the worker drops whatever an earlier tenure answers. A session's
+		// lease counts from when it began, which may be a moment ago: an answer to an
+		// earlier session, or to an old copy of its report, says nothing of its end.
+		m.Answered = now
+	}
 	m.Session, m.Seq, m.Heard = rep.Session, rep.Seq, now
 	if checkin {
 		m.Checked = now
 	}
-	if m.Answered.IsZero() {
-		// from here on the worker drops whatever an earlier tenure answers
-		m.Answered = now
-	}
 	m.Address, m.Type, m.Zone, m.Spot = rep.Address, rep.Type, rep.Zone, rep.Spot
 	m.Recall = time.Time{}
 	if rep.RecallS != nil {
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -143,3 +143,30 @@
 		})
 	}
 }
+
+// A session's lease may have begun as late as its first word: what was answered before, to
+// an earlier session or to an old copy of a report, does not tell when it ends.
+func TestLeaseOfANewSession(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		sessions []uint64 // of words, a second apart
+		want     float64  // from when its lease counts
+	}{
+		{"never answered", []uint64{1}, 0},
+		{"the same session goes on", []uint64{1, 1, 1}, 0},
+		{"a new one", []uint64{1, 1, 2}, 2},
+		{"and it goes on", []uint64{1, 2, 2}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := registry()
+			m := r.Add(time.Unix(0, 0), "i-1", Unheard)
+			m.Answered = time.Unix(-5, 0) // an old copy
+			for i, s := range c.sessions {
+				r.Absorb(time.Unix(int64(i), 0), m, &wire.Report{Host: "i-1", Session: s, Seq: uint64(i + 1)}, false)
+			}
+			if got := m.Answered.Sub(time.Unix(0, 0)).Seconds(); got != c.want {
+				t.Errorf("counts from %v s, want %v", got, c.want)
+			}
+		})
+	}
+}
