--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -81,7 +81,7 @@
 			r.Jobs = append(r.Jobs, &peerpb.JobProgress{Known: true, Done: n})
 		}
 		if i == 0 {
-			env.then[i](now, nil, errCut)
+			env.then[i](now, nil, errUnreachable)
 			continue
 		}
 		env.then[i](now, r, nil)
--- a/internal/node/meetings_test.go
+++ b/internal/node/fault_combinations_test.go
@@ -6,19 +6,20 @@
 	"time"
 
 	"juniperchute/internal/config"
+	"juniperchute/internal/standin"
 	"juniperchute/internal/wire"
 )
 
-// meet is what a meeting of troubles is played with.
-type meet struct {
-	*world
+// faultScenario is what a combination of faults is played with.
+type faultScenario struct {
+	*simulation
 	zones        []string
 	machineTypes []wire.MachineType
 	n            int // jobs so far
 }
 
-// job makes a user submit a random job, changed as a meeting needs it.
-func (m *meet) job(change func(s *wire.Submission), run time.Duration) *simJob {
+// job makes a user submit a random job, changed as a scenario needs it.
+func (m *faultScenario) job(change func(s *wire.Submission), run time.Duration) *standin.Job {
 	s := wire.Submission{ID: fmt.Sprintf("job-%06d", m.n), Team: m.cfg.Facts.Teams[m.rng.IntN(len(m.cfg.Facts.Teams))].Name, Class: "sweep",
 		Shape: wire.ShapeBatch, Priority: []string{"low", "normal", "high", "critical"}[m.rng.IntN(4)], Tasks: 1 + m.rng.IntN(4),
 		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: fmt.Sprintf("img-%d", m.rng.IntN(3)), ImageGb: 2, AnyType: true, Spot: m.rng.IntN(2) == 0, GuessS: run.Seconds()}
@@ -36,77 +37,50 @@
 }
 
 // jobs makes users submit several random jobs.
-func (m *meet) jobs(n int, least, most time.Duration) {
+func (m *faultScenario) jobs(n int, least, most time.Duration) {
 	for range n {
 		m.job(nil, least+time.Duration(m.rng.Int64N(int64(most-least)+1)))
 	}
 }
 
-func (m *meet) ms(least, most int) time.Duration {
+func (m *faultScenario) ms(least, most int) time.Duration {
 	return time.Duration(least+m.rng.IntN(most-least+1)) * time.Millisecond
 }
 
 // leader is whoever holds the block or is about to, or any node.
-func (m *meet) leader() *simNode {
+func (m *faultScenario) leader() *simulatedNode {
 	for _, n := range m.nodes {
-		if t := n.core.tenures[0]; n.alive && t != nil && t.state != tenureOver && n.core.leader.Entitled(m.clk.now) {
+		if t := n.core.tenures[0]; n.alive && t != nil && t.state != tenureOver && n.core.leader.Entitled(m.clk.Now()) {
 			return n
 		}
 	}
 	return m.nodes[m.rng.IntN(len(m.nodes))]
 }
 
-// callOff has users cancel a part of the jobs that are not over, within a fifth of a
+// cancelSome has users cancel a part of the jobs that are not over, within a fifth of a
 // second.
-func (m *meet) callOff(share float64) {
-	for _, j := range m.order {
-		if j.accepted && !j.asked && j.told != wire.JobDone && m.rng.Float64() < share {
-			m.clk.in(m.ms(0, 200), func() { m.cancel(j) })
+func (m *faultScenario) cancelSome(share float64) {
+	for _, j := range m.cluster.Order {
+		if j.Accepted && !j.CancelAsked && j.Told != wire.JobDone && m.rng.Float64() < share {
+			m.clk.In(m.ms(0, 200), func() { m.cancel(j) })
 		}
 	}
 }
 
 // hit does something to a part of the machines for a time.
-func (m *meet) hit(share float64, d time.Duration, set func(h *workerHost, on bool)) {
-	for _, id := range m.hosts() {
-		h := m.workers[id]
-		if m.rng.Float64() >= share {
-			continue
+func (m *faultScenario) hit(share float64, d time.Duration, set machineFlag) {
+	var chosen []*machine
+	for _, name := range m.hosts() {
+		if m.rng.Float64() < share {
+			chosen = append(chosen, m.machines[name])
 		}
-		set(h, true)
-		m.clk.in(d, func() { set(h, false); m.release(h) })
 	}
+	m.affect(chosen, d, set)
 }
 
-func hang(h *workerHost, on bool) { h.hung = on }
-func cut(h *workerHost, on bool)  { h.cut = on }
-func deaf(h *workerHost, on bool) { h.deaf = on }
-func mute(h *workerHost, on bool) { h.mute = on }
-
-// down takes the state service away from all for a time.
-func (m *meet) down(d time.Duration) {
-	m.state.setDown(true)
-	m.clk.in(d, func() { m.state.setDown(false) })
-}
-
-// refuse has the state service refuse one node for a time.
-func (m *meet) refuse(n *simNode, d time.Duration) {
-	n.refused = true
-	m.clk.in(d, func() { n.refused = false })
-}
-
-// alone leaves a node with its workers and users for a time.
-func (m *meet) alone(n *simNode, d time.Duration) {
-	n.cutState, n.cutPeers = true, true
-	m.clk.in(d, func() {
-		n.cutPeers = false
-		n.restoreState()
-	})
-}
-
-// TestMeetings plays meetings of troubles, each on a few seeds, with the rules checked
-// after each step, as docs/meetings.md lists them.
-func TestMeetings(t *testing.T) {
+// TestFaultCombinations plays combinations of faults, each on a few seeds, with the rules checked
+// after each step, as docs/fault-combinations.md lists them.
+func TestFaultCombinations(t *testing.T) {
 	small := []config.Team{{Name: "red", GPUs: 4, GPUsMax: 10}, {Name: "blue", GPUs: 6, GPUsMax: 12}, {Name: "free"}}
 	tight := []config.Team{{Name: "red", GPUs: 2, GPUsMax: 4}, {Name: "blue", GPUs: 2, GPUsMax: 4}}
 	one := []wire.MachineType{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}}
@@ -115,59 +89,59 @@
 		name  string
 		zones int
 		teams []config.Team
-		play  func(m *meet)
+		play  func(m *faultScenario)
 	}{
-		{"leaders change ten times in two minutes, also in an outage", 1, small, func(m *meet) {
+		{"leaders change ten times in two minutes, also in an outage", 1, small, func(m *faultScenario) {
 			for i := range 10 {
 				m.jobs(1, 5*time.Second, 40*time.Second)
 				if i%4 == 2 {
-					m.down(m.ms(4000, 20000))
+					m.stateOutage(m.ms(4000, 20000))
 				}
 				m.leader().crash(m.ms(50, 3000))
 				m.runFor(m.ms(8000, 14000))
-				m.callOff(0.1)
+				m.cancelSome(0.1)
 			}
 		}},
-		{"jobs bound to one zone lose machines", 2, small, func(m *meet) {
+		{"jobs bound to one zone lose machines", 2, small, func(m *faultScenario) {
 			for i := range 6 {
 				m.job(func(s *wire.Submission) { s.Zone = m.zones[i%2]; s.Together = i%3 == 0 }, m.ms(10000, 40000))
 				m.runFor(m.ms(5000, 10000))
-				for _, h := range m.someWorkers() {
-					m.cloud.remove(h.host.ID)
+				for _, h := range m.someMachines() {
+					m.cloud.Remove(h.Host.ID)
 				}
 				if i%3 == 2 {
 					m.leader().crash(m.ms(100, 2000))
 				}
 			}
 		}},
-		{"cancelled as the state service refuses the leader, and then it is out", 1, small, func(m *meet) {
+		{"cancelled as the state service refuses the leader, and then it is out", 1, small, func(m *faultScenario) {
 			for range 2 {
 				m.jobs(4, 60*time.Second, 150*time.Second)
 				m.runFor(25 * time.Second)
 				n := m.leader()
-				m.refuse(n, m.ms(5000, 14000))
+				m.refuseState(n, m.ms(5000, 14000))
 				m.runFor(m.ms(100, 1500))
-				m.callOff(0.7)
+				m.cancelSome(0.7)
 				m.runFor(m.ms(300, 1200))
-				m.down(m.ms(40000, 60000))
+				m.stateOutage(m.ms(40000, 60000))
 				if m.rng.IntN(2) == 0 {
-					m.clk.in(m.ms(2000, 20000), func() { m.nodes[m.rng.IntN(3)].crash(m.ms(100, 900)) })
+					m.clk.In(m.ms(2000, 20000), func() { m.nodes[m.rng.IntN(3)].crash(m.ms(100, 900)) })
 				}
 				if m.rng.IntN(3) == 0 {
-					n.cutPeers = true
-					m.clk.in(m.ms(5000, 50000), func() { n.cutPeers = false })
+					n.peersCut = true
+					m.clk.In(m.ms(5000, 50000), func() { n.peersCut = false })
 				}
 				m.runFor(75 * time.Second)
 			}
 		}},
-		{"jobs of two or three tasks end far apart across a change of leader", 1, small, func(m *meet) {
+		{"jobs of two or three tasks end far apart across a change of leader", 1, small, func(m *faultScenario) {
 			for range 5 {
 				j := m.job(func(s *wire.Submission) { s.Shape, s.Tasks = wire.ShapeBatch, 2+m.rng.IntN(2) }, m.ms(3000, 8000))
 				m.runFor(m.ms(6000, 9000))
 				for _, id := range m.hosts() {
-					for _, p := range m.workers[id].tasks {
-						if p.job == j && p.n > 0 && p.stage == wire.TaskRunning {
-							p.until = m.clk.now.Add(m.ms(10000, 30000))
+					for _, p := range m.machines[id].Tasks {
+						if p.Job == j && p.N > 0 && p.Stage == wire.TaskRunning {
+							p.Until = m.clk.Now().Add(m.ms(10000, 30000))
 						}
 					}
 				}
@@ -175,19 +149,19 @@
 				m.runFor(m.ms(4000, 9000))
 			}
 		}},
-		{"every team at its limit, cancelled with machines cut off or hung, and the leader changes", 1, tight, func(m *meet) {
+		{"every team at its limit, cancelled with machines cut off or hung, and the leader changes", 1, tight, func(m *faultScenario) {
 			for i := range 4 {
 				m.jobs(5, 30*time.Second, 90*time.Second)
 				m.runFor(m.ms(8000, 20000))
-				m.hit(0.5, m.ms(4000, 30000), []func(*workerHost, bool){hang, cut}[i%2])
-				m.callOff(0.6)
+				m.hit(0.5, m.ms(4000, 30000), []machineFlag{hang, partition}[i%2])
+				m.cancelSome(0.6)
 				m.runFor(m.ms(0, 1500))
 				m.leader().crash(m.ms(100, 6000))
 				m.jobs(3, 10*time.Second, 30*time.Second)
 				m.runFor(m.ms(10000, 20000))
 			}
 		}},
-		{"controllers hand over and back, all end, and one returns", 1, small, func(m *meet) {
+		{"controllers hand over and back, all end, and one returns", 1, small, func(m *faultScenario) {
 			for range 5 {
 				m.jobs(2, 10*time.Second, 60*time.Second)
 				m.runFor(m.ms(4000, 8000))
@@ -202,23 +176,23 @@
 				m.runFor(m.ms(5000, 20000))
 			}
 		}},
-		{"a zone with workers and a controller is cut off for longer than a lease", 2, small, func(m *meet) {
+		{"a zone with workers and a controller is cut off for longer than a lease", 2, small, func(m *faultScenario) {
 			for i := range 3 {
 				m.jobs(4, 20*time.Second, 60*time.Second)
 				m.runFor(m.ms(10000, 15000))
-				m.apart = m.zones[i%2]
-				m.callOff(0.3)
+				m.zoneCut = m.zones[i%2]
+				m.cancelSome(0.3)
 				m.runFor(m.ms(12000, 40000))
-				m.apart = ""
+				m.zoneCut = ""
 				for _, n := range m.nodes {
 					n.restoreState()
 				}
 				for _, id := range m.hosts() {
-					m.release(m.workers[id])
+					m.release(m.machines[id])
 				}
 			}
 		}},
-		{"all controllers are away for longer than a lease", 1, small, func(m *meet) {
+		{"all controllers are away for longer than a lease", 1, small, func(m *faultScenario) {
 			for range 3 {
 				m.jobs(4, 20*time.Second, 60*time.Second)
 				m.runFor(m.ms(12000, 18000))
@@ -228,12 +202,12 @@
 				m.runFor(m.ms(20000, 25000))
 			}
 		}},
-		{"workers reach no controller, commands reach them", 1, small, func(m *meet) {
+		{"workers reach no controller, commands reach them", 1, small, func(m *faultScenario) {
 			for range 4 {
 				m.jobs(3, 20*time.Second, 60*time.Second)
 				m.runFor(m.ms(8000, 12000))
-				m.hit(0.7, m.ms(3000, 30000), mute)
-				m.callOff(0.3)
+				m.hit(0.7, m.ms(3000, 30000), cutOutbound)
+				m.cancelSome(0.3)
 				m.runFor(m.ms(0, 3000))
 				if m.rng.IntN(2) == 0 {
 					m.leader().crash(m.ms(100, 3000))
@@ -241,9 +215,9 @@
 				m.runFor(m.ms(8000, 20000))
 			}
 		}},
-		{"machines are up at once and get work while writes lag, and the leader ends", 1, small, func(m *meet) {
-			m.cloud.atOnce = true
-			m.odds.lateWrites, m.odds.slowState = 0.15, 800*time.Millisecond
+		{"machines are up at once and get work while writes lag, and the leader ends", 1, small, func(m *faultScenario) {
+			m.cloud.QuickBoots = true
+			m.rates.lateWrites, m.rates.slowState = 0.15, 800*time.Millisecond
 			for range 6 {
 				m.jobs(4, 5*time.Second, 40*time.Second)
 				m.runFor(m.ms(500, 6000))
@@ -251,164 +225,164 @@
 				m.runFor(m.ms(6000, 15000))
 			}
 		}},
-		{"a cancellation, a question or a submission meets the end of a job", 1, small, func(m *meet) {
-			m.odds.cancelAtEnd, m.odds.closeLooks = 0.7, true
+		{"a cancellation, a question or a submission meets the end of a job", 1, small, func(m *faultScenario) {
+			m.rates.cancelAtEnd, m.rates.closeQueries = 0.7, true
 			for range 12 {
 				m.jobs(2, 2*time.Second, 8*time.Second)
 				m.runFor(m.ms(2000, 6000))
 			}
 		}},
-		{"users ask at all nodes within milliseconds of each news", 1, small, func(m *meet) {
-			m.odds.closeLooks, m.odds.lostAnswers, m.odds.slowState = true, 0.05, 60*time.Millisecond
+		{"users ask at all nodes within milliseconds of each news", 1, small, func(m *faultScenario) {
+			m.rates.closeQueries, m.rates.lostAnswers, m.rates.slowState = true, 0.05, 60*time.Millisecond
 			for range 15 {
 				m.jobs(2, 2*time.Second, 8*time.Second)
-				m.callOff(0.15)
+				m.cancelSome(0.15)
 				m.runFor(m.ms(1000, 5000))
-				m.odd()
+				m.oddRequest()
 			}
 		}},
-		{"a command or its answer is held up for seconds, and the machine goes on", 1, small, func(m *meet) {
-			m.odds.heldCommand = 0.3
+		{"a command or its answer is held up for seconds, and the machine goes on", 1, small, func(m *faultScenario) {
+			m.rates.delayedCommands = 0.3
 			for range 8 {
 				m.jobs(2, 10*time.Second, 60*time.Second)
 				m.job(func(s *wire.Submission) { s.Shape, s.Priority = wire.ShapeGang, "critical" }, m.ms(5000, 60000))
 				m.runFor(m.ms(3000, 9000))
-				m.callOff(0.25)
+				m.cancelSome(0.25)
 				if m.rng.IntN(4) == 0 {
 					m.leader().crash(m.ms(100, 3000))
 				}
 			}
 		}},
-		{"jobs are cancelled while one controller's work changes hands", 1, small, func(m *meet) {
+		{"jobs are cancelled while one controller's work changes hands", 1, small, func(m *faultScenario) {
 			for range 5 {
 				m.jobs(4, 20*time.Second, 80*time.Second)
 				m.runFor(m.ms(8000, 14000))
 				m.leader().crash(m.ms(100, 6000))
 				for range 8 {
-					m.callOff(0.12)
+					m.cancelSome(0.12)
 					m.runFor(m.ms(200, 900))
 				}
 			}
 		}},
-		{"a leader ends while machines with long tasks are not reached, or do not hear the next", 1, small, func(m *meet) {
+		{"a leader ends while machines with long tasks are not reached, or do not hear the next", 1, small, func(m *faultScenario) {
 			for i := range 4 {
 				m.jobs(4, 40*time.Second, 120*time.Second)
 				m.runFor(m.ms(10000, 15000))
-				m.hit(0.5, m.ms(5000, 40000), []func(*workerHost, bool){cut, deaf, mute}[i%3])
+				m.hit(0.5, m.ms(5000, 40000), []machineFlag{partition, cutInbound, cutOutbound}[i%3])
 				m.leader().crash(m.ms(100, 5000))
 				m.runFor(m.ms(100, 8000))
-				m.callOff(0.4)
+				m.cancelSome(0.4)
 				m.runFor(m.ms(10000, 30000))
 			}
 		}},
-		{"an old report reaches every controller as a new leader begins, or has acted", 1, small, func(m *meet) {
-			m.odds.nextReports = 0.3
+		{"an old report reaches every controller as a new leader begins, or has acted", 1, small, func(m *faultScenario) {
+			m.rates.nextReports = 0.3
 			for range 6 {
 				m.jobs(3, 15*time.Second, 60*time.Second)
 				m.runFor(m.ms(5000, 12000))
-				m.callOff(0.2)
-				m.hit(0.4, m.ms(2000, 12000), cut)
+				m.cancelSome(0.2)
+				m.hit(0.4, m.ms(2000, 12000), partition)
 				m.leader().crash(m.ms(100, 3000))
 				m.runFor(m.ms(5000, 12000))
 			}
 		}},
-		{"transactions are carried out late, after newer ones", 1, small, func(m *meet) {
-			m.odds.lateWrites = 0.2
+		{"transactions are carried out late, after newer ones", 1, small, func(m *faultScenario) {
+			m.rates.lateWrites = 0.2
 			for range 12 {
 				m.jobs(2, 3*time.Second, 20*time.Second)
-				m.callOff(0.15)
+				m.cancelSome(0.15)
 				m.runFor(m.ms(3000, 8000))
 				if m.rng.IntN(4) == 0 {
 					m.leader().crash(m.ms(100, 3000))
 				}
 			}
 		}},
-		{"transactions are carried out, their answers lost, while others read what they wrote", 1, small, func(m *meet) {
-			m.odds.lostAnswers, m.odds.closeLooks = 0.3, true
+		{"transactions are carried out, their answers lost, while others read what they wrote", 1, small, func(m *faultScenario) {
+			m.rates.lostAnswers, m.rates.closeQueries = 0.3, true
 			for range 12 {
 				m.jobs(2, 3*time.Second, 20*time.Second)
-				m.callOff(0.15)
+				m.cancelSome(0.15)
 				m.runFor(m.ms(3000, 8000))
 				if m.rng.IntN(4) == 0 {
 					m.leader().crash(m.ms(100, 3000))
 				}
 			}
 		}},
-		{"more work than room, urgent and not, over slow links", 1, tight, func(m *meet) {
-			m.odds.slowLinks = 1500 * time.Millisecond
+		{"more work than room, urgent and not, over slow links", 1, tight, func(m *faultScenario) {
+			m.rates.slowLinks = 1500 * time.Millisecond
 			for range 10 {
 				m.jobs(4, 5*time.Second, 30*time.Second)
 				m.runFor(m.ms(3000, 8000))
-				m.callOff(0.1)
+				m.cancelSome(0.1)
 			}
-			m.odds.slowLinks = 0
+			m.rates.slowLinks = 0
 		}},
-		{"one-task jobs come four a second, a quarter of them cancelled", 1, small, func(m *meet) {
+		{"one-task jobs come four a second, a quarter of them cancelled", 1, small, func(m *faultScenario) {
 			for range 240 {
 				j := m.job(func(s *wire.Submission) { s.Shape, s.Tasks, s.Gpus, s.Vcpus = wire.ShapeBatch, 1, 0, 1 }, m.ms(1000, 5000))
 				if m.rng.IntN(4) == 0 {
-					m.clk.in(m.ms(0, 4000), func() { m.cancel(j) })
+					m.clk.In(m.ms(0, 4000), func() { m.cancel(j) })
 				}
 				m.runFor(250 * time.Millisecond)
 			}
 		}},
-		{"the state service is slow, or refuses the leader and then all, while users cancel and ask", 1, small, func(m *meet) {
-			m.odds.closeLooks = true
+		{"the state service is slow, or refuses the leader and then all, while users cancel and ask", 1, small, func(m *faultScenario) {
+			m.rates.closeQueries = true
 			for i := range 3 {
-				m.odds.slowState = 1200 * time.Millisecond
+				m.rates.slowState = 1200 * time.Millisecond
 				m.jobs(4, 30*time.Second, 100*time.Second)
 				m.runFor(m.ms(15000, 20000))
-				m.odds.slowState = 0
-				m.refuse(m.leader(), m.ms(3000, 20000))
-				m.callOff(0.4)
+				m.rates.slowState = 0
+				m.refuseState(m.leader(), m.ms(3000, 20000))
+				m.cancelSome(0.4)
 				m.runFor(m.ms(500, 4000))
 				if i%2 == 0 {
-					m.down(m.ms(36000, 50000))
+					m.stateOutage(m.ms(36000, 50000))
 				}
-				m.callOff(0.4)
+				m.cancelSome(0.4)
 				m.runFor(m.ms(20000, 55000))
 			}
 		}},
-		{"old reports come after newer ones, also of an earlier session or attempt", 1, small, func(m *meet) {
-			m.odds.lateReports = 0.3
+		{"old reports come after newer ones, also of an earlier session or attempt", 1, small, func(m *faultScenario) {
+			m.rates.lateReports = 0.3
 			for range 8 {
 				m.jobs(3, 3*time.Second, 30*time.Second)
-				m.hit(0.2, m.ms(500, 15000), cut)
-				m.callOff(0.1)
+				m.hit(0.2, m.ms(500, 15000), partition)
+				m.cancelSome(0.1)
 				m.runFor(m.ms(4000, 10000))
 			}
 		}},
-		{"a leader left with its workers and users, jobs cancelled through the new one", 1, small, func(m *meet) {
+		{"a leader left with its workers and users, jobs cancelled through the new one", 1, small, func(m *faultScenario) {
 			for range 3 {
 				m.jobs(4, 40*time.Second, 120*time.Second)
 				m.runFor(m.ms(12000, 18000))
-				m.alone(m.leader(), m.ms(10000, 50000))
+				m.leaveWithWorkers(m.leader(), m.ms(10000, 50000))
 				for range 5 {
 					m.runFor(m.ms(1000, 5000))
-					m.callOff(0.2)
+					m.cancelSome(0.2)
 				}
 				m.runFor(m.ms(10000, 30000))
 			}
 		}},
-		{"a team at its limit, the leader changes, machines cannot be asked, a cancellation in that spell", 1, tight, func(m *meet) {
+		{"a team at its limit, the leader changes, machines cannot be asked, a cancellation in that spell", 1, tight, func(m *faultScenario) {
 			for i := range 5 {
 				m.jobs(5, 30*time.Second, 90*time.Second)
 				m.runFor(m.ms(8000, 15000))
-				m.hit(0.4, m.ms(3000, 45000), []func(*workerHost, bool){cut, hang, deaf}[i%3])
+				m.hit(0.4, m.ms(3000, 45000), []machineFlag{partition, hang, cutInbound}[i%3])
 				m.leader().crash(m.ms(100, 3000))
 				m.runFor(m.ms(500, 6000))
-				m.callOff(0.4)
+				m.cancelSome(0.4)
 				m.jobs(2, 5*time.Second, 30*time.Second)
 				m.runFor(m.ms(5000, 20000))
 			}
 		}},
-		{"everything is back within a fraction of a second, also in mid-election", 1, small, func(m *meet) {
+		{"everything is back within a fraction of a second, also in mid-election", 1, small, func(m *faultScenario) {
 			for range 12 {
 				m.jobs(1, 5*time.Second, 40*time.Second)
 				m.leader().crash(m.ms(20, 300))
 				m.runFor(m.ms(20, 900))
 				m.nodes[m.rng.IntN(3)].crash(m.ms(20, 300))
-				m.callOff(0.1)
+				m.cancelSome(0.1)
 				m.runFor(m.ms(200, 9000))
 			}
 		}},
@@ -424,17 +398,17 @@
 				if seed%2 == 1 {
 					report, lease = 4, 18
 				}
-				w := newWorld(t, uint64(100+seed), facts(zones, c.teams, report, lease), 1, machineTypes)
+				sim := newSimulation(t, uint64(100+seed), facts(zones, c.teams, report, lease), 1, machineTypes)
 				for _, z := range zones {
-					w.cloud.room[roomKey(machineTypes[0].Name, z, true)] = 5
-					w.cloud.room[roomKey(machineTypes[0].Name, z, false)] = 8
+					sim.cloud.Room[standin.RoomKey(machineTypes[0].Name, z, true)] = 5
+					sim.cloud.Room[standin.RoomKey(machineTypes[0].Name, z, false)] = 8
 				}
-				m := &meet{world: w, zones: zones, machineTypes: machineTypes}
+				m := &faultScenario{simulation: sim, zones: zones, machineTypes: machineTypes}
 				c.play(m)
-				m.apart = ""
-				w.ends()
-				if len(w.broken) > 0 {
-					t.Fatalf("seed %d: %s", seed, w.broken[0])
+				m.zoneCut = ""
+				sim.finish()
+				if len(sim.broken()) > 0 {
+					t.Fatalf("seed %d: %s", seed, sim.broken()[0])
 				}
 			})
 		}
--- /dev/null
+++ b/internal/node/simulation_env_test.go
@@ -0,0 +1,323 @@
+package node
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"juniperchute/internal/fleet"
+	"juniperchute/internal/peer/peerpb"
+	"juniperchute/internal/standin"
+	"juniperchute/internal/store"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// effect names a sort of effect just before which a process may freeze.
+type effect string
+
+const (
+	anyEffect      effect = ""
+	stateEffect    effect = "state"
+	cloudEffect    effect = "cloud"
+	returnEffect   effect = "return"
+	commandEffect  effect = "command"
+	questionEffect effect = "question"
+)
+
+// addressPrefix stands before a machine's name in its address.
+const addressPrefix = "addr-"
+
+// simulatedEnv carries out the effects of one process.
+type simulatedEnv struct {
+	node       *simulatedNode
+	generation int
+}
+
+func (e *simulatedEnv) live() bool { return e.node.alive && e.node.generation == e.generation }
+
+// frozen tells whether the process stands still just before an effect; again carries it
+// out afterwards.
+func (e *simulatedEnv) frozen(at effect, again func()) bool {
+	n := e.node
+	now := n.sim.clk.Now()
+	if n.freezeFor > 0 && (n.freezeAt == anyEffect || n.freezeAt == at) {
+		n.frozenUntil, n.freezeFor = now.Add(n.freezeFor), 0
+	}
+	if !now.Before(n.frozenUntil) {
+		return false
+	}
+	n.whenRunning(again)
+	return true
+}
+
+// checkEntitled checks that whatever changes a machine's tasks is done with the lease.
+func (e *simulatedEnv) checkEntitled(what string) {
+	if l := e.node.core.leader; !l.Entitled(e.node.sim.clk.Now()) {
+		e.node.sim.fail("%s: %s past its lease's end at %v", e.node.name, what, l.Deadline().Sub(standin.Epoch))
+	}
+}
+
+// State is part of Env.
+func (e *simulatedEnv) State(c store.Call, then func(now time.Time, r store.Result)) {
+	if e.frozen(stateEffect, func() { e.State(c, then) }) {
+		return
+	}
+	sim := e.node.sim
+	e.checkStored(c)
+	sent := sim.clk.Now()
+	over := false
+	finish := func(r store.Result) {
+		if over || !e.live() {
+			return
+		}
+		over = true
+		r.Sent = sent
+		e.node.whenRunning(func() { then(sim.clk.Now(), r) })
+	}
+	sim.clk.In(c.Limit(), func() { finish(store.Result{}) })
+	arrive := func() { e.stateArrives(c, finish) }
+	if sim.rates.slowState > 0 {
+		sooner, lag := arrive, time.Duration(sim.rng.Int64N(int64(sim.rates.slowState)))
+		arrive = func() { sim.clk.In(lag, sooner) }
+	}
+	e.sendState(c, arrive)
+}
+
+// checkStored checks that what the new version writes fits the limits to come from the
+// start, whenever they come; an old process's late transaction may not.
+func (e *simulatedEnv) checkStored(c store.Call) {
+	sim := e.node.sim
+	if !sim.startsOld || !e.node.upgraded {
+		return
+	}
+	limits := e.node.core.cfg.Facts.State.Stored()
+	for _, x := range c.Multi.Writes {
+		if len(x.Value) > int(limits.ValueKB*1024) || len(c.Multi.Writes) > limits.TxnOps {
+			sim.fail("%s writes %s with %d bytes, %d changes at once", e.node.name, x.Write, len(x.Value), len(c.Multi.Writes))
+		}
+	}
+}
+
+// stateArrives executes a call that has reached the state service.
+func (e *simulatedEnv) stateArrives(c store.Call, finish func(store.Result)) {
+	sim, n := e.node.sim, e.node
+	if n.stateRefused && (c.Op != store.OpChanges || c.WaitMs == 0) {
+		sim.clk.In(sim.lag(), func() { finish(store.Result{Status: 503}) })
+		return
+	}
+	if c.Op == store.OpChanges && n.silentWatches != "" && c.Under == n.silentWatches {
+		return
+	}
+	sim.state.Call(c, func(r store.Result) {
+		// a refused node's watches wait as in an outage, those opened before too
+		if n.noState() || n.stateRefused && c.Op == store.OpChanges {
+			return
+		}
+		lag := sim.lag()
+		if sim.rates.slowState > 0 {
+			lag += time.Duration(sim.rng.Int64N(int64(sim.rates.slowState)))
+		}
+		sim.clk.In(lag, func() {
+			if !n.stateCut {
+				finish(r)
+			}
+		})
+	})
+}
+
+// sendState lets a call arrive, with whatever faults happen to it on its way.
+func (e *simulatedEnv) sendState(c store.Call, arrive func()) {
+	sim, n := e.node.sim, e.node
+	roll := sim.rng.IntN(1000)
+	fault := sim.rng.Float64()
+	multi := c.Op == store.OpMulti && len(c.Multi.Writes) > 0
+	execute := func() { sim.state.Call(c, func(store.Result) {}) } // its answer is lost
+	upTo := func(most time.Duration) time.Duration { return time.Duration(sim.rng.Int64N(int64(most))) }
+	switch {
+	case multi && fault < sim.rates.lateWrites:
+		sim.clk.In(2*time.Second+upTo(10*time.Second), execute)
+	case multi && fault < sim.rates.lateWrites+sim.rates.lostAnswers && !n.stateCut && !n.stateRefused:
+		sim.clk.In(sim.lag(), execute)
+	case n.noState():
+		if sim.rng.IntN(2) == 0 {
+			n.heldCalls = append(n.heldCalls, arrive) // comes late, even from a process that has ended
+		}
+	case sim.chaos && roll < 4 && c.Op == store.OpMulti:
+		sim.clk.In(upTo(30*time.Second), arrive)
+	case sim.chaos && roll < 8:
+		sim.clk.In(sim.lag(), execute)
+	case sim.chaos && roll < 16 && c.Op == store.OpMulti: // carried out, and repeated late
+		sim.clk.In(sim.lag(), arrive)
+		sim.clk.In(upTo(30*time.Second), execute)
+	default:
+		sim.clk.In(sim.lag(), arrive)
+	}
+}
+
+// Cloud is part of Env.
+func (e *simulatedEnv) Cloud(c fleet.Call, then func(now time.Time, r fleet.Result)) {
+	at := cloudEffect
+	if c.Op == fleet.OpDelete {
+		at = returnEffect
+	}
+	if e.frozen(at, func() { e.Cloud(c, then) }) {
+		return
+	}
+	sim := e.node.sim
+	over := false
+	finish := func(r fleet.Result) {
+		if !over && e.live() {
+			over = true
+			e.node.whenRunning(func() { then(sim.clk.Now(), r) })
+		}
+	}
+	if !sim.clk.Now().Before(c.By) {
+		sim.clk.In(0, func() { finish(fleet.Result{}) })
+		return
+	}
+	if c.Op == fleet.OpDelete {
+		e.checkEntitled("machines returned")
+	}
+	sim.clk.In(tuning.CloudTimeout, func() { finish(fleet.Result{}) })
+	arrive := func() {
+		r := sim.cloud.Call(c)
+		sim.clk.In(sim.lag(), func() { finish(r) })
+	}
+	roll := sim.rng.IntN(100)
+	if e.node.cloudCut || sim.chaos && roll < 2 { // lost, or executed late
+		if sim.rng.IntN(2) == 0 {
+			sim.clk.In(time.Duration(5+sim.rng.IntN(60))*time.Second, arrive)
+		}
+		return
+	}
+	sim.clk.In(100*time.Millisecond, arrive)
+	if sim.chaos && roll < 6 { // carried out, and repeated late
+		sim.clk.In(time.Duration(1+sim.rng.IntN(60))*time.Second, func() { sim.cloud.Call(c) })
+	}
+}
+
+// Do is part of Env.
+func (e *simulatedEnv) Do(addr string, d wire.Do, by time.Time, then func(now time.Time, status int, rep *wire.Report)) {
+	at := questionEffect
+	if len(d.Commands) > 0 {
+		at = commandEffect
+	}
+	if e.frozen(at, func() { e.Do(addr, d, by, then) }) {
+		return
+	}
+	sim := e.node.sim
+	over := false
+	finish := func(status int, rep *wire.Report) {
+		if !over && e.live() {
+			over = true
+			e.node.whenRunning(func() { then(sim.clk.Now(), status, rep) })
+		}
+	}
+	if !sim.clk.Now().Before(by) {
+		sim.clk.In(0, func() { finish(NotSent, nil) })
+		return
+	}
+	if len(d.Commands) > 0 {
+		e.checkEntitled("a command")
+	}
+	sim.clk.In(tuning.DoTimeout, func() { finish(0, nil) })
+	m := sim.machines[strings.TrimPrefix(addr, addressPrefix)]
+	if m == nil || m.inboundCut {
+		return
+	}
+	there, back := sim.commandDelays()
+	sim.checkCommands(e.node, d.Commands)
+	sim.deliver(m, e.node, func() { e.commandArrives(m, d, there, back, finish) })
+}
+
+// commandDelays are how long a direct command and its answer are held up.
+func (sim *simulation) commandDelays() (there, back time.Duration) {
+	if sim.rng.Float64() >= sim.rates.delayedCommands {
+		return 0, 0
+	}
+	there, back = time.Duration(sim.rng.IntN(20000))*time.Millisecond, time.Duration(sim.rng.IntN(5000))*time.Millisecond
+	if sim.rng.IntN(4) == 0 {
+		there *= 4 // longer than a cancelled job's tasks have
+	}
+	if sim.rates.commandDelay > 0 {
+		there = sim.rates.commandDelay
+	}
+	return there, back
+}
+
+// commandArrives executes a direct command that has reached its machine.
+func (e *simulatedEnv) commandArrives(m *machine, d wire.Do, there, back time.Duration, finish func(int, *wire.Report)) {
+	sim := e.node.sim
+	if m.Dead {
+		return
+	}
+	if there > 0 {
+		sim.clk.In(there, func() {
+			if !m.Dead {
+				status, rep := m.Command(d)
+				sim.clk.In(back, func() { finish(status, rep) })
+			}
+		})
+		return
+	}
+	status, rep := m.Command(d)
+	sim.deliver(m, e.node, func() { finish(status, rep) })
+	if sim.chaos && sim.rng.IntN(20) == 0 { // a repeat of a command that was carried out
+		sim.clk.In(time.Duration(200+sim.rng.IntN(60000))*time.Millisecond, func() {
+			if !m.Dead && !m.Hung {
+				m.Command(d)
+			}
+		})
+	}
+}
+
+var errUnreachable = errors.New("peer cannot be reached")
+
+// callPeer carries a call to another controller, or its failure.
+func callPeer[T any](e *simulatedEnv, member string, call func(o *simulatedNode) *T, then func(now time.Time, r *T, err error)) {
+	sim := e.node.sim
+	finish := func(r *T, err error) {
+		if e.live() {
+			e.node.whenRunning(func() { then(sim.clk.Now(), r, err) })
+		}
+	}
+	fail := func() { finish(nil, errUnreachable) }
+	i := slices.IndexFunc(sim.nodes, func(o *simulatedNode) bool { return o.name == member })
+	sim.clk.In(sim.lag(), func() {
+		if i < 0 {
+			sim.clk.In(tuning.ProgressTimeout, fail)
+			return
+		}
+		o := sim.nodes[i]
+		if e.node.peersCut || o.peersCut || !o.alive || sim.outsideZone(e.node.zone, o.zone) || sim.clk.Now().Before(o.frozenUntil) {
+			sim.clk.In(tuning.ProgressTimeout, fail)
+			return
+		}
+		finish(call(o), nil)
+	})
+}
+
+// Pulse is part of Env.
+func (e *simulatedEnv) Pulse(member string, m *peerpb.PulseMessage, then func(now time.Time, r *peerpb.PulseMessage, err error)) {
+	callPeer(e, member, func(o *simulatedNode) *peerpb.PulseMessage { return o.core.Pulse(e.node.sim.clk.Now(), m) }, then)
+}
+
+// Progress is part of Env.
+func (e *simulatedEnv) Progress(member string, m *peerpb.ProgressRequest, then func(now time.Time, r *peerpb.ProgressReply, err error)) {
+	callPeer(e, member, func(o *simulatedNode) *peerpb.ProgressReply { return o.core.Progress(m) }, then)
+}
+
+// Probe is part of Env.
+func (e *simulatedEnv) Probe(member string, m *peerpb.ProbeRequest, then func(now time.Time, r *peerpb.ProbeReply, err error)) {
+	callPeer(e, member, func(o *simulatedNode) *peerpb.ProbeReply {
+		r := &peerpb.ProbeReply{}
+		for _, a := range m.Addresses {
+			if h := e.node.sim.machines[strings.TrimPrefix(a, addressPrefix)]; h != nil && !h.partitioned && !h.Hung && !o.workersCut {
+				r.Answered++
+			}
+		}
+		return r
+	}, then)
+}
--- /dev/null
+++ b/internal/node/simulation_faults_test.go
@@ -0,0 +1,129 @@
+package node
+
+import "time"
+
+// randomFault makes one random fault, which passes by itself.
+func (sim *simulation) randomFault() {
+	n := sim.nodes[sim.rng.IntN(len(sim.nodes))]
+	span := time.Duration(1+sim.rng.IntN(25)) * time.Second
+	back := time.Duration(100+sim.rng.IntN(5000)) * time.Millisecond
+	if sim.rng.IntN(3) == 0 { // over within a fraction of a second
+		span, back = time.Duration(20+sim.rng.IntN(400))*time.Millisecond, time.Duration(10+sim.rng.IntN(300))*time.Millisecond
+	}
+	switch kind := sim.rng.IntN(21); {
+	case kind < 10:
+		sim.nodeFault(kind, n, span, back)
+	case kind < 18:
+		sim.machineFault(kind, span)
+	case kind == 18:
+		sim.leaveWithWorkers(n, 2*span)
+	default:
+		n.freezeFor = time.Duration(200+sim.rng.IntN(30000)) * time.Millisecond
+		n.freezeAt = []effect{anyEffect, stateEffect, commandEffect, returnEffect}[sim.rng.IntN(4)]
+	}
+}
+
+// nodeFault is one of the faults of controllers and of the services they use.
+func (sim *simulation) nodeFault(kind int, n *simulatedNode, span, back time.Duration) {
+	switch kind {
+	case 0, 1:
+		n.crash(back)
+	case 2:
+		for _, o := range sim.nodes {
+			o.crash(back + time.Duration(sim.rng.IntN(2000))*time.Millisecond)
+		}
+	case 3:
+		n.stateCut = true
+		sim.clk.In(span, n.restoreState)
+	case 4:
+		sim.refuseState(n, span)
+	case 5:
+		n.workersCut = true
+		sim.clk.In(span, func() {
+			n.workersCut = false
+			sim.releaseAll()
+		})
+	case 6:
+		n.peersCut = true
+		sim.clk.In(span, func() { n.peersCut = false })
+	case 7:
+		sim.stateOutage(span)
+	case 8:
+		sim.cloud.Down = true
+		sim.clk.In(span, func() { sim.cloud.Down = false })
+	case 9:
+		n.cloudCut = true
+		sim.clk.In(span, func() { n.cloudCut = false })
+	}
+}
+
+// machineFault is one of the faults of machines.
+func (sim *simulation) machineFault(kind int, span time.Duration) {
+	const notice = 8 * time.Second
+	switch kind {
+	case 10, 11:
+		sim.affect(sim.someMachines(), span, partition)
+	case 12, 13:
+		sim.affect(sim.someMachines(), span, hang)
+	case 14:
+		h := sim.someMachine()
+		if h == nil || !h.Host.Spot {
+			return
+		}
+		if sim.rng.IntN(2) == 0 {
+			h.Recall = sim.clk.Now().Add(notice)
+			h.NoteChange()
+		}
+		sim.clk.In(notice, func() { sim.cloud.Remove(h.Host.ID) })
+	case 15:
+		for _, h := range sim.someMachines() {
+			sim.cloud.Remove(h.Host.ID)
+		}
+	case 16, 17:
+		sim.affect(sim.someMachines(), 2*span, cutInbound)
+	}
+}
+
+// machineFlag begins or ends a fault of a machine.
+type machineFlag func(m *machine, on bool)
+
+func hang(m *machine, on bool)        { m.Hung = on }
+func partition(m *machine, on bool)   { m.partitioned = on }
+func cutInbound(m *machine, on bool)  { m.inboundCut = on }
+func cutOutbound(m *machine, on bool) { m.outboundCut = on }
+
+// affect does something to machines for a time.
+func (sim *simulation) affect(machines []*machine, d time.Duration, set machineFlag) {
+	for _, m := range machines {
+		set(m, true)
+		sim.clk.In(d, func() { set(m, false); sim.release(m) })
+	}
+}
+
+// releaseAll lets the held messages of all machines go.
+func (sim *simulation) releaseAll() {
+	for _, name := range sim.hosts() {
+		sim.release(sim.machines[name])
+	}
+}
+
+// stateOutage takes the state service away from all for a time.
+func (sim *simulation) stateOutage(d time.Duration) {
+	sim.state.SetDown(true)
+	sim.clk.In(d, func() { sim.state.SetDown(false) })
+}
+
+// refuseState has the state service refuse one node for a time.
+func (sim *simulation) refuseState(n *simulatedNode, d time.Duration) {
+	n.stateRefused = true
+	sim.clk.In(d, func() { n.stateRefused = false })
+}
+
+// leaveWithWorkers leaves a node with its workers and users for a time.
+func (sim *simulation) leaveWithWorkers(n *simulatedNode, d time.Duration) {
+	n.stateCut, n.peersCut = true, true
+	sim.clk.In(d, func() {
+		n.peersCut = false
+		n.restoreState()
+	})
+}
--- /dev/null
+++ b/internal/node/simulation_network_test.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"juniperchute/internal/standin"
+	"juniperchute/internal/wire"
+)
+
+// Nodes is part of standin.Network.
+func (sim *simulation) Nodes() int { return len(sim.nodes) }
+
+// NodeIndex is part of standin.Network.
+func (sim *simulation) NodeIndex(name string) int {
+	return slices.IndexFunc(sim.nodes, func(n *simulatedNode) bool { return n.name == name })
+}
+
+// deliver carries a message between a machine and a node, either way. A cut holds it
+// back or loses it.
+func (sim *simulation) deliver(m *machine, n *simulatedNode, f func()) {
+	cut := m.partitioned || n.workersCut || m.onlyNode != nil && m.onlyNode != n || sim.outsideZone(m.Host.Zone, n.zone)
+	if cut || m.Hung {
+		if sim.rng.IntN(2) == 0 {
+			m.held = append(m.held, f)
+		}
+		return
+	}
+	lag := sim.lag()
+	if sim.rates.slowLinks > 0 {
+		lag += time.Duration(sim.rng.Int64N(int64(sim.rates.slowLinks)))
+	}
+	sim.clk.In(lag, func() {
+		if m.Hung {
+			m.held = append(m.held, f)
+			return
+		}
+		f()
+	})
+}
+
+// release lets held messages go.
+func (sim *simulation) release(m *machine) {
+	held := m.held
+	m.held = nil
+	for _, f := range held {
+		sim.clk.In(sim.lag(), f)
+	}
+}
+
+// Send is part of standin.Network.
+func (sim *simulation) Send(w *standin.Worker, node int, report *wire.Report, answer standin.AnswerFunc) {
+	m, n := sim.machines[w.Host.ID], sim.nodes[node]
+	if m.outboundCut {
+		answer(0, wire.Commands{}, "") // no connection can be made
+		return
+	}
+	reply := func(status int, body any) {
+		commands, _ := body.(wire.Commands)
+		redirect, _ := body.(wire.Redirect)
+		sim.checkCommands(n, commands.Commands)
+		if !m.inboundCut {
+			sim.deliver(m, n, func() { answer(status, commands, redirect.ReportsTo) })
+		}
+	}
+	sim.deliver(m, n, func() {
+		if !n.alive {
+			if !m.inboundCut {
+				answer(0, wire.Commands{}, "")
+			}
+			return
+		}
+		n.whenRunning(func() { n.core.Report(sim.clk.Now(), report, reply) })
+	})
+	sim.copyReports(report)
+}
+
+// copyReports makes copies of a report, for late and for the next leader.
+func (sim *simulation) copyReports(report *wire.Report) {
+	const mostHeld = 100
+	if sim.chaos && sim.rng.IntN(50) == 0 || sim.rng.Float64() < sim.rates.lateReports {
+		sim.deliverLate(report)
+	}
+	if sim.rng.Float64() < sim.rates.nextReports && len(sim.heldReports) < mostHeld {
+		sim.heldReports = append(sim.heldReports, copyOf(report))
+	}
+}
+
+func copyOf(report *wire.Report) *wire.Report {
+	copied := *report
+	copied.Tasks = slices.Clone(report.Tasks)
+	return &copied
+}
+
+// deliverLate delivers a copy of a report to some node, seconds to well over a lease
+// later, wherever the machine is by then.
+func (sim *simulation) deliverLate(report *wire.Report) {
+	n, copied := sim.nodes[sim.rng.IntN(len(sim.nodes))], copyOf(report)
+	sim.clk.In(time.Duration(500+sim.rng.IntN(40000))*time.Millisecond, func() { sim.deliverCopy(n, copied) })
+}
+
+// deliverCopy delivers a report whose answer nobody gets.
+func (sim *simulation) deliverCopy(n *simulatedNode, report *wire.Report) {
+	if n.alive {
+		n.whenRunning(func() { n.core.Report(sim.clk.Now(), report, func(int, any) {}) })
+	}
+}
+
+// releaseToNextLeader lets the copies of old reports that were kept for the next leader
+// arrive everywhere as soon as there is one.
+func (sim *simulation) releaseToNextLeader() {
+	for _, n := range sim.nodes {
+		if !n.alive {
+			continue
+		}
+		for _, t := range n.core.tenures {
+			if t.Token <= sim.highestToken {
+				continue
+			}
+			sim.highestToken = t.Token
+			held := sim.heldReports
+			sim.heldReports = nil
+			for _, report := range held {
+				for _, o := range sim.nodes {
+					sim.clk.In(time.Duration(sim.rng.IntN(300))*time.Millisecond, func() { sim.deliverCopy(o, report) })
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/simulation_users_test.go
@@ -0,0 +1,230 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"juniperchute/internal/standin"
+	"juniperchute/internal/submission"
+	"juniperchute/internal/wire"
+)
+
+// request is what a user asks of a node.
+type request func(n *simulatedNode, reply func(submission.Response))
+
+func (sim *simulation) query(id string) request {
+	return func(n *simulatedNode, reply func(submission.Response)) {
+		n.core.Users().Query(sim.clk.Now(), id, reply)
+	}
+}
+
+func (sim *simulation) submission(spec wire.Submission) request {
+	return func(n *simulatedNode, reply func(submission.Response)) {
+		n.core.Users().Submit(sim.clk.Now(), spec, reply)
+	}
+}
+
+func (sim *simulation) cancellation(id string) request {
+	return func(n *simulatedNode, reply func(submission.Response)) {
+		n.core.Users().Cancel(sim.clk.Now(), id, reply)
+	}
+}
+
+// ask sends a user's request to some node; no answer comes from a dead one.
+func (sim *simulation) ask(r request, then func(submission.Response)) {
+	sim.askAt(sim.nodes[sim.rng.IntN(len(sim.nodes))], r, then)
+}
+
+func (sim *simulation) askAt(n *simulatedNode, r request, then func(submission.Response)) {
+	sim.clk.In(sim.lag(), func() {
+		if !n.alive {
+			return
+		}
+		generation := n.generation
+		n.whenRunning(func() {
+			r(n, func(answer submission.Response) {
+				if n.alive && n.generation == generation {
+					sim.clk.In(sim.lag(), func() { then(answer) })
+				}
+			})
+		})
+	})
+}
+
+// stageOf is the job's state in an answer, "" if there is none.
+func stageOf(r submission.Response) string {
+	switch b := r.Body.(type) {
+	case wire.JobState:
+		return b.Stage
+	case wire.Accepted:
+		return b.Stage
+	}
+	return ""
+}
+
+// tell records that a user was told a job's state.
+func (sim *simulation) tell(j *standin.Job, stage, before string) {
+	if sim.cluster.Tell(j, stage, before) && sim.rates.closeQueries {
+		sim.queryClosely(j)
+	}
+}
+
+// answered takes in an answer about a job whose user had been told a state before the
+// request.
+func (sim *simulation) answered(j *standin.Job, before string, r submission.Response) {
+	if r.Status == 200 {
+		sim.tell(j, stageOf(r), before)
+		return
+	}
+	sim.cluster.Refused(j, before, r.Status)
+}
+
+// add makes a user submit a job and ask about it until the end of the test.
+func (sim *simulation) add(spec wire.Submission, run time.Duration) *standin.Job {
+	j := standin.NewJob(spec, run)
+	sim.cluster.AddJob(j)
+	sim.submit(j)
+	sim.clk.In(time.Second, func() { sim.poll(j) })
+	return j
+}
+
+func (sim *simulation) submit(j *standin.Job) {
+	if j.Accepted {
+		return
+	}
+	sim.ask(sim.submission(j.Spec), func(r submission.Response) {
+		switch r.Status {
+		case 200, 201:
+			sim.tell(j, stageOf(r), "")
+		case 400, 422:
+			sim.cluster.Break(standin.Forgotten, "%s answered %d %v", j.Spec.ID, r.Status, r.Body)
+		}
+	})
+	if sim.rates.closeQueries { // questions that are on their way already when it is accepted
+		sim.queryClosely(j)
+	}
+	sim.clk.In(time.Duration(1000+sim.rng.IntN(2000))*time.Millisecond, func() { sim.submit(j) })
+}
+
+func (sim *simulation) poll(j *standin.Job) {
+	before, accepted := j.Told, j.Accepted
+	sim.ask(sim.query(j.Spec.ID), func(r submission.Response) {
+		switch {
+		case r.Status == 404 && accepted:
+			sim.cluster.Break(standin.Forgotten, "%s answered 404", j.Spec.ID)
+		case r.Status == 200:
+			sim.tell(j, stageOf(r), before)
+		}
+	})
+	sim.clk.In(time.Duration(3000+sim.rng.IntN(3000))*time.Millisecond, func() { sim.poll(j) })
+}
+
+func (sim *simulation) cancel(j *standin.Job) {
+	j.CancelAsked = true
+	if j.Ended() {
+		return
+	}
+	before := j.Told
+	sim.ask(sim.cancellation(j.Spec.ID), func(r submission.Response) {
+		if r.Status == 200 {
+			sim.tell(j, stageOf(r), before)
+		}
+	})
+	sim.clk.In(2*time.Second, func() { sim.cancel(j) })
+}
+
+// queryClosely asks all nodes about a job, again and again within milliseconds, repeats
+// its submission, and now and then its cancellation.
+func (sim *simulation) queryClosely(j *standin.Job) {
+	soon := func() time.Duration { return time.Duration(sim.rng.IntN(60000)) * time.Microsecond }
+	for range 3 {
+		for _, n := range sim.nodes {
+			sim.clk.In(soon(), func() {
+				before := j.Told
+				r := sim.query(j.Spec.ID)
+				if sim.rng.IntN(3) == 2 && before != "" {
+					r = sim.submission(j.Spec)
+				}
+				sim.askAt(n, r, func(a submission.Response) { sim.answered(j, before, a) })
+			})
+		}
+	}
+	if j.Accepted && !j.CancelAsked && sim.rng.IntN(4) == 0 {
+		sim.clk.In(soon(), func() { sim.cancel(j) })
+	}
+}
+
+// completed may have a user cancel a job as its last task ends, and ask about it closely.
+func (sim *simulation) completed(j *standin.Job) {
+	if sim.rng.Float64() >= sim.rates.cancelAtEnd {
+		return
+	}
+	soon := func() time.Duration { return time.Duration(sim.rng.IntN(1500)) * time.Millisecond }
+	sim.clk.In(soon(), func() { sim.cancel(j) })
+	for range 4 {
+		sim.clk.In(soon(), func() {
+			before := j.Told
+			sim.ask(sim.query(j.Spec.ID), func(r submission.Response) { sim.answered(j, before, r) })
+			sim.ask(sim.submission(j.Spec), func(r submission.Response) { sim.answered(j, before, r) })
+		})
+	}
+}
+
+// oddRequest makes a request that users should not make, and checks what it gets.
+func (sim *simulation) oddRequest() {
+	sim.oddRequests++
+	expect := func(what string, allowed int) func(submission.Response) {
+		return func(r submission.Response) {
+			if r.Status != 429 && r.Status != 503 && r.Status != allowed {
+				sim.fail("%s answered %d %v", what, r.Status, r.Body)
+			}
+		}
+	}
+	unknown := fmt.Sprintf("job-9%06d", sim.oddRequests)
+	switch sim.rng.IntN(4) {
+	case 0:
+		sim.ask(sim.query(unknown), expect("a question about nothing", 404))
+	case 1:
+		sim.ask(sim.cancellation(unknown), expect("a cancellation of nothing", 404))
+	case 2:
+		sim.ask(sim.submission(sim.impossible(unknown)), expect("a job that can never run", 422))
+	case 3:
+		sim.repeatRequest()
+	}
+}
+
+// impossible is a job that can never run.
+func (sim *simulation) impossible(id string) wire.Submission {
+	s := wire.Submission{ID: id, Team: "red", Class: "sweep", Shape: wire.ShapeGang, Priority: "low", Tasks: 1, Vcpus: 1, Gpus: 1, MemGb: 1, Bundle: "img", AnyType: true}
+	switch sim.rng.IntN(4) {
+	case 0:
+		s.Team = "nobody"
+	case 1:
+		s.MemGb = 1e6
+	case 2:
+		s.AnyType = false
+	case 3:
+		s.Tasks = 5000
+		if sim.cfg.Facts.Teams[0].GPUsMax == 0 {
+			s.Zone = "nowhere"
+		}
+	}
+	return s
+}
+
+// repeatRequest repeats the submission of some job, and cancels it if it is done.
+func (sim *simulation) repeatRequest() {
+	jobs := sim.cluster.Order
+	if len(jobs) == 0 {
+		return
+	}
+	j := jobs[sim.rng.IntN(len(jobs))]
+	if !j.Accepted {
+		return
+	}
+	before := j.Told
+	sim.ask(sim.submission(j.Spec), func(r submission.Response) { sim.answered(j, before, r) })
+	if before == wire.JobDone {
+		sim.ask(sim.cancellation(j.Spec.ID), func(r submission.Response) { sim.answered(j, before, r) })
+	}
+}
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -8,6 +8,7 @@
 
 	"juniperchute/internal/config"
 	"juniperchute/internal/fleet"
+	"juniperchute/internal/standin"
 	"juniperchute/internal/submission"
 	"juniperchute/internal/wire"
 )
@@ -29,11 +30,11 @@
 		machineTypes := []wire.MachineType{{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 50, Zones: []string{"a"}}}
 		cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 4, 18)
 		cfg.Facts.State.ValueKB = 8
-		w := newWorld(nil, 5, cfg, 1, machineTypes)
+		sim := newSimulation(nil, 5, cfg, 1, machineTypes)
 		put := func(key string, value any) {
 			raw, _ := json.Marshal(value)
-			w.state.revision++
-			w.state.keys[key] = wire.Item{Path: key, Value: raw, Version: w.state.revision}
+			sim.state.Revision++
+			sim.state.Keys[key] = wire.Item{Path: key, Value: raw, Version: sim.state.Revision}
 		}
 		var names []string
 		used := map[string]string{}
@@ -42,8 +43,8 @@
 			names = append(names, id)
 			used[id] = "addr-" + id
 			host := wire.Host{ID: id, Address: "addr-" + id, Type: "g8", Zone: "a", Stage: wire.HostRunning}
-			w.cloud.hosts[id] = &cloudHost{born: w.clk.now, Host: host}
-			w.booted(w.cloud.hosts[id])
+			sim.cloud.Hosts[id] = &standin.CloudHost{Born: sim.clk.Now(), Host: host}
+			sim.booted(sim.cloud.Hosts[id])
 			if len(names) == perHire {
 				put(fmt.Sprintf("%sb0-0-%d", fleet.Rentals(0), i), fleet.RentalRec{Type: "g8", Zone: "a", Number: perHire, Hosts: names})
 				names = nil
@@ -53,7 +54,7 @@
 				used = map[string]string{}
 			}
 		}
-		w.cloud.seq = machines
+		sim.cloud.Created = machines
 		for i := range jobs {
 			id := fmt.Sprintf("job-%06d", i)
 			s := wire.Submission{ID: id, Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "low", Tasks: 60,
@@ -61,21 +62,21 @@
 			if i%2 == 0 {
 				s.Shape, s.Priority, s.Tasks, s.Vcpus, s.Gpus, s.MemGb = wire.ShapeGang, "normal", 4, 57, 8, 310
 			}
-			w.jobs[id] = &simJob{spec: s, run: time.Minute, done: make([]bool, s.Tasks)}
-			put(submission.OpenKey(id), submission.OpenRec{Spec: s, At: w.clk.now.UnixMilli()})
+			sim.cluster.AddJob(standin.NewJob(s, time.Minute))
+			put(submission.OpenKey(id), submission.OpenRec{Spec: s, At: sim.clk.Now().UnixMilli()})
 		}
-		start, began := time.Now(), w.clk.now
-		for w.holder() == nil && w.clk.now.Sub(began) < time.Minute {
-			w.clk.step()
+		start, began := time.Now(), sim.clk.Now()
+		for sim.holder() == nil && sim.clk.Now().Sub(began) < time.Minute {
+			sim.clk.Step()
 		}
-		open := w.clk.now.Sub(began)
+		open := sim.clk.Now().Sub(began)
 		b.ReportMetric(open.Seconds(), "simulated-s/open")
 		b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms/open")
-		for w.clk.now.Sub(began) < open+3*time.Second {
-			w.clk.step()
+		for sim.clk.Now().Sub(began) < open+3*time.Second {
+			sim.clk.Step()
 		}
 		b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms/open+3s")
-		if w.holder() == nil {
+		if sim.holder() == nil {
 			b.Fatal("no holder after a minute")
 		}
 	}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,287 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"juniperchute/internal/store"
+	"juniperchute/internal/wire"
+)
+
+// StateLimits are the limits that the state service enforces; 0 means none.
+type StateLimits struct {
+	ValueBytes int     // of one value
+	TxnOps     int     // puts and deletes in one transaction
+	Writes     float64 // puts and deletes a second
+	Requests   float64 // requests a second
+}
+
+// bucket holds one second's worth of a rate.
+type bucket struct {
+	spent float64
+	at    time.Time
+}
+
+// take spends n of a rate, or tells that it is exceeded.
+func (b *bucket) take(now time.Time, rate, n float64) bool {
+	if rate <= 0 {
+		return true
+	}
+	b.spent = max(0, b.spent-now.Sub(b.at).Seconds()*rate)
+	b.at = now
+	if b.spent+n > rate {
+		return false
+	}
+	b.spent += n
+	return true
+}
+
+// StateService is a stand-in for the state service, by the protocol.
+type StateService struct {
+	// Keys are the stored keys, Revision the newest change.
+	Keys     map[string]wire.Item
+	Revision uint64
+	Limits   StateLimits
+	Page     int // keys that a list shows at most
+	Kept     int // changes that are remembered
+	// OnCall is told of each call that has been decided, before its reply; nil: nobody.
+	OnCall func(c store.Call, status int)
+
+	clk         *Clock
+	rng         *rand.Rand
+	leases      map[uint64]*lease
+	log         []wire.Change
+	oldest      uint64 // changes up to here have been forgotten
+	nextLease   uint64
+	watches     []*watch
+	down        bool
+	writeRate   bucket
+	requestRate bucket
+}
+
+type lease struct {
+	life time.Duration
+	ends time.Time
+}
+
+type watch struct {
+	under string
+	since uint64
+	reply func(store.Result)
+}
+
+// Sizes with which paging and forgotten changes happen in short tests.
+const (
+	smallPage    = 25
+	smallHistory = 400
+)
+
+// NewStateService makes an empty state service.
+func NewStateService(clk *Clock, rng *rand.Rand) *StateService {
+	s := &StateService{clk: clk, rng: rng, Keys: map[string]wire.Item{}, leases: map[uint64]*lease{},
+		Page: smallPage, Kept: smallHistory}
+	s.sweep()
+	return s
+}
+
+// sweep ends leases that were not renewed, up to 100 ms late.
+func (s *StateService) sweep() {
+	if !s.down {
+		var over []uint64
+		for id, h := range s.leases {
+			if s.clk.Now().After(h.ends) {
+				over = append(over, id)
+			}
+		}
+		sort.Slice(over, func(i, j int) bool { return over[i] < over[j] })
+		for _, id := range over {
+			delete(s.leases, id)
+			var keys []string
+			for k, it := range s.Keys {
+				if it.Lease == id {
+					keys = append(keys, k)
+				}
+			}
+			sort.Strings(keys)
+			for _, k := range keys {
+				s.Revision++
+				s.change(wire.Write{Remove: k})
+			}
+			s.wake()
+		}
+	}
+	s.clk.In(50*time.Millisecond, s.sweep)
+}
+
+// SetDown begins or ends an outage. After one every lease has its full time again.
+func (s *StateService) SetDown(down bool) {
+	if s.down && !down {
+		for _, h := range s.leases {
+			h.ends = s.clk.Now().Add(h.life)
+		}
+	}
+	s.down = down
+	s.wake()
+}
+
+func (s *StateService) change(w wire.Write) {
+	if w.Remove != "" {
+		if _, ok := s.Keys[w.Remove]; ok {
+			delete(s.Keys, w.Remove)
+			s.log = append(s.log, wire.Change{Remove: w.Remove, Version: s.Revision})
+		}
+	} else {
+		s.Keys[w.Write] = wire.Item{Path: w.Write, Value: w.Value, Version: s.Revision, Lease: w.Lease}
+		s.log = append(s.log, wire.Change{Write: w.Write, Value: w.Value, Version: s.Revision})
+	}
+	if len(s.log) > s.Kept {
+		s.oldest = s.log[s.Kept/2].Version
+		s.log = append([]wire.Change{}, s.log[s.Kept/2+1:]...)
+	}
+}
+
+func (s *StateService) wake() {
+	if s.down {
+		return
+	}
+	var left []*watch
+	for _, w := range s.watches {
+		if r, ok := s.changes(w.under, w.since); ok {
+			w.reply(r)
+		} else {
+			left = append(left, w)
+		}
+	}
+	s.watches = left
+}
+
+func (s *StateService) changes(under string, since uint64) (store.Result, bool) {
+	if since < s.oldest {
+		return store.Result{Status: 410}, true
+	}
+	r := store.Result{Status: 200, Revision: s.Revision}
+	for _, c := range s.log {
+		if c.Version > since && strings.HasPrefix(c.Write+c.Remove, under) {
+			r.Events = append(r.Events, c)
+		}
+	}
+	return r, len(r.Events) > 0
+}
+
+// Call executes a call; reply may come later, for watches.
+func (s *StateService) Call(c store.Call, reply func(store.Result)) {
+	if s.OnCall != nil {
+		then := reply
+		reply = func(r store.Result) {
+			s.OnCall(c, r.Status)
+			then(r)
+		}
+	}
+	if s.down && (c.Op != store.OpChanges || c.WaitMs == 0) {
+		reply(store.Result{Status: 503})
+		return
+	}
+	if !s.requestRate.take(s.clk.Now(), s.Limits.Requests, 1) {
+		reply(store.Result{Status: 429})
+		return
+	}
+	switch c.Op {
+	case store.OpGet:
+		if it, ok := s.Keys[c.Key]; ok {
+			reply(store.Result{Status: 200, Item: it})
+		} else {
+			reply(store.Result{Status: 404, Revision: s.Revision})
+		}
+	case store.OpList:
+		var keys []string
+		for k := range s.Keys {
+			if strings.HasPrefix(k, c.Under) && k > c.After {
+				keys = append(keys, k)
+			}
+		}
+		sort.Strings(keys)
+		r := store.Result{Status: 200, Revision: s.Revision}
+		for _, k := range keys {
+			if len(r.Items) == s.Page {
+				r.More = true
+				break
+			}
+			r.Items = append(r.Items, s.Keys[k])
+		}
+		reply(r)
+	case store.OpGrant:
+		s.nextLease++
+		s.leases[s.nextLease] = &lease{c.Life, s.clk.Now().Add(c.Life)}
+		reply(store.Result{Status: 200, Lease: s.nextLease})
+	case store.OpTouch:
+		h := s.leases[c.Lease]
+		if h == nil {
+			reply(store.Result{Status: 404})
+			return
+		}
+		h.ends = s.clk.Now().Add(h.life)
+		reply(store.Result{Status: 200, Lease: c.Lease})
+	case store.OpMulti:
+		reply(s.multi(c.Multi))
+	case store.OpChanges:
+		if r, ok := s.changes(c.Under, c.Since); (ok || c.WaitMs == 0) && !s.down {
+			reply(r)
+			return
+		}
+		w := &watch{c.Under, c.Since, reply}
+		s.watches = append(s.watches, w)
+		s.clk.In(time.Duration(c.WaitMs)*time.Millisecond, func() {
+			for i, o := range s.watches {
+				if o == w {
+					s.watches = append(s.watches[:i:i], s.watches[i+1:]...)
+					if !s.down {
+						reply(store.Result{Status: 200, Revision: s.Revision})
+					}
+					return
+				}
+			}
+		})
+	}
+}
+
+// multi executes a transaction.
+func (s *StateService) multi(m wire.Multi) store.Result {
+	if !s.allowed(m) {
+		return store.Result{Status: 400}
+	}
+	if n := float64(len(m.Writes)); n > 0 && !s.writeRate.take(s.clk.Now(), s.Limits.Writes, n) {
+		return store.Result{Status: 429}
+	}
+	var failed []string
+	for _, c := range m.When {
+		if s.Keys[c.Path].Version != c.Version {
+			failed = append(failed, c.Path)
+		}
+	}
+	if len(failed) > 0 {
+		return store.Result{Status: 409, Failed: failed, Revision: s.Revision}
+	}
+	if len(m.Writes) > 0 {
+		s.Revision++
+		for _, w := range m.Writes {
+			s.change(w)
+		}
+		s.wake()
+	}
+	return store.Result{Status: 200, Revision: s.Revision}
+}
+
+// allowed tells whether a transaction is within the limits of size and names no lease
+// that has ended.
+func (s *StateService) allowed(m wire.Multi) bool {
+	if s.Limits.TxnOps > 0 && len(m.Writes) > s.Limits.TxnOps {
+		return false
+	}
+	return !slices.ContainsFunc(m.Writes, func(w wire.Write) bool {
+		return s.Limits.ValueBytes > 0 && len(w.Value) > s.Limits.ValueBytes ||
+			w.Lease != 0 && s.leases[w.Lease] == nil
+	})
+}
