Limits that fall: lowered rates are tried again, refused sizes are split, tallies stay readable for earlier versions

Cause: three weaknesses found by reading. A rate lowered by a burst stayed lowered for good. A value refused for a size that nobody announced was written again and again. With limits to come below the present ones every job's tallies were written in the new form, which the version in production drops, so that a rollback repeated all completed work. Now: trials of the present rate at growing intervals; a 429 empties the node's bucket, so that urgent classes go first; pages and tallies are split until they are taken; chunks that fit keep the old form. Pages that cannot be read are never written over.

--- a/internal/node/formats_test.go
+++ b/internal/node/formats_test.go
@@ -118,7 +118,7 @@
 				}
 				then(now, store.Result{Status: 200, Revision: revision})
 			}
-			tenure := func() (tallies, *placement.Job) {
+			tenure := func() (*tallies, *placement.Job) {
 				board.CloseJob(now, id, now)
 				j := add(id, c.tasks)
 				tl := newTallies(store.NewPages("t/0/", limitKB, time.Second, store.ClassTally, store.Is("c/b/0", 1), call, quiet, func(time.Time) { t.Error("lost") }), presentKB)
--- /dev/null
+++ b/internal/node/tally_test.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"juniperchute/internal/placement"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/store"
+	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
+)
+
+// tallyStore keeps the pages of tallies and refuses values above a limit.
+type tallyStore struct {
+	t        *testing.T
+	now      time.Time
+	limit    int
+	keys     map[string]wire.Item
+	revision uint64
+	refused  map[string]int
+}
+
+func (s *tallyStore) call(c store.Call, then func(time.Time, store.Result)) {
+	for _, w := range c.Multi.Writes {
+		if len(w.Value) > s.limit {
+			s.refused[w.Write+string(w.Value)]++
+			then(s.now, store.Result{Status: 400})
+			return
+		}
+	}
+	s.revision++
+	for _, w := range c.Multi.Writes {
+		delete(s.keys, w.Remove)
+		if w.Write != "" {
+			s.keys[w.Write] = wire.Item{Path: w.Write, Value: w.Value, Version: s.revision}
+		}
+	}
+	then(s.now, store.Result{Status: 200, Revision: s.revision})
+}
+
+// entries are the stored entries' names.
+func (s *tallyStore) entries() []string {
+	all := map[string]bool{}
+	for _, it := range s.keys {
+		page := map[string]json.RawMessage{}
+		if json.Unmarshal(it.Value, &page) != nil {
+			s.t.Errorf("%s cannot be read", it.Path)
+		}
+		for k := range page {
+			all[k] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+// reportDone has a machine report that every nth task of a job has completed.
+func reportDone(board *placement.Board, j *placement.Job, nth int) {
+	m := &worker.Machine{Host: "i-1", State: worker.Up, Images: map[string]time.Time{}}
+	for n := 0; n < j.Spec.Tasks; n += nth {
+		m.Tasks = append(m.Tasks, wire.Task{Task: wire.TaskName(j.Spec.ID, n), Attempt: 1, Stage: wire.TaskExited, Cause: wire.CauseDone})
+	}
+	board.Reported(time.Unix(0, 0), m, worker.Fresh, true)
+}
+
+// tallyBoard is a board with one job.
+func tallyBoard(spec wire.Submission) (*placement.Board, *placement.Job) {
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	cfg := facts([]string{"a"}, nil, 1.5, 10)
+	reg := worker.NewRegistry(cfg.Facts.Workers, quiet)
+	board := placement.NewBoard(cfg.Facts, 1, quota.NewBook(nil, 0, 1), reg, nil, quiet, func(time.Time, *placement.Job) {})
+	return board, board.AddJob(time.Unix(0, 0), spec, time.Unix(0, 0), 1, true)
+}
+
+// What the completions of jobs are written as where the limits to come are smaller than
+// the present ones: as earlier versions read them wherever that fits, so that a rollback
+// repeats no work; and in smaller entries where the service refuses even those.
+func TestTalliesWritten(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		tasks   int
+		limit   int // of the service, bytes
+		entries []string
+	}{
+		{"a usual job", 300, 2048, []string{"job-1/0"}},
+		{"the largest that fits an entry", 10056, 2048, []string{"job-1/0"}},
+		{"a larger one", 12000, 2048, []string{"job-1/@0", "job-1/@10056"}},
+		{"an earlier version's second chunk fits", 16384 + 100, 2048, []string{"job-1/1", "job-1/@0", "job-1/@10056"}},
+		{"a limit that nobody announced", 10056, 1024, []string{"job-1/@0", "job-1/@4680", "job-1/@9360"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			spec := wire.Submission{ID: "job-1", Shape: wire.ShapeBatch, Tasks: c.tasks}
+			s := &tallyStore{t: t, now: time.Unix(100, 0), limit: c.limit, keys: map[string]wire.Item{}, refused: map[string]int{}}
+			newTenure := func() (*tallies, *placement.Board, *placement.Job) {
+				board, j := tallyBoard(spec)
+				pages := store.NewPages("t/0/", 2, time.Second, store.ClassTally, store.Is("c/b/0", 1), s.call,
+					slog.New(slog.NewTextHandler(io.Discard, nil)), func(time.Time) { t.Error("lost") })
+				tl := newTallies(pages, 8)
+				tl.load(slices.Collect(maps.Values(s.keys)), board.Job)
+				return tl, board, j
+			}
+			run := func(tl *tallies) {
+				for range 20 {
+					s.now = s.now.Add(2 * time.Second)
+					tl.pages.Tick(s.now)
+				}
+			}
+			tl, board, j := newTenure()
+			reportDone(board, j, 7)
+			tl.save(j, board.Job)
+			run(tl)
+			if fresh, _ := j.Unsaved(0, c.tasks); len(fresh) > 0 {
+				t.Errorf("%d completions are not durable", len(fresh))
+			}
+			if got := s.entries(); !slices.Equal(got, c.entries) {
+				t.Errorf("written as %v, want %v", got, c.entries)
+			}
+			for value, n := range s.refused {
+				if n > 1 {
+					t.Errorf("%.30s refused %d times", value, n)
+				}
+			}
+			tl, _, again := newTenure()
+			if want := (c.tasks + 6) / 7; again.Done() != want {
+				t.Errorf("%d completions are found, want %d", again.Done(), want)
+			}
+			tl.drop("job-1")
+			run(tl)
+			if len(s.keys) != 0 {
+				t.Errorf("%d pages are left", len(s.keys))
+			}
+		})
+	}
+}
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -53,7 +53,7 @@
 	board *placement.Board
 	fleet *fleet.Slice
 
-	tallies   tallies
+	tallies   *tallies
 	begun     *store.Pages // jobs that may have tasks on machines
 	found     []wire.Item  // tallies, used machines and begun jobs as read, before they are taken over
 	used      []wire.Item
--- a/internal/store/budget.go
+++ b/internal/store/budget.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -11,6 +12,19 @@
 	"juniperchute/internal/wire"
 )
 
+// rateLevel tells which of the service's rates a budget keeps to.
+type rateLevel int
+
+const (
+	ratePresent rateLevel = iota // the rate that the settings give
+	rateLowered                  // the rate to come: refusals have shown it
+	rateTrial                    // the present rate again, to see whether it is refused
+)
+
+func (l rateLevel) String() string {
+	return [...]string{"present", "lowered", "trial"}[l]
+}
+
 // Budget is this node's share of the state service's rates. The nodes do not
 // speak to each other about it: each keeps to a share that together stays
 // near the limit, and the service's own 429 corrects the rest.
@@ -20,26 +34,30 @@
 	// kept back, in writes, from each class for the classes before it
 	reserve [Classes]float64
 
-	nodes   int
-	coming  config.State
-	lowered bool
-	refused int       // since
-	since   time.Time // the first refusal counted
+	nodes        int
+	present      config.State
+	coming       config.State
+	level        rateLevel
+	refusals     int       // counted since refusedSince
+	refusedSince time.Time // when the first refusal counted came
+	changeAt     time.Time // when a lowered rate is tried again, or a trial has passed
+	pause        time.Duration
 }
 
 // NewBudget makes the budget of one of n nodes.
 func NewBudget(limits config.State, n int) *Budget {
-	b := &Budget{nodes: max(1, n), coming: limits.Coming()}
-	b.set(limits.RPS, limits.WriteRPS)
+	b := &Budget{nodes: max(1, n), present: limits, coming: limits.Coming(), pause: tuning.RaiseAfter}
+	b.use(limits)
 	return b
 }
 
-func (b *Budget) set(rps, writeRPS float64) {
+// use sets the rates to this node's share of some limits.
+func (b *Budget) use(limits config.State) {
 	share := tuning.StateShare
 	if b.nodes == 1 {
 		share = 1
 	}
-	calls, writes := rps*share, writeRPS*share
+	calls, writes := limits.RPS*share, limits.WriteRPS*share
 	b.calls = rate.NewLimiter(rate.Limit(calls), max(1, int(calls)))
 	b.writes = rate.NewLimiter(rate.Limit(writes), max(1, int(writes)))
 	for c := range b.reserve {
@@ -47,34 +65,105 @@
 	}
 }
 
-// Note takes in what came of a call and tells whether it shows that the service has
+// set is the one place that changes the level.
+func (b *Budget) set(now time.Time, level rateLevel) {
+	b.level = level
+	b.refusals = 0
+	switch level {
+	case rateLowered:
+		b.changeAt = now.Add(b.pause)
+		b.pause = min(2*b.pause, tuning.RaiseAfterMost)
+		b.use(b.coming)
+	case rateTrial:
+		b.changeAt = now.Add(tuning.LowerWithin)
+		b.use(b.present)
+	}
+}
+
+// Note takes in what came of a call and tells whether it has just shown that the service
 // lowered its limits to the ones to come, which nobody announces: refusals for the rate
 // beyond what the nodes' uneven shares explain, or one for a value's or transaction's
-// size.
-func (b *Budget) Note(now time.Time, c Call, status int) bool {
-	writes := len(c.Multi.Writes) > 0
+// size. A burst of other nodes looks the same, so the present rate is tried again later,
+// at growing intervals.
+func (b *Budget) Note(now time.Time, c Call, status int) (lowered bool) {
 	switch {
-	case b.lowered:
-		return false
-	case status == 400 && writes && !slices.ContainsFunc(c.Multi.Writes, func(w wire.Write) bool { return w.Lease != 0 }):
-	case status == 429:
-		if now.Sub(b.since) > tuning.LowerWithin {
-			b.refused, b.since = 0, now
-		}
-		if b.refused++; b.refused < tuning.LowerAfter {
-			return false
-		}
+	case refusedForSize(c, status):
+		b.refusals = tuning.LowerAfter
+	case status == http.StatusTooManyRequests:
+		b.drain(now, c)
+		b.countRefusal(now)
 	default:
 		return false
 	}
-	b.lowered = true
-	b.set(b.coming.RPS, b.coming.WriteRPS)
+	if b.level == rateLowered || b.refusals < b.refusalsToLower() {
+		return false
+	}
+	b.set(now, rateLowered)
 	return true
 }
 
+// refusedForSize tells whether a write was refused for a limit of size: the only other
+// cause is a lease that has ended.
+func refusedForSize(c Call, status int) bool {
+	leased := slices.ContainsFunc(c.Multi.Writes, func(w wire.Write) bool { return w.Lease != 0 })
+	return status == http.StatusBadRequest && len(c.Multi.Writes) > 0 && !leased
+}
+
+// drain empties the bucket of the rate that was refused: other nodes have used it up. As
+// it fills again the most urgent classes may spend it first.
+func (b *Budget) drain(now time.Time, c Call) {
+	bucket := b.calls
+	if len(c.Multi.Writes) > 0 {
+		bucket = b.writes
+	}
+	if n := int(bucket.TokensAt(now)); n > 0 {
+		bucket.AllowN(now, n)
+	}
+}
+
+func (b *Budget) countRefusal(now time.Time) {
+	if now.Sub(b.refusedSince) > tuning.LowerWithin {
+		b.refusals, b.refusedSince = 0, now
+	}
+	b.refusals++
+	if b.level == rateLowered {
+		// even the lowered rate is refused: others have not noticed yet
+		b.changeAt = later(b.changeAt, now.Add(tuning.RaiseAfter))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// refusalsToLower is how many refusals within LowerWithin lower the rate.
+func (b *Budget) refusalsToLower() int {
+	if b.level == rateTrial {
+		return tuning.LowerAfterTrial
+	}
+	return tuning.LowerAfter
+}
+
+// review moves on to a trial of the present rate, or back to it for good, when it is time.
+func (b *Budget) review(now time.Time) {
+	if now.Before(b.changeAt) {
+		return
+	}
+	switch b.level {
+	case rateLowered:
+		b.set(now, rateTrial)
+	case rateTrial:
+		b.set(now, ratePresent)
+	}
+}
+
 // Take spends the rate for a call, or tells how long to wait before asking
 // again.
 func (b *Budget) Take(now time.Time, c Call) (wait time.Duration, ok bool) {
+	b.review(now)
 	if b.calls.TokensAt(now) < 1 {
 		return tuning.BudgetRetry, false
 	}
--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -18,6 +18,10 @@
 // service's limit for a value is left as it is and the next one begun. One that is
 // larger, as it was written under an earlier limit, is split before it is written again.
 type Pages struct {
+	// Shrunk is told when the limit of a page has become smaller, as the service refused
+	// one: entries that are larger than Size have to be put in smaller ones. nil: nobody.
+	Shrunk func()
+
 	under  string
 	limit  int // bytes a page's entries may take
 	every  time.Duration
@@ -29,6 +33,7 @@
 	pages  []*page
 	where  map[string]*page
 	also   map[string][]*page // pages that hold an older copy of an entry, until the newer one is durable
+	unread int                // pages that cannot be read
 }
 
 type page struct {
@@ -38,6 +43,8 @@
 	changed bool
 	due     time.Time
 	waiting []waiter // for what is not durable yet
+	// unread: the page's value cannot be read. It is left as it is.
+	unread bool
 }
 
 type waiter struct {
@@ -65,6 +72,7 @@
 			}
 		}
 	}, p.lost)
+	g.file.TooLarge = func(time.Time) bool { return p.shrink(g) }
 	for len(p.pages) <= n {
 		p.pages = append(p.pages, nil)
 	}
@@ -72,19 +80,43 @@
 	return g
 }
 
-// size is what an entry takes of its page.
+// shrink makes the limit of all pages smaller, as the service has refused one of them,
+// and tells whether it could be.
+func (p *Pages) shrink(g *page) bool {
+	if p.limit <= tuning.PageLeast {
+		p.log.Error("the state service refuses even a small page", "key", g.file.Key, "bytes", g.size)
+		return false
+	}
+	p.limit = max(tuning.PageLeast, min(p.limit, g.size)/2)
+	p.log.Warn("the state service has refused a page for its size", "key", g.file.Key, "bytes", g.size, "limit", p.limit)
+	g.changed = true
+	if p.Shrunk != nil {
+		p.Shrunk()
+	}
+	return true
+}
+
+// entrySize is what an entry takes of its page.
 func entrySize(key string, value json.RawMessage) int { return len(key) + len(value) + 4 }
 
-// Load takes over pages that an earlier tenure wrote and tells of each entry.
+// Load takes over pages that an earlier tenure wrote and tells of each entry. A page that
+// cannot be read keeps its place and is never written; Unread tells how many there are.
 func (p *Pages) Load(items []wire.Item, each func(key string, value json.RawMessage)) {
 	for _, it := range items {
 		n, err := strconv.Atoi(strings.TrimPrefix(it.Path, p.under))
-		entries := map[string]json.RawMessage{}
-		if err != nil || n < 0 || n > tuning.PagesMost || json.Unmarshal(it.Value, &entries) != nil {
-			p.log.Error("page cannot be read", "key", it.Path)
+		if err != nil || n < 0 || n > tuning.PagesMost {
+			p.log.Error("page's name cannot be read", "key", it.Path)
+			p.unread++
 			continue
 		}
+		entries := map[string]json.RawMessage{}
 		g := p.add(n, it.Version)
+		if err := json.Unmarshal(it.Value, &entries); err != nil || entries == nil {
+			p.log.Error("page cannot be read", "key", it.Path, "error", err)
+			g.unread = true
+			p.unread++
+			continue
+		}
 		for _, k := range slices.Sorted(maps.Keys(entries)) {
 			if o := p.where[k]; o != nil {
 				// its holder ended while it was moved: which copy is newer is not known
@@ -98,6 +130,9 @@
 	}
 }
 
+// Unread is how many pages could not be read: what they tell is not known.
+func (p *Pages) Unread() int { return p.unread }
+
 // Put sets an entry; then is told once it is durable.
 func (p *Pages) Put(key string, value any, then func(now time.Time)) {
 	raw := Put(key, value, 0).Value
@@ -142,7 +177,7 @@
 // roomFor finds a page with room, or begins one.
 func (p *Pages) roomFor(need int, but *page) *page {
 	for _, o := range p.pages {
-		if o != nil && o != but && o.size+need <= p.limit {
+		if o != nil && !o.unread && o != but && o.size+need <= p.limit {
 			return o
 		}
 	}
@@ -199,7 +234,7 @@
 func (p *Pages) Tick(now time.Time) {
 	for i := 0; i < len(p.pages); i++ { // a split adds pages
 		g := p.pages[i]
-		if g == nil {
+		if g == nil || g.unread {
 			continue
 		}
 		if g.changed && g.size > p.limit {
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -16,13 +16,23 @@
 	recordDirty                      // something newer is wanted
 	recordWriting                    // a write is under way
 	recordReading                    // the key's version is being read again
+	recordRefused                    // the wanted value was refused for its size; a smaller one is awaited
 )
 
+func (s recordState) String() string {
+	return [...]string{"clean", "dirty", "writing", "reading", "refused"}[s]
+}
+
 // Record keeps one key at a wanted value, through refusals, lost answers and
 // late transactions: each write is conditioned on the version before it and on
 // the tenure, so that a late one fails.
 type Record struct {
-	Key     string
+	Key string
+	// TooLarge is told when the service has refused the wanted value for its size and
+	// tells whether its owner will set a smaller one. Without it the value is written
+	// again after growing pauses.
+	TooLarge func(now time.Time) bool
+
 	class   Class
 	tenure  wire.Cond
 	call    Caller
@@ -32,6 +42,7 @@
 	ver     int             // of what is wanted
 	kept    int             // newest version that is durable
 	retry   time.Time
+	pause   time.Duration // after a refusal for the size
 	done    func(now time.Time, ver int)
 	lost    func(now time.Time)
 }
@@ -50,7 +61,7 @@
 		r.want = Put(r.Key, value, 0).Value
 	}
 	r.ver++
-	if r.state == recordClean {
+	if r.state == recordClean || r.state == recordRefused {
 		r.set(recordDirty)
 	}
 	return r.ver
@@ -91,6 +102,8 @@
 			r.lost(now)
 		case res.Status == 409:
 			r.read(now)
+		case res.Status == 400:
+			r.refused(now, ver)
 		default:
 			r.set(recordDirty)
 			r.retry = now.Add(tuning.RecordRetry)
@@ -98,8 +111,26 @@
 	})
 }
 
+// refused handles a refusal for the size, by a limit that nobody announced: the same
+// value is not written again and again.
+func (r *Record) refused(now time.Time, ver int) {
+	r.set(recordDirty)
+	if r.ver != ver {
+		return // another value is wanted by now
+	}
+	if r.TooLarge != nil {
+		r.set(recordRefused)
+		if r.TooLarge(now) {
+			return
+		}
+		r.set(recordDirty)
+	}
+	r.pause = min(max(2*r.pause, tuning.RecordRetry), tuning.RecordRetryMost)
+	r.retry = now.Add(r.pause)
+}
+
 func (r *Record) settle(now time.Time, ver int) {
-	r.kept = ver
+	r.kept, r.pause = ver, 0
 	r.set(recordClean)
 	if r.ver != ver {
 		r.set(recordDirty)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 	"time"
 
 	"juniperchute/internal/config"
+	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 )
 
@@ -379,3 +381,234 @@
 		})
 	}
 }
+
+// A lowered rate is tried again after a while, as a burst of other nodes looks like a
+// change of the limits; where the limits have fallen, a trial costs few refusals and the
+// next one comes later.
+func TestBudgetTriesAgain(t *testing.T) {
+	write := Call{Op: OpMulti, Class: ClassUser, Multi: wire.Multi{Writes: []wire.Write{Remove("a")}}}
+	const hours = 2
+	for _, c := range []struct {
+		name        string
+		fallen      bool
+		wantRefused [2]int // in all, least and most
+		wantWrites  [2]int // a second, at the end
+	}{
+		{"a burst passes", false, [2]int{0, 0}, [2]int{18, 21}},
+		{"the limits have fallen", true, [2]int{1, 60}, [2]int{8, 11}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewBudget(config.State{RPS: 100, WriteRPS: 20, Next: config.NextState{"write_rps": 10.0}}, 1)
+			start := time.Unix(100, 0)
+			now := start
+			for range tuning.LowerAfter {
+				now = now.Add(100 * time.Millisecond)
+				b.Note(now, write, http.StatusTooManyRequests)
+			}
+			if b.level != rateLowered {
+				t.Fatalf("level %v", b.level)
+			}
+			service, refused, last := 10.0, 0, 0
+			for end := start.Add(hours * time.Hour); now.Before(end); now = now.Add(20 * time.Millisecond) {
+				service = min(10, service+0.2) // ten a second, with bursts of a second
+				if _, ok := b.Take(now, write); !ok {
+					continue
+				}
+				if c.fallen && service < 1 {
+					refused++
+					b.Note(now, write, http.StatusTooManyRequests)
+					continue
+				}
+				service--
+				if end.Sub(now) <= 10*time.Second {
+					last++
+				}
+			}
+			if refused < c.wantRefused[0] || refused > c.wantRefused[1] {
+				t.Errorf("%d refusals in %d hours", refused, hours)
+			}
+			if last < 10*c.wantWrites[0] || last > 10*c.wantWrites[1] {
+				t.Errorf("%d writes in the last 10 s", last)
+			}
+		})
+	}
+}
+
+// Nodes that share the rate, some of which have noticed that it fell: each notices, and
+// each goes on getting its most urgent writes through.
+func TestBudgetsShareALoweredRate(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		nodes   int
+		noticed int // of them, at the beginning
+	}{
+		{"nobody has noticed", 3, 0}, {"one has noticed", 3, 1}, {"all but one have noticed", 3, 2}, {"seven nodes, half of them", 7, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			limits := config.State{RPS: 1000, WriteRPS: 20, Next: config.NextState{"write_rps": 10.0}}
+			now := time.Unix(100, 0)
+			start := now
+			var budgets []*Budget
+			for i := range c.nodes {
+				b := NewBudget(limits, c.nodes)
+				if i < c.noticed {
+					b.set(now, rateLowered)
+				}
+				budgets = append(budgets, b)
+			}
+			write := func(class Class) Call {
+				return Call{Op: OpMulti, Class: class, Multi: wire.Multi{Writes: []wire.Write{Remove("a")}}}
+			}
+			rng := rand.New(rand.NewPCG(1, 1))
+			service := 10.0
+			longest := make([]time.Duration, c.nodes) // between two users' writes
+			lastUser := make([]time.Time, c.nodes)
+			for i := range lastUser {
+				lastUser[i] = now
+			}
+			for now.Sub(start) < 60*time.Second {
+				now = now.Add(20 * time.Millisecond)
+				service = min(10, service+0.2)
+				for _, i := range rng.Perm(c.nodes) {
+					b := budgets[i]
+					// all have more of each class than may be written
+					for _, class := range []Class{ClassUser, ClassTally} {
+						if _, ok := b.Take(now, write(class)); !ok {
+							continue
+						}
+						if service < 1 {
+							b.Note(now, write(class), http.StatusTooManyRequests)
+							continue
+						}
+						service--
+						b.Note(now, write(class), http.StatusOK)
+						if class == ClassUser {
+							longest[i] = max(longest[i], now.Sub(lastUser[i]))
+							lastUser[i] = now
+						}
+					}
+				}
+			}
+			for i, b := range budgets {
+				if b.level != rateLowered {
+					t.Errorf("node %d has not noticed: %v", i, b.level)
+				}
+				// all nodes ask for several times the rate all the time
+				if longest[i] > 10*time.Second || now.Sub(lastUser[i]) > 10*time.Second {
+					t.Errorf("node %d waited %v for a user's write", i, longest[i])
+				}
+			}
+		})
+	}
+}
+
+// pageStore is a stand-in for the state service that keeps what is written and refuses
+// values above a limit.
+type pageStore struct {
+	t        *testing.T
+	limit    int
+	keys     map[string]wire.Item
+	revision uint64
+	refused  []string // values, in order
+	now      time.Time
+}
+
+func (s *pageStore) call(c Call, then func(time.Time, Result)) {
+	now := s.now
+	for _, cond := range c.Multi.When {
+		if cond.Path != "c/b/0" && s.keys[cond.Path].Version != cond.Version {
+			then(now, Result{Status: 409, Failed: []string{cond.Path}})
+			return
+		}
+	}
+	for _, w := range c.Multi.Writes {
+		if len(w.Value) > s.limit {
+			s.refused = append(s.refused, w.Write+string(w.Value))
+			then(now, Result{Status: 400})
+			return
+		}
+	}
+	s.revision++
+	for _, w := range c.Multi.Writes {
+		delete(s.keys, w.Remove)
+		if w.Write != "" {
+			s.keys[w.Write] = wire.Item{Path: w.Write, Value: w.Value, Version: s.revision}
+		}
+	}
+	then(now, Result{Status: 200, Revision: s.revision})
+}
+
+func (s *pageStore) items() (out []wire.Item) {
+	for _, it := range s.keys {
+		out = append(out, it)
+	}
+	return out
+}
+
+func (s *pageStore) pages(kb float64) *Pages {
+	return NewPages("u/0/", kb, time.Second, ClassTenure, Is("c/b/0", 2), s.call, slog.New(slog.NewTextHandler(io.Discard, nil)),
+		func(time.Time) { s.t.Error("lost") })
+}
+
+// A limit that nobody announced shows by a refusal for the size: the page is split until
+// it is taken, nothing is dropped, and no refused value is written a second time.
+func TestUnannouncedLimit(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		limit int
+		whole bool // whether all can become durable
+	}{
+		{"half of the present one", 512, true}, {"an eighth of it", 130, true}, {"less than one entry takes", 20, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &pageStore{t: t, limit: c.limit, keys: map[string]wire.Item{}, revision: 10}
+			p, durable, now := s.pages(1), map[string]bool{}, time.Unix(0, 0)
+			const entries = 60
+			for i := range entries {
+				k := fmt.Sprintf("i-%06d", i)
+				p.Put(k, fmt.Sprintf("10.0.0.%d:9000", i), func(time.Time) { durable[k] = true })
+			}
+			for range 60 * 60 {
+				now = now.Add(time.Second)
+				s.now = now
+				p.Tick(now)
+			}
+			found := map[string]bool{}
+			again := s.pages(1)
+			again.Load(s.items(), func(key string, _ json.RawMessage) { found[key] = true })
+			if c.whole != (len(durable) == entries) || c.whole != (len(found) == entries) {
+				t.Errorf("%d of %d durable, %d found", len(durable), entries, len(found))
+			}
+			times := map[string]int{}
+			for _, v := range s.refused {
+				if times[v]++; c.whole && times[v] > 1 {
+					t.Errorf("refused again: %.40s", v)
+				}
+			}
+			if most := 60 * 60 / int(tuning.RecordRetryMost.Seconds()) * (len(times) + 1); len(s.refused) > most {
+				t.Errorf("%d refusals in an hour, %d values", len(s.refused), len(times))
+			}
+		})
+	}
+}
+
+// A page that cannot be read keeps its place: nothing is written over it.
+func TestUnreadablePage(t *testing.T) {
+	for _, value := range []string{`{"i-000001":"10.0`, `["i-000001"]`, `null`, `7`} {
+		s := &pageStore{t: t, limit: 1024, revision: 10, keys: map[string]wire.Item{
+			"u/0/0": {Path: "u/0/0", Value: json.RawMessage(value), Version: 5},
+			"u/0/1": {Path: "u/0/1", Value: json.RawMessage(`{"i-000002":"a"}`), Version: 6},
+		}}
+		p, found, durable := s.pages(1), 0, 0
+		p.Load(s.items(), func(string, json.RawMessage) { found++ })
+		for i := range 80 {
+			p.Put(fmt.Sprintf("i-%06d", 10+i), "10.0.0.1:9000", func(time.Time) { durable++ })
+		}
+		for i := range 20 {
+			p.Tick(time.Unix(int64(i)*2, 0))
+		}
+		if got := string(s.keys["u/0/0"].Value); got != value || p.Unread() != 1 || found != 1 || durable != 80 {
+			t.Errorf("%s became %s; %d unread, %d found, %d durable", value, got, p.Unread(), found, durable)
+		}
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -73,10 +73,21 @@
 	// bursts, as the nodes share the rate without asking each other.
 	LowerAfter  = 12
 	LowerWithin = 10 * time.Second
+	// RaiseAfter is how long a lowered rate is kept before the present one is tried
+	// again, in case a burst was taken for a change. It doubles each time, up to
+	// RaiseAfterMost: a trial costs a few refusals. LowerAfterTrial of them end it.
+	RaiseAfter      = 2 * time.Minute
+	RaiseAfterMost  = 30 * time.Minute
+	LowerAfterTrial = 4
 	// PagesMost bounds the numbers of pages, far above any use.
 	PagesMost = 10000
-	// RecordRetry is the pause after a failed write of a record.
-	RecordRetry = 300 * time.Millisecond
+	// RecordRetry is the pause after a failed write of a record. After a refusal for the
+	// size of one that cannot be made smaller it doubles up to RecordRetryMost.
+	RecordRetry     = 300 * time.Millisecond
+	RecordRetryMost = 20 * time.Second
+	// PageLeast is the size, in bytes, below which a page is not made smaller, whatever
+	// the service refuses: its longest entries, names with addresses, take half of it.
+	PageLeast = 128
 	// StateReads is how many questions to the state service may be under way at
 	// once, StateWrites how many writes of each class, StateExtra how many leases
 	// and watches may be beside them. A write may wait long for its rate: nothing
