--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,6 +79,8 @@
 	born         time.Time
 
 	rentals   map[string]*rental
+	unread    int                // rental records that cannot be read: their machines are not known
+	most      int                // machines that one rental may have, as far as its record's size goes
 	by        map[string]*rental // machines by their hires
 	seq       int
 	noneUntil map[string]time.Time
@@ -111,6 +113,7 @@
 		block: block, token: token, tenure: tenure, facts: facts, cloud: cloud, state: state, log: log, reg: reg, board: board,
 		lost: lost, gone: gone, foreign: foreign, machineTypes: map[string]wire.MachineType{}, known: map[string]string{},
 		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))), back: back, born: now,
+		most:    tuning.HirePage,
 		rentals: map[string]*rental{}, by: map[string]*rental{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
 		listed: map[string]bool{}, missing: map[string]int{}, entered: map[string]bool{},
 	}
@@ -127,12 +130,15 @@
 	return out
 }
 
-// LoadUsed takes over the pages that name the machines used by earlier tenures,
-// after their hires. One whose hire is gone is gone itself.
+// LoadUsed takes over the pages that name the machines used by earlier tenures, after
+// their rentals. One whose rental is gone is gone itself, if all rentals could be read.
 func (s *Slice) LoadUsed(now time.Time, items []wire.Item) {
 	s.used.Load(items, func(host string, raw json.RawMessage) {
 		m := s.reg.Get(host)
-		if m == nil || !m.Recorded {
+		if m == nil && s.unread > 0 {
+			m = s.meetUnrecorded(now, host)
+		}
+		if m == nil || !m.Recorded && s.unread == 0 {
 			s.used.Drop(host)
 			return
 		}
@@ -142,6 +148,29 @@
 			s.reg.Set(now, m, worker.Unheard, "used by an earlier tenure")
 		}
 	})
+	if s.used.Unread() > 0 {
+		s.assumeUsed(now)
+	}
+}
+
+// assumeUsed takes all machines for ones that may have tasks: pages that name those that
+// do cannot be read.
+func (s *Slice) assumeUsed(now time.Time) {
+	for _, m := range s.reg.All() {
+		if m.State == worker.Booting {
+			s.reg.Set(now, m, worker.Unheard, "may have been used by an earlier tenure")
+		}
+	}
+}
+
+// meetUnrecorded makes a machine known that was used and whose rental cannot be read. Its
+// type is not known, so it counts as the largest.
+func (s *Slice) meetUnrecorded(now time.Time, host string) *worker.Machine {
+	m := s.meet(now, host, worker.Booting, "", "", false)
+	for _, f := range s.machineTypes {
+		m.Cap = m.Cap.Max(quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb})
+	}
+	return m
 }
 
 // meet makes a machine known to the registry.
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -19,6 +19,7 @@
 		return
 	}
 	s.log.Info("adopting a machine nobody expected", "host", m.Host)
+	s.size(m)
 	h := &rental{name: "found-" + m.Host, rec: RentalRec{
 		Type: m.Type, Zone: m.Zone, Spot: m.Spot, Number: 1, Hosts: []string{m.Host}}}
 	s.file(h, 0)
--- a/internal/fleet/rental.go
+++ b/internal/fleet/rental.go
@@ -76,14 +76,45 @@
 			}
 		}
 	}, s.lost)
+	h.file.TooLarge = func(now time.Time) bool { return s.divide(now, h) }
 }
 
+// divide gives half of a rental's machines a record of their own: the service has refused
+// one that names them all, by a limit that nobody announced. Until its record is durable
+// no machine is used, so one that a crash leaves out of both is adopted as unexpected.
+func (s *Slice) divide(now time.Time, h *rental) bool {
+	n := len(h.rec.Hosts)
+	if h.state != rentalGranted || n < 2 {
+		return false
+	}
+	s.most = min(s.most, n/2)
+	s.log.Warn("the state service has refused a rental's record for its size", "name", h.name, "machines", n)
+	s.seq++
+	half := &rental{name: s.rentalName(), rec: h.rec}
+	half.rec.Hosts, half.rec.Number = h.rec.Hosts[n/2:], n-n/2
+	h.rec.Hosts = h.rec.Hosts[:n/2]
+	s.file(half, 0)
+	s.set(half, rentalGranted, "divided")
+	s.rentals[half.name] = half
+	for _, host := range half.rec.Hosts {
+		s.by[host] = half
+	}
+	for _, r := range []*rental{h, half} {
+		r.file.Set(r.rec)
+		r.file.Tick(now)
+	}
+	return true
+}
+
+func (s *Slice) rentalName() string { return fmt.Sprintf("b%d-%d-%d", s.block, s.token, s.seq) }
+
 // Load takes over a hire record of an earlier tenure.
 func (s *Slice) Load(now time.Time, it wire.Item) {
 	name := strings.TrimPrefix(it.Path, Rentals(s.block))
 	var rec RentalRec
 	if err := json.Unmarshal(it.Value, &rec); err != nil {
-		s.log.Error("hire record cannot be read", "key", it.Path, "error", err)
+		s.log.Error("rental record cannot be read", "key", it.Path, "error", err)
+		s.unread++
 		return
 	}
 	h := &rental{name: name, rec: rec}
@@ -230,7 +261,7 @@
 // all, and has to fit the state service now and after its limits fall.
 func (s *Slice) rentalMost() int {
 	bytes := int(s.facts.State.Stored().ValueKB*1024*tuning.PageFill) - tuning.RentalBytes
-	return max(1, min(tuning.HirePage, bytes/tuning.HostBytes))
+	return max(1, min(s.most, bytes/tuning.HostBytes))
 }
 
 // room is how many machines may still be hired by the operators' bound, which
@@ -256,7 +287,7 @@
 // hire makes a new hire's name durable; the cloud is asked afterwards.
 func (s *Slice) rental(now time.Time, rec RentalRec) {
 	s.seq++
-	h := &rental{name: fmt.Sprintf("b%d-%d-%d", s.block, s.token, s.seq), rec: rec}
+	h := &rental{name: s.rentalName(), rec: rec}
 	s.file(h, 0)
 	s.rentals[h.name] = h
 	s.log.Info("hiring", "name", h.name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "number", rec.Number)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -138,8 +138,12 @@
 	}
 	delete(c.machineTypes, name)
 	delete(c.machineTypeRaw, name)
+	if gone {
+		return
+	}
 	var f fleet.MachineTypeRec
-	if gone || json.Unmarshal(it.Value, &f) != nil {
+	if err := json.Unmarshal(it.Value, &f); err != nil {
+		c.log.Error("machine type's record cannot be read", "key", key, "error", err)
 		return
 	}
 	c.machineTypes[name], c.machineTypeRaw[name], c.machineTypesOf = f.MachineType, string(it.Value), f.Of
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -13,18 +13,27 @@
 	"juniperchute/internal/worker"
 )
 
+// steadyTeams, smallType and steadyJob are what steady simulations consist of.
+var (
+	steadyTeams = []config.Team{{Name: "red"}}
+	smallType   = wire.MachineType{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}
+)
+
+func steadyJob(number int) wire.Submission {
+	return wire.Submission{ID: fmt.Sprintf("job-%d", number), Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "normal", Tasks: 4,
+		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 50}
+}
+
 // steadySimulation is a deployment without random faults, with work under way.
 func steadySimulation(t *testing.T, machines, jobs int) *simulation {
 	return steadySimulationOf(t, 11, machines, jobs)
 }
 
 func steadySimulationOf(t *testing.T, seed uint64, machines, jobs int) *simulation {
-	sim := newSimulation(t, seed, facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10), 1,
-		[]wire.MachineType{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}})
-	sim.cloud.Room[standin.RoomKey("g2", "a", false)] = machines
+	sim := newSimulation(t, seed, facts([]string{"a"}, steadyTeams, 1.5, 10), 1, []wire.MachineType{smallType})
+	sim.cloud.Room[standin.RoomKey(smallType.Name, "a", false)] = machines
 	for i := range jobs {
-		sim.add(wire.Submission{ID: fmt.Sprintf("job-%d", i), Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "normal", Tasks: 4,
-			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 50}, 50*time.Second)
+		sim.add(steadyJob(i), 50*time.Second)
 	}
 	sim.runFor(25 * time.Second)
 	for _, h := range sim.machines {
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -169,6 +169,9 @@
 			t.begun.Drop(id)
 		}
 	})
+	if t.begun.Unread() > 0 {
+		t.assumeBegun()
+	}
 	t.found, t.used, t.marks = nil, nil, nil
 	for _, j := range t.board.Jobs() {
 		if j.Complete() {
@@ -184,6 +187,14 @@
 	t.account() // a report may come, and a task be drawn, before the next tick
 }
 
+// assumeBegun takes all jobs for ones that may have tasks on machines: pages that name
+// those that do cannot be read.
+func (t *tenure) assumeBegun() {
+	for _, j := range t.board.Jobs() {
+		j.Before = true
+	}
+}
+
 func (t *tenure) cond() wire.Cond { return store.Is(leader.BlockKey(t.Block), t.Version) }
 
 // call passes a call on and drops its answer once the tenure is over.
@@ -255,6 +266,7 @@
 		maps.DeleteFunc(t.calledOff, func(_ string, at time.Time) bool { return now.Sub(at) > keep })
 	}
 	t.calledOff[id] = now
+	t.board.SetUnreadable(id, false)
 	if t.board.Job(id) != nil {
 		t.over(now, id)
 	}
@@ -274,17 +286,20 @@
 func (t *tenure) jobChanged(now time.Time, it wire.Item, gone bool) {
 	id := strings.TrimPrefix(it.Path, submission.OpenUnder)
 	if gone {
+		t.board.SetUnreadable(id, false)
 		if t.board.Job(id) != nil {
 			t.over(now, id)
 		}
 		return
 	}
-	var rec submission.OpenRec
-	if err := json.Unmarshal(it.Value, &rec); err != nil || rec.Spec.ID != id || rec.Spec.Tasks < 1 || rec.Spec.Tasks > wire.MaxTasks {
+	_, off := t.calledOff[id]
+	rec, err := submission.ReadOpen(it)
+	t.board.SetUnreadable(id, err != nil && !off)
+	if err != nil {
 		t.log.Error("job entry cannot be read", "key", it.Path, "error", err)
 		return
 	}
-	if _, off := t.calledOff[id]; off || rec.Block != t.Block {
+	if off || rec.Block != t.Block {
 		return
 	}
 	// The predecessor started nothing after its lease ended, and that was
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -51,34 +51,36 @@
 	Set Settings
 	// Begin is asked to mark a job as begun, and calls Begun once that is
 	// durable. Without it no marks are kept.
-	Begin    func(now time.Time, j *Job)
-	asked    int // marks on their way
-	Count    Counters
-	facts    config.Facts
-	token    uint64
-	book     *quota.Book
-	reg      *worker.Registry
-	rng      *rand.Rand
-	log      *slog.Logger
-	jobs     map[string]*Job
-	order    []*Job // open jobs by priority, then age
-	hosts    map[*worker.Machine]*host
-	survey   survey
-	kicks    []*host
-	open     bool      // every machine the block may have is heard or surely gone
-	turns    []level   // the open jobs by priority and turn, as last sorted
-	turnsAt  time.Time // when that was
-	resort   bool      // jobs have come or gone since
-	drawDue  time.Time
-	tried    int  // gangs that found no room in this draw
-	fitted   int  // gangs placed in this draw
-	drawn    int  // arrays' tasks queued in this draw
-	first    *Job // the gang before which no other of its priority is placed
-	strays   map[*worker.Machine][]wire.Task
-	pace     map[string]float64 // by class: run time over the owner's estimate
-	seen     map[string]bool    // classes of which a job has come
-	closeDue time.Time
-	finished func(now time.Time, j *Job)
+	Begin   func(now time.Time, j *Job)
+	asked   int // marks on their way
+	Count   Counters
+	facts   config.Facts
+	token   uint64
+	book    *quota.Book
+	reg     *worker.Registry
+	rng     *rand.Rand
+	log     *slog.Logger
+	jobs    map[string]*Job
+	order   []*Job // open jobs by priority, then age
+	hosts   map[*worker.Machine]*host
+	survey  survey
+	kicks   []*host
+	open    bool      // every machine the block may have is heard or surely gone
+	turns   []level   // the open jobs by priority and turn, as last sorted
+	turnsAt time.Time // when that was
+	resort  bool      // jobs have come or gone since
+	drawDue time.Time
+	tried   int  // gangs that found no room in this draw
+	fitted  int  // gangs placed in this draw
+	drawn   int  // arrays' tasks queued in this draw
+	first   *Job // the gang before which no other of its priority is placed
+	strays  map[*worker.Machine][]wire.Task
+	pace    map[string]float64 // by class: run time over the owner's estimate
+	seen    map[string]bool    // classes of which a job has come
+	// unreadable are open jobs whose records cannot be read.
+	unreadable map[string]bool
+	closeDue   time.Time
+	finished   func(now time.Time, j *Job)
 }
 
 // NewBoard makes an empty board; finished is told of each task's completion.
@@ -87,7 +89,7 @@
 	return &Board{
 		Set: Settings{DropThreshold: tuning.DropThreshold}, facts: facts, token: token, book: book, reg: reg, rng: rng, log: log,
 		jobs: map[string]*Job{}, hosts: map[*worker.Machine]*host{}, survey: newSurvey(),
-		strays: map[*worker.Machine][]wire.Task{}, pace: map[string]float64{}, seen: map[string]bool{}, finished: finished,
+		strays: map[*worker.Machine][]wire.Task{}, pace: map[string]float64{}, seen: map[string]bool{}, unreadable: map[string]bool{}, finished: finished,
 	}
 }
 
@@ -99,6 +101,16 @@
 	return nil
 }
 
+// SetUnreadable notes that there is an open job whose record this version cannot read:
+// what machines run of it is left alone, and neither stopped nor started.
+func (b *Board) SetUnreadable(id string, unreadable bool) {
+	if unreadable {
+		b.unreadable[id] = true
+		return
+	}
+	delete(b.unreadable, id)
+}
+
 // Jobs lists the open jobs by priority, then age.
 func (b *Board) Jobs() []*Job { return b.order }
 
--- a/internal/placement/commands.go
+++ b/internal/placement/commands.go
@@ -97,6 +97,9 @@
 		}
 		p := &m.Tasks[i]
 		id, n, ok := wire.ParseTask(p.Task)
+		if b.unreadable[id] {
+			continue
+		}
 		var j *Job
 		if ok {
 			if j = b.jobs[id]; j != nil && n >= j.Spec.Tasks {
@@ -161,7 +164,7 @@
 	zero := 0.0
 	for _, p := range tasks {
 		id, _, ok := wire.ParseTask(p.Task)
-		if !ok || p.Stage == wire.TaskExited || len(out) == tuning.CommandsMost {
+		if !ok || p.Stage == wire.TaskExited || b.unreadable[id] || len(out) == tuning.CommandsMost {
 			continue
 		}
 		if j := b.jobs[id]; j == nil || j.closed {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -31,6 +31,11 @@
 	return Room{min(r.CPUs, o.CPUs), min(r.GPUs, o.GPUs), min(r.MemGB, o.MemGB)}
 }
 
+// Max returns the greater of two rooms in each resource.
+func (r Room) Max(o Room) Room {
+	return Room{max(r.CPUs, o.CPUs), max(r.GPUs, o.GPUs), max(r.MemGB, o.MemGB)}
+}
+
 // Unbounded is more than any room there is.
 func Unbounded() Room { return Room{math.Inf(1), math.Inf(1), math.Inf(1)} }
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -127,6 +128,13 @@
 	s.wake()
 }
 
+// Put sets a key, as a test's own change.
+func (s *StateService) Put(key string, value json.RawMessage) {
+	s.Revision++
+	s.change(wire.Write{Write: key, Value: value})
+	s.wake()
+}
+
 func (s *StateService) change(w wire.Write) {
 	if w.Remove != "" {
 		if _, ok := s.Keys[w.Remove]; ok {
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -4,8 +4,11 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"juniperchute/internal/config"
@@ -30,6 +33,28 @@
 	Block int   `json:",omitempty"`
 }
 
+// ReadOpen reads an open job's entry. An error means that this version cannot tell what
+// the job is: its shape or its form may be of a later one.
+func ReadOpen(it wire.Item) (OpenRec, error) {
+	var rec OpenRec
+	if err := json.Unmarshal(it.Value, &rec); err != nil {
+		return OpenRec{}, err
+	}
+	s := &rec.Spec
+	_, known := wire.Priority(s.Priority)
+	switch {
+	case s.ID != strings.TrimPrefix(it.Path, OpenUnder):
+		return OpenRec{}, errors.New("it names another job")
+	case s.Tasks < 1 || s.Tasks > wire.MaxTasks:
+		return OpenRec{}, fmt.Errorf("%d tasks", s.Tasks)
+	case !wire.KnownShape(s.Shape):
+		return OpenRec{}, fmt.Errorf("unknown shape %q", s.Shape)
+	case !known:
+		return OpenRec{}, fmt.Errorf("unknown priority %q", s.Priority)
+	}
+	return rec, nil
+}
+
 // OpenUnder is the prefix of all open jobs' entries.
 const OpenUnder = "q/"
 
@@ -193,37 +218,41 @@
 		reply(Busy())
 		return
 	}
-	refusal := 422
+	status := 422
 	if !spec.AnyType && why == "" && !undecided {
 		// names of no type would only take room in the record
 		spec.Types = slices.DeleteFunc(slices.Clone(spec.Types), func(b string) bool { _, ok := s.machineTypes()[b]; return !ok })
 	}
 	rec := OpenRec{Spec: spec, At: s.wall().UnixMilli(), Block: s.block(&spec)}
-	if raw, err := json.Marshal(rec); why == "" && (err != nil || s.facts.State.ValueKB > 0 && len(raw) > int(s.facts.State.Stored().ValueKB*1024*tuning.PageFill)) {
-		why, refusal = "too large to be kept", 400
+	if why == "" && !s.fits(rec) {
+		why, status = tooLarge, 400
+	}
+	s.inHand++
+	answer := func(r Response) {
+		s.inHand--
+		reply(r)
 	}
-	if why != "" || undecided {
-		// A job that was accepted stays accepted, whatever the settings or
-		// the machine types say by the time its user asks again.
-		s.inHand++
+	switch {
+	case undecided:
 		s.find(now, spec.ID, func(f found) {
-			s.inHand--
-			switch {
-			case f.stage != "":
-				reply(Response{Status: 200, Body: wire.Accepted{ID: spec.ID, Stage: f.stage}})
-			case !f.sure || undecided:
-				reply(Unable("cannot tell yet"))
-			default:
-				reply(refuse(refusal, why, 0))
+			if f.stage == "" {
+				answer(Unable("cannot tell yet"))
+				return
 			}
+			answer(Response{Status: 200, Body: wire.Accepted{ID: spec.ID, Stage: f.stage}})
 		})
-		return
+	case why != "":
+		s.refuseUnlessKnown(now, spec.ID, status, why, answer)
+	default:
+		s.write(now, rec, 0, answer)
 	}
-	s.inHand++
-	s.write(now, rec, 0, func(r Response) {
-		s.inHand--
-		reply(r)
-	})
+}
+
+// fits tells whether a job's record fits the state service, now and after its limits fall.
+func (s *Slice) fits(rec OpenRec) bool {
+	raw, err := json.Marshal(rec)
+	limit := int(s.facts.State.Stored().ValueKB * 1024 * tuning.PageFill)
+	return err == nil && (s.facts.State.ValueKB <= 0 || len(raw) <= limit)
 }
 
 // found is what a look at the records told of a job.
@@ -238,15 +267,21 @@
 // from one to the other in one transaction, it cannot be missed in between.
 func (s *Slice) find(now time.Time, id string, then func(f found)) {
 	s.call(store.Call{Op: store.OpGet, Class: store.ClassUser, Key: OpenKey(id)}, func(now time.Time, r store.Result) {
-		var rec OpenRec
 		switch {
 		case r.Status == 404:
 			s.end(now, id, then)
-		case r.OK() && json.Unmarshal(r.Item.Value, &rec) == nil:
-			then(found{sure: true, stage: wire.JobPending, version: r.Item.Version})
-		default:
+			return
+		case !r.OK():
+			then(found{})
+			return
+		}
+		r.Item.Path = OpenKey(id)
+		if _, err := ReadOpen(r.Item); err != nil {
+			s.log.Error("job entry cannot be read", "key", r.Item.Path, "error", err)
 			then(found{})
+			return
 		}
+		then(found{sure: true, stage: wire.JobPending, version: r.Item.Version})
 	})
 }
 
@@ -260,7 +295,7 @@
 		case !r.OK():
 			then(found{})
 		case json.Unmarshal(r.Item.Value, &rec) != nil || rec.Stage != wire.JobDone && rec.Stage != wire.JobWithdrawn:
-			s.log.Error("job record cannot be read", "job", id)
+			s.log.Error("job record cannot be read", "key", JobKey(id))
 			then(found{})
 		default:
 			s.final(now, wire.JobState{ID: id, Stage: rec.Stage, Done: rec.Done})
@@ -292,12 +327,33 @@
 			s.write(now, rec, tries+1, reply)
 		case r.Status == 429:
 			reply(Busy())
+		case r.Status == 400:
+			// too large by a limit that nobody announced; accepted before that, perhaps
+			s.refuseUnlessKnown(now, id, 400, tooLarge, reply)
 		default:
 			reply(Unable("state service does not answer"))
 		}
 	})
 }
 
+// tooLarge is why a job is refused whose record the state service does not take.
+const tooLarge = "too large to be kept"
+
+// refuseUnlessKnown refuses a submission for good, unless the job was accepted before: it
+// stays accepted, whatever the settings, the limits or the machine types have become.
+func (s *Slice) refuseUnlessKnown(now time.Time, id string, status int, why string, reply func(Response)) {
+	s.find(now, id, func(f found) {
+		switch {
+		case f.stage != "":
+			reply(Response{Status: 200, Body: wire.Accepted{ID: id, Stage: f.stage}})
+		case !f.sure:
+			reply(Unable("cannot tell yet"))
+		default:
+			reply(refuse(status, why, 0))
+		}
+	})
+}
+
 // Query tells a job's state.
 func (s *Slice) Query(now time.Time, id string, reply func(Response)) {
 	if !wire.ValidID(id) {
@@ -341,9 +397,12 @@
 			ended(now)
 			return
 		}
-		// an entry that cannot be read is still an open job
-		var rec struct{ Block int }
-		_ = json.Unmarshal(it.Value, &rec)
+		rec, err := ReadOpen(it)
+		if err != nil {
+			s.log.Error("job entry cannot be read", "key", it.Path, "error", err)
+			answer(Unable("the job's record cannot be read"))
+			return
+		}
 		s.progress(now, rec.Block, id, func(now time.Time, p Progress) {
 			if _, open := s.open.Get(OpenKey(id)); !open {
 				// it ended while its holder was asked, and somebody may have been told
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -160,7 +160,7 @@
 	s.Class = f.text("Lane")
 	s.Team = f.text("Crew")
 	s.Shape = f.text("Shape")
-	if f.err == nil && s.Shape != ShapeBatch && s.Shape != ShapeGang && s.Shape != ShapeStanding {
+	if f.err == nil && !KnownShape(s.Shape) {
 		f.fail("Shape", "unknown")
 	}
 	s.Priority = f.text("Rank")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,11 @@
 	ShapeStanding = "standing"
 )
 
+// KnownShape tells whether a shape is one of those that this version knows.
+func KnownShape(shape string) bool {
+	return shape == ShapeBatch || shape == ShapeGang || shape == ShapeStanding
+}
+
 // Stages of a job as its user sees them.
 const (
 	JobPending   = "pending"
