Services: places for recalled replicas are hired, lower work of their team gives way at its limit, quick ends back off

Cause, by reading: replicas on recalled machines counted as served, so machines were hired for them only within the reserve; a team at its limit kept its lower work running while a replica waited; a replica that ended at once was started every second; one with Apart could not move within its zone, as it counted itself.

--- a/internal/integration/upgrade_test.go
+++ b/internal/integration/upgrade_test.go
@@ -207,7 +207,7 @@
 // useServices plays services, which are asked for once all have the new version: a
 // service runs, a machine of it is lost, the replica comes back, and it is cancelled.
 func (r *rollout) useServices() {
-	service := r.add(wire.Submission{ID: "job-800000", Team: "red", Class: "portal", Shape: wire.ShapeStanding, Priority: "critical", Tasks: serviceReplicas,
+	service := r.add(wire.Submission{ID: "job-800000", Team: "red", Class: "portal", Shape: wire.ShapeService, Priority: "critical", Tasks: serviceReplicas,
 		Vcpus: 1, Gpus: 1, MemGb: 4, Bundle: "img-portal", ImageGb: 1, AnyType: true}, 0)
 	replicas := func() (hosts []string) {
 		for name, w := range r.cluster.Workers {
--- a/internal/node/fault_combinations_test.go
+++ b/internal/node/fault_combinations_test.go
@@ -27,7 +27,7 @@
 		s.Shape, s.Tasks = wire.ShapeGang, 1+m.rng.IntN(3)
 	}
 	if m.rng.IntN(6) == 0 {
-		s.Class, s.Shape, s.Tasks, s.Gpus, s.Priority, s.GuessS = "serve", wire.ShapeStanding, 1+m.rng.IntN(3), 0, "critical", 0
+		s.Class, s.Shape, s.Tasks, s.Gpus, s.Priority, s.GuessS = "serve", wire.ShapeService, 1+m.rng.IntN(3), 0, "critical", 0
 	}
 	if change != nil {
 		change(&s)
--- a/internal/node/formats_test.go
+++ b/internal/node/formats_test.go
@@ -35,7 +35,7 @@
 		{"a block given back", `{"Holder":"","Inc":0,"Baton":4,"Ended":false,"Deaf":"n1"}`, &leader.BlockRec{}, &leader.BlockRec{Token: 4, Deaf: "n1"}},
 		{"an open job", `{"Spec":{"Id":"job-1","Lane":"train","Crew":"red","Shape":"standing","Rank":"critical","Pieces":3,"Vcpus":2,"Gpus":0,"MemGb":12.8,` +
 			`"Bundle":"img-1","ImageGb":1,"Builds":["g8"],"Yard":"a","Together":true,"Apart":true,"Loaners":true,"GuessS":0,"BookmarkS":5,"StowS":2,"DueS":9},"At":1700000000000,"Block":2}`,
-			&submission.OpenRec{}, &submission.OpenRec{At: 1700000000000, Block: 2, Spec: wire.Submission{ID: "job-1", Class: "train", Team: "red", Shape: wire.ShapeStanding, Priority: "critical",
+			&submission.OpenRec{}, &submission.OpenRec{At: 1700000000000, Block: 2, Spec: wire.Submission{ID: "job-1", Class: "train", Team: "red", Shape: wire.ShapeService, Priority: "critical",
 				Tasks: 3, Vcpus: 2, MemGb: 12.8, Bundle: "img-1", ImageGb: 1, Types: []string{"g8"}, Zone: "a", Together: true, Apart: true, Spot: true, BookmarkS: 5, StowS: 2, DueS: 9}}},
 		{"an open job of any type", `{"Spec":{"Id":"job-1","Lane":"l","Crew":"red","Shape":"batch","Rank":"low","Pieces":1,"Vcpus":1,"Gpus":1,"MemGb":1,` +
 			`"Bundle":"i","ImageGb":1,"AnyBuild":true,"GuessS":1,"BookmarkS":0,"StowS":0},"At":5}`,
--- a/internal/node/random_faults_test.go
+++ b/internal/node/random_faults_test.go
@@ -144,7 +144,7 @@
 		s.Gpus = float64(1 + sim.rng.IntN(2))
 	}
 	if sim.rng.IntN(12) == 0 {
-		s.Class, s.Shape, s.Tasks = "serve", wire.ShapeStanding, 1+sim.rng.IntN(2)
+		s.Class, s.Shape, s.Tasks = "serve", wire.ShapeService, 1+sim.rng.IntN(2)
 	}
 	if len(machineTypes) > 1 && sim.rng.IntN(4) == 0 {
 		s.AnyType, s.Types = false, []string{machineTypes[sim.rng.IntN(len(machineTypes))].Name}
--- a/internal/node/simulation_checks_test.go
+++ b/internal/node/simulation_checks_test.go
@@ -92,7 +92,7 @@
 	sim.runFor(30 * time.Second) // the last faults pass
 	sim.faultsOver = sim.clk.Now()
 	for _, j := range sim.cluster.Order {
-		if j.Faulty || j.Spec.Shape == wire.ShapeStanding {
+		if j.Faulty || j.Spec.Shape == wire.ShapeService {
 			sim.cancel(j)
 		}
 	}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -286,7 +286,7 @@
 	t.at, t.attempt, t.spare = m, attempt, spare
 	t.reported, t.ordered, t.openDo, t.seq, t.session, t.stopDue, t.grace = false, false, 0, 0, 0, false, 0
 	b.setPhase(now, t, Sent, why)
-	if t.Job.Gang() || t.Job.Standing() {
+	if t.Job.Gang() || t.Job.Service() {
 		b.kick(m) // its mates, or its users, wait for it
 	}
 }
--- a/internal/placement/close.go
+++ b/internal/placement/close.go
@@ -77,7 +77,7 @@
 	}
 	for _, t := range h.on {
 		j := t.Job
-		if t.phase != Live || t.spare || j.closed || j.Gang() || j.Standing() || j.Spec.BookmarkS <= 0 || t.runFrom.IsZero() {
+		if t.phase != Live || t.spare || j.closed || j.Gang() || j.Service() || j.Spec.BookmarkS <= 0 || t.runFrom.IsZero() {
 			return false
 		}
 	}
--- a/internal/placement/commands.go
+++ b/internal/placement/commands.go
@@ -108,7 +108,7 @@
 		}
 		if p.Stage == wire.TaskExited {
 			// A completion stays reported until it is kept elsewhere.
-			if (j == nil || j.closed || p.Cause != wire.CauseDone || j.Standing() || j.durable.has(n)) && !h.direct[attemptKey{p.Task, p.Attempt}] {
+			if (j == nil || j.closed || p.Cause != wire.CauseDone || j.Service() || j.durable.has(n)) && !h.direct[attemptKey{p.Task, p.Attempt}] {
 				out = append(out, wire.Command{Verb: wire.VerbReap, Task: p.Task, Attempt: p.Attempt})
 			}
 			continue
@@ -213,7 +213,7 @@
 		pending, ready := false, false
 		for _, t := range h.on {
 			switch {
-			case t.phase == Sent && !t.ordered && (t.Job.Gang() || t.Job.Standing()) && len(h.direct) < tuning.DirectMost:
+			case t.phase == Sent && !t.ordered && (t.Job.Gang() || t.Job.Service()) && len(h.direct) < tuning.DirectMost:
 				pending, ready = true, true
 			case t.phase == Stopping && t.stopDue && !t.Job.closed:
 				pending, ready = true, ready || t.ordered
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -94,13 +94,13 @@
 	open := func(j *Job, zone string) *bin {
 		best := -1
 		for i, o := range offers {
-			if j.Standing() && o.Spot && best >= 0 && !offers[best].Spot {
+			if j.Service() && o.Spot && best >= 0 && !offers[best].Spot {
 				continue
 			}
 			if o.Left-rentals[i] <= 0 || zone != "" && o.Zone != zone || !j.allows(o.Type, o.Zone, o.Spot) || !o.Cap.Fits(j.need) {
 				continue
 			}
-			if best < 0 || j.Standing() && !o.Spot && offers[best].Spot || o.Price/float64(o.Cap.Count(j.need, maxCount)) < offers[best].Price/float64(offers[best].Cap.Count(j.need, maxCount)) {
+			if best < 0 || j.Service() && !o.Spot && offers[best].Spot || o.Price/float64(o.Cap.Count(j.need, maxCount)) < offers[best].Price/float64(offers[best].Cap.Count(j.need, maxCount)) {
 				best = i
 			}
 		}
@@ -125,18 +125,21 @@
 	// gangs may wait.
 	least := quota.Unbounded()
 	for _, j := range b.order {
-		if j.Gang() || j.Standing() {
+		if j.Gang() || j.Service() {
 			least = least.Min(j.need)
 		}
 	}
 	whole := slices.Clone(bins)
 	var hired []*bin
 	for _, j := range b.order {
-		n := j.held()
-		if now.Before(j.notBefore) || j.Gang() && len(j.tasks) > 0 || !j.Gang() && !j.Standing() {
+		if now.Before(j.notBefore) || j.Gang() && len(j.tasks) > 0 || !j.Gang() && !j.Service() {
 			continue
 		}
-		if n == 0 || !admit(j, j.need.Times(float64(n))) {
+		n, moving := j.held(), j.replacements()
+		if n > 0 && !admit(j, j.need.Times(float64(n))) {
+			n = 0
+		}
+		if n += moving; n == 0 {
 			continue
 		}
 		whole = slices.DeleteFunc(whole, func(bn *bin) bool { return !bn.free.Fits(least) })
@@ -163,7 +166,7 @@
 // that lacks the fewest; zones that would get too many tasks are passed over.
 func (b *Board) wholeDemand(j *Job, n int, bins *[]*bin, open func(*Job, string) *bin, offered func(zone string) bool) {
 	pack := func(zone string, commit bool) (lacks int) {
-		inZone := j.zones(true)
+		inZone := j.stayingZones()
 		room := map[*bin]quota.Room{}
 		for range n {
 			var best *bin
@@ -176,7 +179,7 @@
 					free = bn.free
 				}
 				if free.Fits(j.need) && j.allows(bn.build, bn.zone, bn.spot) && (zone == "" || bn.zone == zone) && j.zoneOK(bn.zone, inZone) &&
-					(bn.m == nil || !j.avoids(bn.m)) && (best == nil || cheaper(bn, best, j.Standing())) {
+					(bn.m == nil || !j.avoids(bn.m)) && (best == nil || cheaper(bn, best, j.Service())) {
 					best = bn
 				}
 			}
@@ -215,7 +218,7 @@
 	if j.Spec.Together {
 		least := n + 1
 		for _, y := range b.facts.Zones {
-			if j.Spec.Zone != "" && j.Spec.Zone != y || !j.zoneOK(y, j.zones(true)) {
+			if j.Spec.Zone != "" && j.Spec.Zone != y || !j.zoneOK(y, j.stayingZones()) {
 				continue
 			}
 			// a zone that lacks room is of use only if more can be had there
@@ -256,7 +259,7 @@
 	}
 	var loads []load
 	for _, j := range b.order {
-		if j.Gang() || j.Standing() || now.Before(j.notBefore) {
+		if j.Gang() || j.Service() || now.Before(j.notBefore) {
 			continue
 		}
 		n := j.held()
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -25,7 +25,7 @@
 // avoids tells whether the job has failed on a machine, and not so widely that
 // the job itself must be at fault.
 func (j *Job) avoids(m *worker.Machine) bool {
-	return len(j.failedOn) > 0 && j.failedOn[m.Host] > 0 && (len(j.failedOn) < tuning.BadJobMachines || j.Standing() && len(j.wellOn) > 0)
+	return len(j.failedOn) > 0 && j.failedOn[m.Host] > 0 && (len(j.failedOn) < tuning.BadJobMachines || j.Service() && len(j.wellOn) > 0)
 }
 
 // yards counts a job's tasks by zone: those on machines, and with queued also
@@ -113,8 +113,8 @@
 func (b *Board) drawJob(now time.Time, j *Job, guaranteed, image bool) {
 	// most jobs have nothing waiting: that is told first
 	switch {
-	case j.Gang() || j.Standing():
-		if image || j.Standing() && j.held() == 0 {
+	case j.Gang() || j.Service():
+		if image || j.Service() && j.held() == 0 {
 			return // where the image is counts in the places' scores
 		}
 	case j.held() == 0 || len(b.survey.roomy) == 0:
@@ -134,8 +134,8 @@
 		b.drawGang(now, j, guaranteed)
 		return
 	}
-	if j.Standing() {
-		b.drawStanding(now, j, guaranteed)
+	if j.Service() {
+		b.drawService(now, j, guaranteed)
 		return
 	}
 	if guaranteed && !b.book.Guaranteed(j.Spec.Team, j.need) {
@@ -306,7 +306,7 @@
 		}
 		margin := config.Seconds(b.facts.Workers.ReportS*tuning.RecallReports) + tuning.SaveGrace
 		for _, t := range slices.Clone(h.on) {
-			if t.phase == Live && t.Job.Standing() {
+			if t.phase == Live && t.Job.Service() {
 				b.moveReplica(now, t, now.Add(margin).After(m.Recall))
 				continue
 			}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -47,7 +47,7 @@
 // it returns the commands of the answer.
 func (x *bench) report(m *worker.Machine, extra ...wire.Task) []wire.Command {
 	x.t.Helper()
-	rep := &wire.Report{Host: m.Host, Type: "g2", Zone: "a", Spot: m.Spot, Session: 1, Seq: m.Seq + 1}
+	rep := &wire.Report{Host: m.Host, Type: "g2", Zone: m.Zone, Spot: m.Spot, Session: 1, Seq: m.Seq + 1}
 	if !m.Recall.IsZero() {
 		left := m.Recall.Sub(x.now).Seconds()
 		rep.RecallS = &left
--- a/internal/placement/reports.go
+++ b/internal/placement/reports.go
@@ -67,14 +67,8 @@
 	}
 	j := t.Job
 	b.log.Debug("task exited", "task", p.Task, "attempt", p.Attempt, "host", m.Host, "cause", p.Cause, "stored", p.Stored)
-	switch {
-	case p.Cause == wire.CauseDone && j.Standing():
-		// at once, unless it ends as soon as it has begun
-		wait := tuning.RetryPause
-		if j.servedWell(now, t); j.wellOn[m.Host] && now.Sub(t.runFrom) >= tuning.ServiceWell {
-			wait = 0
-		}
-		b.gone(now, t, wait, "a service's replica ended")
+	if p.Cause == wire.CauseDone && j.Service() {
+		b.gone(now, t, j.restartPause(now, t), "a service's replica ended")
 		return
 	}
 	switch p.Cause {
@@ -165,7 +159,7 @@
 			j = nil
 		}
 		if p.Stage == wire.TaskExited {
-			if j != nil && p.Cause == wire.CauseDone && !j.Standing() && !j.done.has(n) {
+			if j != nil && p.Cause == wire.CauseDone && !j.Service() && !j.done.has(n) {
 				b.foundDone(now, j, n)
 			}
 			continue
--- a/internal/placement/standing_test.go
+++ b/internal/placement/service_test.go
@@ -1,11 +1,13 @@
 package placement
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"juniperchute/internal/config"
+	"juniperchute/internal/quota"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
@@ -26,6 +28,14 @@
 	return sent
 }
 
+// twoZones puts every other machine into another zone.
+func (x *bench) twoZones() {
+	x.b.facts.Zones = []string{"a", "b"}
+	for i, m := range x.reg.All() {
+		m.Zone = x.b.facts.Zones[i%2]
+	}
+}
+
 // on names the machines of a service's replicas.
 func (x *bench) on(j *Job) map[string]int {
 	out := map[string]int{}
@@ -39,8 +49,8 @@
 
 // A replica is handed out at once, by a direct command, with few of its siblings beside
 // it; it runs again when it ends, fails or has to move; lower work gives way to it.
-func TestStanding(t *testing.T) {
-	service := func(x *bench, tasks int) *Job { return x.job("blue", wire.ShapeStanding, "critical", tasks, 0) }
+func TestServices(t *testing.T) {
+	service := func(x *bench, tasks int) *Job { return x.job("blue", wire.ShapeService, "critical", tasks, 0) }
 	for _, c := range []struct {
 		name     string
 		machines int
@@ -210,7 +220,7 @@
 			return ""
 		}},
 		{"its age raises it over nobody", 1, func(x *bench) string {
-			old := x.job("blue", wire.ShapeStanding, "low", 9, 0)
+			old := x.job("blue", wire.ShapeService, "low", 9, 0)
 			x.now = x.now.Add(tuning.StarveAfter + time.Hour)
 			young := x.job("blue", wire.ShapeBatch, "normal", 1, 1)
 			x.b.Draw(x.now)
@@ -231,6 +241,172 @@
 			}
 			return ""
 		}},
+		{"one that ends at once again and again is started less and less often", 1, func(x *bench) string {
+			j := service(x, 1)
+			starts := 0
+			for range 120 {
+				x.direct()
+				x.now = x.now.Add(time.Second)
+				for _, m := range x.reg.All() {
+					if x.on(j)[m.Host] > 0 {
+						starts++
+						x.report(m, wire.Task{Task: j.Spec.ID + "/0", Stage: wire.TaskExited, Cause: wire.CauseDone})
+					}
+				}
+			}
+			if starts < 5 || starts > 10 {
+				return fmt.Sprintf("%d starts in two minutes", starts)
+			}
+			return ""
+		}},
+		{"its machine hangs: it runs elsewhere only once the lease is over", 2, func(x *bench) string {
+			j := service(x, 1)
+			x.direct()
+			at := j.tasks[0].at
+			x.reg.Set(x.now, at, worker.Silent, "test")
+			for range 50 {
+				if sent := x.direct(); strings.Contains(sent, "run ") {
+					return "started beside the one that hangs"
+				}
+			}
+			x.reg.Set(x.now, at, worker.Lapsed, "test")
+			x.b.Lost(x.now, at, "test")
+			if x.direct(); j.Located() != 1 || x.on(j)[at.Host] != 0 {
+				return "not started elsewhere"
+			}
+			return ""
+		}},
+		{"cancelled while it moves: stopped, and started nowhere", 2, func(x *bench) string {
+			j := service(x, 1)
+			x.direct()
+			from := j.tasks[0].at
+			from.Recall = x.now.Add(30 * time.Second)
+			x.now = x.now.Add(time.Second)
+			if sent := x.direct(); !strings.Contains(sent, "stop") {
+				return "does not move"
+			}
+			x.b.CloseJob(x.now, j.Spec.ID, x.now.Add(time.Minute))
+			x.report(from, wire.Task{Task: j.Spec.ID + "/0", Stage: wire.TaskExited, Cause: wire.CauseHalted})
+			for range 20 {
+				if sent := x.direct(); strings.Contains(sent, "run ") {
+					return "started again"
+				}
+			}
+			if j.Located() != 0 {
+				return "left on a machine"
+			}
+			return ""
+		}},
+		{"apart, its machine is recalled: it moves within its zone", 4, func(x *bench) string {
+			x.twoZones()
+			j := service(x, 2)
+			j.Spec.Apart = true
+			x.direct()
+			if zones := j.zones(false); zones["a"] != 1 || zones["b"] != 1 {
+				return "not apart"
+			}
+			from := j.tasks[0].at
+			for _, m := range x.reg.All() {
+				if m.Zone != from.Zone && x.on(j)[m.Host] == 0 {
+					m.Faulty = true // only a machine of the same zone is left
+				}
+			}
+			from.Recall = x.now.Add(30 * time.Second)
+			x.now = x.now.Add(time.Second)
+			if sent := x.direct(); !strings.Contains(sent, "stop") {
+				return "does not move while there is a place"
+			}
+			zone := from.Zone
+			x.report(from, wire.Task{Task: j.Spec.ID + "/0", Stage: wire.TaskExited, Cause: wire.CauseHalted})
+			x.direct()
+			if at := j.tasks[0].at; at == nil || at.Zone != zone || at == from {
+				return "not moved within its zone"
+			}
+			return ""
+		}},
+		{"together, a machine is lost: its replica stays in the zone of the others", 4, func(x *bench) string {
+			x.twoZones()
+			j := service(x, 2)
+			j.Spec.Together = true
+			x.direct()
+			zone := j.tasks[1].at.Zone
+			lost := j.tasks[0].at
+			x.reg.Set(x.now, lost, worker.Lapsed, "test")
+			x.b.Lost(x.now, lost, "test")
+			x.direct()
+			if at := j.tasks[0].at; at == nil || at.Zone != zone {
+				return "in another zone"
+			}
+			return ""
+		}},
+		{"its team is at its limit: queued lower work goes back, and the replica starts", 4, func(x *bench) string {
+			low := x.job("red", wire.ShapeBatch, "low", 4, 1) // the limit is 4 GPUs
+			x.b.Draw(x.now)
+			if len(low.tasks) != 4 {
+				return "not queued"
+			}
+			j := x.job("red", wire.ShapeService, "critical", 1, 1)
+			x.direct()
+			if j.Located() != 1 || len(low.tasks) != 3 {
+				return fmt.Sprintf("%d replicas, %d queued", j.Located(), len(low.tasks))
+			}
+			return ""
+		}},
+		{"its team is at its limit: as much of its lower work as it takes is stopped", 4, func(x *bench) string {
+			low := x.job("red", wire.ShapeBatch, "low", 4, 1)
+			other := x.job("blue", wire.ShapeBatch, "low", 2, 1)
+			x.b.Draw(x.now)
+			for range 2 {
+				for _, m := range x.reg.All() {
+					x.report(m)
+				}
+			}
+			j := x.job("red", wire.ShapeService, "critical", 1, 1)
+			for range 5 {
+				x.direct()
+			}
+			stopping := func(job *Job) (n int) {
+				for _, t := range job.tasks {
+					if t.phase == Stopping {
+						n++
+					}
+				}
+				return n
+			}
+			if stopping(low) != 1 || stopping(other) != 0 || j.Located() != 0 {
+				return fmt.Sprintf("%d of its team's and %d of another's stopped, %d replicas", stopping(low), stopping(other), j.Located())
+			}
+			for _, t := range low.sorted() {
+				if t.phase == Stopping {
+					x.report(t.at, wire.Task{Task: t.Name(), Stage: wire.TaskExited, Cause: wire.CauseHalted})
+				}
+			}
+			x.direct()
+			if j.Located() != 1 {
+				return "not started"
+			}
+			return ""
+		}},
+		{"its team is at its limit with work as important: nothing is stopped", 4, func(x *bench) string {
+			same := x.job("red", wire.ShapeBatch, "critical", 4, 1)
+			x.b.Draw(x.now)
+			for range 2 {
+				for _, m := range x.reg.All() {
+					x.report(m)
+				}
+			}
+			j := x.job("red", wire.ShapeService, "critical", 1, 1)
+			x.direct()
+			for _, t := range same.tasks {
+				if t.phase == Stopping {
+					return "stopped " + t.Name()
+				}
+			}
+			if j.Located() != 0 || j.WaitsFor() != "team's limit" {
+				return "waits for " + j.WaitsFor()
+			}
+			return ""
+		}},
 		{"a lost machine's replica runs elsewhere at once", 2, func(x *bench) string {
 			j := service(x, 1)
 			x.direct()
@@ -286,7 +462,7 @@
 				x.b.facts.Objectives = append(x.b.facts.Objectives, objective(c.class, 4))
 			}
 			for range c.services {
-				j := x.job("blue", wire.ShapeStanding, "critical", 2, 0)
+				j := x.job("blue", wire.ShapeService, "critical", 2, 0)
 				j.Spec.Spot = c.spot
 				x.direct()
 				j.Spec.Spot = false
@@ -303,3 +479,57 @@
 func objective(class string, within float64) config.Objective {
 	return config.Objective{Kind: "wait", Class: class, WithinS: within, Share: 0.8}
 }
+
+// Replicas on machines that the cloud takes back need places by then: machines are hired
+// for those that find none, also where their team is at its limit, and for no others.
+func TestRecalledReplicas(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		machines int // that stay
+		recalled int // machines with two services' replicas
+		limit    bool
+		want     int // machines hired
+	}{
+		{"none is recalled", 2, 0, false, 0},
+		{"there is room elsewhere", 2, 1, false, 0},
+		{"a wave takes more than there is room for", 0, 3, false, 3},
+		{"the same at the team's limit", 0, 3, true, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newBench(t, max(c.recalled, 1))
+			for range 2 {
+				// two replicas of a machine's whole memory, one a machine
+				j := x.job("blue", wire.ShapeService, "critical", max(c.recalled, 1), 0)
+				j.Spec.MemGb, j.Spec.Vcpus = 40, 5
+				j.need = quota.Room{CPUs: 5, MemGB: 40}
+				if c.limit {
+					j.Spec.Gpus, j.need.GPUs = 1, 1
+				}
+			}
+			for range 3 {
+				x.direct()
+			}
+			if c.limit {
+				x.b.book.Block(quota.Room{GPUs: 8}) // nothing more is admitted
+			}
+			for i, m := range x.reg.All() {
+				if i < c.recalled {
+					m.Recall = x.now.Add(12 * time.Second)
+				}
+			}
+			for i := range c.machines {
+				m := x.reg.Add(x.now, fmt.Sprintf("i-9%d", i), worker.Booting)
+				m.Cap, m.Used, m.Type, m.Zone = quota.Room{CPUs: 12, GPUs: 2, MemGB: 96}, true, "g2", "a"
+				x.report(m)
+			}
+			x.b.seen["l"] = true
+			offers := []Offer{{Type: "g2", Zone: "a", Cap: quota.Room{CPUs: 12, GPUs: 2, MemGB: 96}, Price: 3, BootS: 25, Left: 50}}
+			got := x.b.Demand(x.now, offers, []int{0})
+			// beside them, room for one more service is kept on two machines
+			reserve := max(0, tuning.ReserveMachines-c.machines-max(c.recalled, 1)+c.recalled)
+			if got[0] < c.want || got[0] > c.want+reserve {
+				t.Errorf("%d machines to be hired, want %d and a reserve of %d at most", got[0], c.want, reserve)
+			}
+		})
+	}
+}
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -94,6 +94,7 @@
 	notBefore time.Time
 	failedOn  map[string]int
 	errors    int
+	shortRuns int             // of a service's replicas, one after the other, that ended as soon as they had begun
 	wellOn    map[string]bool // machines on which a task of it completed
 	turn      float64         // its place in the order, a time of day in seconds
 	begin     beginning
@@ -121,8 +122,8 @@
 // Gang tells whether all tasks run together or none.
 func (j *Job) Gang() bool { return j.Spec.Shape == wire.ShapeGang }
 
-// Standing tells whether the job is a service, which ends only when cancelled.
-func (j *Job) Standing() bool { return j.Spec.Shape == wire.ShapeStanding }
+// Service tells whether the job is a service, which ends only when cancelled.
+func (j *Job) Service() bool { return j.Spec.Shape == wire.ShapeService }
 
 // Done is how many tasks have completed.
 func (j *Job) Done() int { return j.done.count }
--- a/internal/placement/turns.go
+++ b/internal/placement/turns.go
@@ -37,7 +37,7 @@
 	for _, j := range b.order {
 		j.level = j.priority + b.raised(now, j)
 		levels[j.level] = append(levels[j.level], j)
-		if !j.Gang() && !j.Standing() {
+		if !j.Gang() && !j.Service() {
 			least = least.Min(j.need)
 		}
 	}
@@ -45,11 +45,11 @@
 	images := b.imageCounts()
 	for _, l := range slices.Backward(slices.Sorted(maps.Keys(levels))) {
 		jobs := b.byTurn(levels[l])
-		whole := slices.DeleteFunc(slices.Clone(jobs), func(j *Job) bool { return !j.Gang() && !j.Standing() })
+		whole := slices.DeleteFunc(slices.Clone(jobs), func(j *Job) bool { return !j.Gang() && !j.Service() })
 		b.turns = append(b.turns, level{jobs, whole})
 		first, ahead := math.Inf(1), 0
 		for _, j := range jobs {
-			if j.held() > 0 && !j.Gang() && !j.Standing() {
+			if j.held() > 0 && !j.Gang() && !j.Service() {
 				if ahead++; ahead <= tuning.BeginAhead && b.startable(j) {
 					b.mayBegin(now, j) // so that a free place need not wait for the mark
 				}
@@ -80,7 +80,7 @@
 // beginning. One of which nothing has started goes first until something has;
 // one whose tasks have waited longer still goes up priority by priority, and stays there.
 func (b *Board) raised(now time.Time, j *Job) int {
-	if j.Standing() {
+	if j.Service() {
 		return 0 // it never ends: its age says nothing of what it waits for
 	}
 	if j.starved(now) && j.located == 0 {
@@ -98,7 +98,7 @@
 // starved tells whether nothing of a job has come to an end although it has
 // waited for long: what it has begun is left alone.
 func (j *Job) starved(now time.Time) bool {
-	return !j.Standing() && j.done.count == 0 && now.Sub(j.Since) > tuning.BeginBy
+	return !j.Service() && j.done.count == 0 && now.Sub(j.Since) > tuning.BeginBy
 }
 
 // byTurn orders jobs of one priority by age. Gangs go a while before arrays, and
@@ -110,7 +110,7 @@
 	works := map[*Job]float64{}
 	sum := 0.0
 	for _, j := range out {
-		if n := j.held(); n > 0 && !j.Gang() && !j.Standing() {
+		if n := j.held(); n > 0 && !j.Gang() && !j.Service() {
 			works[j] = float64(n) * b.Expect(j) * j.share(b.reg)
 			sum += works[j]
 		}
@@ -119,7 +119,7 @@
 	for _, j := range out {
 		j.turn = float64(j.At.UnixMilli()) / 1000
 		switch w := works[j]; {
-		case j.Gang() || j.Standing():
+		case j.Gang() || j.Service():
 			j.turn -= tuning.GangsAhead.Seconds()
 		case w > 0:
 			j.turn += tuning.TurnMost.Seconds() * w / (w + usual)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -378,7 +378,7 @@
 	case now.Before(t.Until):
 	case t.Stage == wire.TaskSaving:
 		w.exit(t, wire.CauseHalted, true)
-	case t.Job.Spec.Shape == wire.ShapeStanding:
+	case t.Job.Spec.Shape == wire.ShapeService:
 	case gang:
 		w.completeGang(t)
 	default:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,14 +8,14 @@
 const (
 	ShapeBatch = "batch"
 	ShapeGang  = "gang"
-	// ShapeStanding is a service: its tasks run until its user cancels it.
+	// ShapeService is a service: its tasks run until its user cancels it.
 	// The protocol's pages do not list it, but its users submit it.
-	ShapeStanding = "standing"
+	ShapeService = "standing"
 )
 
 // KnownShape tells whether a shape is one of those that this version knows.
 func KnownShape(shape string) bool {
-	return shape == ShapeBatch || shape == ShapeGang || shape == ShapeStanding
+	return shape == ShapeBatch || shape == ShapeGang || shape == ShapeService
 }
 
 // Stages of a job as its user sees them.
