--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -188,7 +189,7 @@
 		var de *toml.DecodeError
 		if errors.As(err, &de) {
 			row, _ := de.Position()
-			return nil, fmt.Errorf("line %d: %s", row, de.Error())
+			return nil, fmt.Errorf("line %d: %s: %s", row, strings.Join(de.Key(), "."), de.Error())
 		}
 		return nil, err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -62,7 +62,7 @@
 		{"no zones", `zones = ["a"]`, "", "facts.zones"},
 		{"no lease", "lease_s = 10.0", "", "facts.workers.lease_s"},
 		{"negative lease", "lease_s = 10.0", "lease_s = -1.0", "facts.workers.lease_s"},
-		{"wrong type", "rps = 200.0", `rps = "many"`, "line "},
+		{"wrong type", "rps = 200.0", `rps = "many"`, "line 34: facts.state.rps"},
 		{"not TOML", "[external]", "[external", "line "},
 		{"no processor share", "cpu = 0.12", "", "facts.machine_limits.cpu"},
 		{"no memory", "memory_mb = 98.0", "memory_mb = 0.0", "facts.machine_limits.memory_mb"},
@@ -76,6 +76,10 @@
 		{"a limit to come in words", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\ntxn_ops = \"four\"", "facts.state.next.txn_ops"},
 		{"half an operation to come", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\ntxn_ops = 2.5", "facts.state.next.txn_ops"},
 		{"fewer operations than go together", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\ntxn_ops = 1", "next.txn_ops"},
+		{"limits to come without bounds", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]\nvalue_kb = inf", "facts.state.next.value_kb"},
+		{"limits to come that are no table", "txn_ops = 8", "txn_ops = 8\nnext = 5", "facts.state.next"},
+		{"an empty table of limits to come", "txn_ops = 8", "txn_ops = 8\n[facts.state.next]", ""},
+		{"an objective of an unknown kind", "[[facts.objectives]]", "[[facts.objectives]]\nkind = \"up\"\nclass = \"portal\"\nfrom_s = 5.0\nshare = 0.998\n[[facts.objectives]]", ""},
 		{"whole numbers as amounts", "lease_s = 10.0", "lease_s = 10", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/wire/submission_test.go
+++ b/internal/wire/submission_test.go
@@ -28,6 +28,14 @@
 		{name: "omitted zone", field: "Yard", drop: true},
 		{name: "omitted deadline", field: "DueS", drop: true},
 		{name: "null deadline", field: "DueS", value: nil},
+		{name: "no guess", field: "GuessS", value: 0},
+		{name: "omitted guess", field: "GuessS", drop: true, bad: "GuessS"},
+		{name: "guess as text", field: "GuessS", value: "soon", bad: "GuessS"},
+		{name: "negative guess", field: "GuessS", value: -1, bad: "GuessS"},
+		{name: "guess beyond all numbers", field: "GuessS", value: json.RawMessage("1e999"), bad: "GuessS"},
+		{name: "room that is no number", field: "MemGb", value: json.RawMessage(`"NaN"`), bad: "MemGb"},
+		{name: "shape in other letters", field: "Shape", value: "Standing", bad: "Shape"},
+		{name: "omitted shape", field: "Shape", drop: true, bad: "Shape"},
 		{name: "unknown field", field: "Extra", value: []int{1}},
 		{name: "whole number as amount", field: "Vcpus", value: 8},
 		{name: "most pieces", field: "Pieces", value: 100000},
@@ -51,23 +59,30 @@
 		{name: "empty bundle", field: "Bundle", value: "", bad: "Bundle"},
 		{name: "negative deadline", field: "DueS", value: -1, bad: "DueS"},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			m := valid()
-			if c.field != "" {
-				m[c.field] = c.value
+		// the same holds for every shape
+		for _, shape := range []string{ShapeBatch, ShapeGang, ShapeService} {
+			if c.field == "Shape" && shape != ShapeBatch {
+				continue
 			}
-			if c.drop {
-				delete(m, c.field)
-			}
-			raw, _ := json.Marshal(m)
-			s, err := ParseSubmission(raw)
-			if c.bad == "" && (err != nil || s.ID != "job-000412") {
-				t.Fatalf("refused: %v", err)
-			}
-			if c.bad != "" && (err == nil || !strings.HasPrefix(err.Error(), c.bad)) {
-				t.Fatalf("got error %v, want one about %s", err, c.bad)
-			}
-		})
+			t.Run(c.name+"/"+shape, func(t *testing.T) {
+				m := valid()
+				m["Shape"] = shape
+				if c.field != "" {
+					m[c.field] = c.value
+				}
+				if c.drop {
+					delete(m, c.field)
+				}
+				raw, _ := json.Marshal(m)
+				s, err := ParseSubmission(raw)
+				if c.bad == "" && (err != nil || s.ID != "job-000412") {
+					t.Fatalf("refused: %v", err)
+				}
+				if c.bad != "" && (err == nil || !strings.HasPrefix(err.Error(), c.bad)) {
+					t.Fatalf("got error %v, want one about %s", err, c.bad)
+				}
+			})
+		}
 	}
 	for _, raw := range []string{"", "{", "[]", "null", `"x"`, "3", `{"id":"job-1"}`} {
 		if _, err := ParseSubmission([]byte(raw)); err == nil {
