--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -182,13 +182,13 @@
 		}
 		fmt.Fprintln(w, "\nservice\tclass\tteam\treplicas wanted\trunning\ton machines\twaits for")
 		for _, j := range b.Jobs {
-			if j.Shape == wire.ShapeStanding {
+			if j.Shape == wire.ShapeService {
 				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", j.Id, j.Class, j.Team, j.Tasks, j.Running, j.OnMachines, j.WaitsFor)
 			}
 		}
 		fmt.Fprintln(w, "\njob\tclass\tteam\tpriority\ttasks\tdone\ton machines\twaits for")
 		for _, j := range b.Jobs {
-			if j.Shape == wire.ShapeStanding {
+			if j.Shape == wire.ShapeService {
 				continue
 			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", j.Id, j.Class, j.Team, j.Priority, j.Tasks, j.Done, j.OnMachines, j.WaitsFor)
