--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -40,7 +40,9 @@
 	file    *Record
 	entries map[string]json.RawMessage
 	size    int
-	changed bool
+	changed bool      // something waits for the next write
+	pruned  bool      // entries were removed since the last write: nothing waits for that
+	pruneBy time.Time // when a page that was only pruned is written; zero: not set yet
 	due     time.Time
 	waiting []waiter // for what is not durable yet
 	// unread: the page's value cannot be read. It is left as it is.
@@ -170,7 +172,7 @@
 	if raw, ok := g.entries[key]; ok {
 		g.size -= entrySize(key, raw)
 		delete(g.entries, key)
-		g.changed = true
+		g.pruned = true
 	}
 }
 
@@ -220,8 +222,9 @@
 	}
 }
 
-// Drop removes an entry. Nothing waits for it, so it goes with the page's next
-// write.
+// Drop removes an entry. Nothing waits for it, and what it tells does no harm, so it goes
+// with the page's next write, or after a while: jobs that end one after the other would
+// otherwise cost a write of their page each.
 func (p *Pages) Drop(key string) {
 	if g := p.where[key]; g != nil {
 		g.strip(key)
@@ -237,22 +240,37 @@
 		if g == nil || g.unread {
 			continue
 		}
-		if g.changed && g.size > p.limit {
-			p.split(g)
-		}
-		if g.changed && !now.Before(g.due) && g.size <= p.limit {
-			g.changed, g.due = false, now.Add(p.every)
-			var want any
-			if len(g.entries) > 0 {
-				want = g.entries
-			}
-			ver := g.file.Set(want)
-			for i := range g.waiting {
-				if g.waiting[i].ver == 0 {
-					g.waiting[i].ver = ver
-				}
+		if g.writeDue(now) {
+			if g.size > p.limit {
+				p.split(g)
+			} else {
+				p.write(now, g)
 			}
 		}
 		g.file.Tick(now)
 	}
 }
+
+// writeDue tells whether a page is to be written now.
+func (g *page) writeDue(now time.Time) bool {
+	if g.pruned && g.pruneBy.IsZero() {
+		g.pruneBy = now.Add(tuning.PruneEvery)
+	}
+	return g.changed && !now.Before(g.due) || g.pruned && !now.Before(g.pruneBy)
+}
+
+// write wants a page's present entries to be stored.
+func (p *Pages) write(now time.Time, g *page) {
+	g.changed, g.pruned, g.pruneBy = false, false, time.Time{}
+	g.due = now.Add(p.every)
+	var want any
+	if len(g.entries) > 0 {
+		want = g.entries
+	}
+	version := g.file.Set(want)
+	for i := range g.waiting {
+		if g.waiting[i].ver == 0 {
+			g.waiting[i].ver = version
+		}
+	}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -207,10 +207,18 @@
 	if len(found) != 59 || !strings.Contains(found["job-0/0"], "yyy") {
 		t.Errorf("found %d entries, %q", len(found), found["job-0/0"])
 	}
+	before = writes
 	for k := range found {
 		p.Drop(k)
 	}
-	p.Tick(now)
+	for range 5 { // nothing waits for this: not each removal is a write
+		now = now.Add(time.Second)
+		p.Tick(now)
+	}
+	if writes != before {
+		t.Errorf("%d writes for removals", writes-before)
+	}
+	p.Tick(now.Add(tuning.PruneEvery))
 	if len(kv) != 0 {
 		t.Errorf("%d empty pages are left", len(kv))
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -79,6 +79,9 @@
 	RaiseAfter      = 2 * time.Minute
 	RaiseAfterMost  = 30 * time.Minute
 	LowerAfterTrial = 4
+	// PruneEvery is how long a page from which entries were only removed waits for its next
+	// write: what is removed does no harm, and each write takes some of the rate.
+	PruneEvery = 10 * time.Second
 	// PagesMost bounds the numbers of pages, far above any use.
 	PagesMost = 10000
 	// RecordRetry is the pause after a failed write of a record. After a refusal for the
