--- a/internal/store/budget.go
+++ b/internal/store/budget.go
@@ -35,6 +35,9 @@
 	reserve [Classes]float64
 
 	nodes        int
+	share        float64   // of the rates that this node uses
+	short        bool      // a write has waited for the share since it was last reviewed
+	shareDue     time.Time // when the share is reviewed
 	present      config.State
 	coming       config.State
 	level        rateLevel
@@ -47,24 +50,66 @@
 // NewBudget makes the budget of one of n nodes.
 func NewBudget(limits config.State, n int) *Budget {
 	b := &Budget{nodes: max(1, n), present: limits, coming: limits.Coming(), pause: tuning.RaiseAfter}
+	b.share = b.leastShare()
 	b.use(limits)
 	return b
 }
 
-// use sets the rates to this node's share of some limits.
-func (b *Budget) use(limits config.State) {
-	share := tuning.StateShare
+// leastShare is the part of the rates that a node uses whatever the others do.
+func (b *Budget) leastShare() float64 {
 	if b.nodes == 1 {
-		share = 1
+		return 1
+	}
+	return tuning.StateShare
+}
+
+// growShare lets the node use more of the rates while its writes wait and the service
+// refuses nothing: the others then need less than their parts.
+func (b *Budget) growShare(now time.Time) {
+	if now.Before(b.shareDue) {
+		return
+	}
+	b.shareDue = now.Add(tuning.ShareEvery)
+	if !b.short {
+		return
+	}
+	b.short = false
+	b.setShare(now, min(1, b.share+tuning.ShareStep))
+}
+
+// setShare changes the rates to another share, without a new burst.
+func (b *Budget) setShare(now time.Time, share float64) {
+	if share == b.share {
+		return
+	}
+	b.share = share
+	limits := b.present
+	if b.level == rateLowered {
+		limits = b.coming
 	}
 	calls, writes := limits.RPS*share, limits.WriteRPS*share
-	b.calls = rate.NewLimiter(rate.Limit(calls), max(1, int(calls)))
-	b.writes = rate.NewLimiter(rate.Limit(writes), max(1, int(writes)))
+	b.calls.SetLimitAt(now, rate.Limit(calls))
+	b.calls.SetBurstAt(now, max(1, int(calls)))
+	b.writes.SetLimitAt(now, rate.Limit(writes))
+	b.writes.SetBurstAt(now, max(1, int(writes)))
+	b.keepBack(writes)
+}
+
+// keepBack sets what each class leaves of a bucket for the classes before it.
+func (b *Budget) keepBack(writes float64) {
 	for c := range b.reserve {
 		b.reserve[c] = writes * tuning.WriteReserve[c]
 	}
 }
 
+// use sets the rates to this node's share of some limits.
+func (b *Budget) use(limits config.State) {
+	calls, writes := limits.RPS*b.share, limits.WriteRPS*b.share
+	b.calls = rate.NewLimiter(rate.Limit(calls), max(1, int(calls)))
+	b.writes = rate.NewLimiter(rate.Limit(writes), max(1, int(writes)))
+	b.keepBack(writes)
+}
+
 // set is the one place that changes the level.
 func (b *Budget) set(now time.Time, level rateLevel) {
 	b.level = level
@@ -90,6 +135,8 @@
 	case refusedForSize(c, status):
 		b.refusals = tuning.LowerAfter
 	case status == http.StatusTooManyRequests:
+		b.setShare(now, b.leastShare())
+		b.shareDue = now.Add(tuning.SharePause)
 		b.drain(now, c)
 		b.countRefusal(now)
 	default:
@@ -164,6 +211,7 @@
 // again.
 func (b *Budget) Take(now time.Time, c Call) (wait time.Duration, ok bool) {
 	b.review(now)
+	b.growShare(now)
 	if b.calls.TokensAt(now) < 1 {
 		return tuning.BudgetRetry, false
 	}
@@ -175,6 +223,7 @@
 			need = most - b.reserve[c.Class]
 		}
 		if b.writes.TokensAt(now) < need+b.reserve[c.Class] {
+			b.short = true
 			return tuning.BudgetRetry, false
 		}
 		b.writes.AllowN(now, min(n, b.writes.Burst()))
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -620,3 +620,49 @@
 		}
 	}
 }
+
+// A node whose writes wait while the others leave theirs uses more than its part, and no
+// more than that once the service refuses something.
+func TestBudgetGrows(t *testing.T) {
+	write := Call{Op: OpMulti, Class: ClassFinal, Multi: wire.Multi{Writes: []wire.Write{Remove("a")}}}
+	for _, c := range []struct {
+		name       string
+		wanted     int // writes a second
+		refused    bool
+		least      int // written in the last ten seconds
+		most       int
+		finalShare float64
+	}{
+		{"more than its part is wanted, and there is room", 30, false, 180, 201, 1},
+		{"less than its part is wanted", 5, false, 49, 51, tuning.StateShare},
+		{"the others use theirs: refusals", 30, true, 0, 125, tuning.StateShare},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewBudget(config.State{RPS: 1000, WriteRPS: 20}, 3)
+			now := time.Unix(100, 0)
+			written, owed := 0, 0.0
+			const seconds = 60
+			for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+				owed = min(owed+float64(c.wanted)/100, 50)
+				for owed >= 1 {
+					if _, ok := b.Take(now, write); !ok {
+						break
+					}
+					owed--
+					if c.refused && now.Nanosecond() == 0 {
+						b.Note(now, write, http.StatusTooManyRequests)
+					}
+					if end.Sub(now) <= 10*time.Second {
+						written++
+					}
+				}
+				if c.refused && now.Nanosecond() < 1e7 {
+					b.Note(now, write, http.StatusTooManyRequests)
+				}
+			}
+			if written < c.least || written > c.most || b.share != c.finalShare {
+				t.Errorf("%d writes in the last 10 s, share %g", written, b.share)
+			}
+		})
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -49,9 +49,14 @@
 	// StateAnswerBytes bounds an answer: lists are at most 512 KiB, a watch
 	// may say more.
 	StateAnswerBytes = 8 << 20
-	// StateShare is one node's part of the service's rates when there are
-	// several: they rarely need it at the same time.
+	// StateShare is one node's least part of the service's rates when there are
+	// several: they rarely need it at the same time. It grows by ShareStep each
+	// ShareEvery while writes wait and nothing is refused, as a holder writes most; a
+	// refusal ends that, for SharePause at least.
 	StateShare = 0.6
+	ShareStep  = 0.05
+	ShareEvery = 500 * time.Millisecond
+	SharePause = 5 * time.Second
 	// BudgetRetry is the pause before a call that found no rate left tries
 	// again, in the client's own queue.
 	BudgetRetry = 50 * time.Millisecond
