A tenure's duties in types and files of their own; ends of jobs are written by priority

tenure.go held loading, fencing, reports, outcomes and cancellations in one type of dozens of fields. Behaviour is as before but for one thing: at most eight ends of jobs are under way, the most important first, where all were asked for at once and took their turns by chance.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,7 +56,7 @@
 // Slice is a block's part in the cloud during one tenure.
 type Slice struct {
 	Set          Settings
-	Deaf         bool // no worker is heard: silence says nothing about a machine
+	Unreachable  bool // no worker reaches this node: silence says nothing about a machine
 	block        int
 	token        uint64
 	tenure       wire.Cond
--- a/internal/fleet/returns.go
+++ b/internal/fleet/returns.go
@@ -31,7 +31,7 @@
 }
 
 func (s *Slice) reason(now time.Time, m *worker.Machine) string {
-	if s.Deaf {
+	if s.Unreachable {
 		return ""
 	}
 	age := now.Sub(m.Since)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -48,9 +48,9 @@
 	// Ended: the previous holder's process had surely ended when this tenure
 	// began, so nothing renews its workers any more.
 	Ended bool
-	// Deaf: the block was given back by this member because it alone does not
+	// Unreachable: the block was given back by this member because it alone does not
 	// hear the workers.
-	Deaf string `json:",omitempty"`
+	Unreachable string `json:"Deaf,omitempty"`
 }
 
 type tokenRec struct{ Last uint64 }
@@ -257,14 +257,14 @@
 
 // Resign gives a block back whose tenure this process has ended although the
 // records still give it the block: the leader then assigns it anew.
-func (s *Slice) Resign(now time.Time, l Tenure, deaf bool) {
+func (s *Slice) Resign(now time.Time, l Tenure, unreachable bool) {
 	if s.busy || now.Before(s.retry) || !s.Entitled(now) {
 		return
 	}
-	s.log.Info("resigning", "block", l.Block, "token", l.Token, "deaf", deaf)
+	s.log.Info("resigning", "block", l.Block, "token", l.Token, "unreachable", unreachable)
 	rec := BlockRec{Token: l.Token}
-	if deaf {
-		rec.Deaf = s.self
+	if unreachable {
+		rec.Unreachable = s.self
 	}
 	s.txn(now, wire.Multi{
 		When:   []wire.Cond{store.Is(blockKey(l.Block), l.Version)},
@@ -400,7 +400,7 @@
 		if r.version != 0 && s.live(r.val.Holder, r.val.Inc) {
 			continue
 		}
-		to, toVersion, ok := s.choose(r.val.Holder, r.val.Deaf)
+		to, toVersion, ok := s.choose(r.val.Holder, r.val.Unreachable)
 		if !ok {
 			return
 		}
@@ -426,7 +426,7 @@
 // the one that has been in longest would be next, and each restart cost a takeover.
 // The member whose process has just ended comes after the others, as it may end
 // again, and one that does not hear the workers comes last.
-func (s *Slice) choose(last, deaf string) (MemberRec, uint64, bool) {
+func (s *Slice) choose(last, unreachable string) (MemberRec, uint64, bool) {
 	held := map[string]int{}
 	for _, r := range s.recs {
 		if s.live(r.val.Holder, r.val.Inc) {
@@ -435,7 +435,7 @@
 	}
 	var best item[MemberRec]
 	less := func(a, b MemberRec) bool {
-		if ad, bd := a.Member == deaf, b.Member == deaf; ad != bd {
+		if ad, bd := a.Member == unreachable, b.Member == unreachable; ad != bd {
 			return bd
 		}
 		if al, bl := a.Member == last, b.Member == last; al != bl {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -83,7 +83,7 @@
 		{"it leads, the holder vanished", []wire.Item{put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 5, Token: 3}, 32)}, "c/baton", 4, false},
 		{"it leads, the holder was restarted", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31), put("c/b/0", BlockRec{Holder: "n1", Inc: 4, Token: 3}, 32)}, "c/baton", 4, true},
 		{"it leads, the holder resigned", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31), put("c/b/0", BlockRec{Token: 3}, 32)}, "c/baton", 4, true},
-		{"it leads, and gave the block back because it hears no worker", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31), put("c/b/0", BlockRec{Token: 3, Deaf: "n1"}, 32)}, "c/baton", 4, true},
+		{"it leads, and gave the block back because it hears no worker", []wire.Item{other, put("c/leader", Rec{"n0", 7}, 30), put("c/baton", tokenRec{3}, 31), put("c/b/0", BlockRec{Token: 3, Unreachable: "n1"}, 32)}, "c/baton", 4, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := newElect()
@@ -110,7 +110,7 @@
 			}
 			if last := c.items[len(c.items)-1]; string(last.Value) != "" {
 				var was BlockRec
-				if json.Unmarshal(last.Value, &was) == nil && was.Deaf != "" && rec.Holder == was.Deaf {
+				if json.Unmarshal(last.Value, &was) == nil && was.Unreachable != "" && rec.Holder == was.Unreachable {
 					t.Errorf("given to %s, which does not hear the workers", rec.Holder)
 				}
 			}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -93,7 +93,7 @@
 	c.leader = leader.New(cfg.Member, blocks, wall, c.state, log, c.control)
 	c.open = store.NewMirror(submission.OpenUnder, c.state, func(now time.Time, _ string, it wire.Item, gone bool) {
 		for _, t := range c.tenures {
-			if t.state != tenureOver && t.reading == 0 {
+			if t.state != tenureOver && t.records.reading == 0 {
 				t.jobChanged(now, it, gone)
 			}
 		}
@@ -184,7 +184,7 @@
 		if slices.ContainsFunc(mine, func(l leader.Tenure) bool { return l.Block == b && l.Token == t.Token }) {
 			// Ended on somebody's word while the records still name us: left
 			// alone, the block would have no holder for good.
-			c.leader.Resign(now, t.Tenure, t.deaf)
+			c.leader.Resign(now, t.Tenure, t.fencing.unreachable)
 			continue
 		}
 		delete(c.tenures, b)
@@ -298,7 +298,7 @@
 	c.told.Add(now, id)
 	for b := range c.blocks {
 		if t := c.tenures[b]; t != nil && t.state != tenureOver {
-			t.withdrawn(now, id)
+			t.jobCancelled(now, id)
 			c.told.Had([]string{id}, b, t.Token)
 		}
 		if holder, _, live := c.holder(b); live {
@@ -340,7 +340,7 @@
 	for _, t := range c.tenures {
 		for _, id := range m.Withdrawn {
 			if t.state != tenureOver {
-				t.withdrawn(now, id)
+				t.jobCancelled(now, id)
 			}
 		}
 	}
@@ -364,7 +364,7 @@
 		// any other message may have been held back.
 		if p != nil && h.Token == t.Token && m.Vouches && m.EchoProcess == c.process && t.state != tenureLoading {
 			up := time.Duration(m.UpMs) * time.Millisecond
-			t.horizon.Vouch(name, m.Process, now.Add(-up+time.Duration(float64(up)*2*tuning.ClockDrift)), c.born.Add(time.Duration(m.EchoNs)))
+			t.cancelled.horizon.Vouch(name, m.Process, now.Add(-up+time.Duration(float64(up)*2*tuning.ClockDrift)), c.born.Add(time.Duration(m.EchoNs)))
 		}
 	}
 }
--- /dev/null
+++ b/internal/node/fencing.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"juniperchute/internal/config"
+	"juniperchute/internal/peer/peerpb"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
+	"time"
+)
+
+// fencing is what a tenure does to learn where tasks of earlier tenures are, and whether
+// it still reaches its workers.
+type fencing struct {
+	due         map[string]time.Time // when a machine is asked again
+	sessions    map[string]uint64    // of machines that refused a command for its session
+	unreachable bool                 // this node hears none of its workers any more
+	probeDue    time.Time            // when peers are asked again whether they do
+}
+
+// unheardUntil is when the lease of a machine that this tenure has not heard
+// is surely over, whatever the holder before it did.
+func (t *tenure) unheardUntil() time.Time {
+	u := t.since.Add(t.reg.Expiry())
+	if !t.Ended {
+		u = u.Add(t.renewBound())
+	}
+	return u
+}
+
+// fence asks the machines not heard yet for their account, under the new
+// token, and opens the tenure once none is left.
+func (t *tenure) fence(now time.Time) {
+	for _, m := range t.reg.All() {
+		if t.unheard(m) {
+			if m.Address != "" && !m.DoBusy && !now.Before(t.fencing.due[m.Host]) {
+				t.fencing.due[m.Host] = now.Add(tuning.FenceRetry)
+				t.direct(now, m, []wire.Command{})
+			}
+		}
+	}
+	if t.account() == 0 && t.state == tenureFencing {
+		t.set(now, tenureOpen, "every machine heard or gone")
+		t.board.Open(now)
+	}
+}
+
+// unheard tells whether a machine may have tasks of an earlier tenure that are not known.
+func (t *tenure) unheard(m *worker.Machine) bool {
+	return m.State == worker.Unheard || m.State == worker.Deleting && m.Answered.IsZero() && m.Used
+}
+
+// account has the whole room of machines whose tasks are not known count against every
+// limited team, and tells how many have not been heard.
+func (t *tenure) account() (unheard int) {
+	var blocked quota.Room
+	for _, m := range t.reg.All() {
+		if t.unheard(m) {
+			unheard++
+			blocked = blocked.Add(m.Cap)
+		} else if m.Stranger {
+			blocked = blocked.Add(m.Cap)
+		}
+	}
+	t.book.Block(blocked)
+	return unheard
+}
+
+// listen notices when this node hears none of its workers any more. If a peer
+// still reaches them, only this node is cut off: it gives the block back, so
+// that a holder they can reach renews their leases in time. Keeping it would
+// lose every task, and return every machine as silent.
+func (t *tenure) listen(now time.Time) {
+	w := t.c.cfg.Facts.Workers
+	var last time.Time
+	machines := 0
+	each := func(f func(m *worker.Machine)) {
+		for _, m := range t.reg.All() {
+			if (m.State == worker.Up || m.State == worker.Silent) && now.Sub(m.Checked) <= config.Seconds(w.LeaseS) {
+				f(m)
+			}
+		}
+	}
+	each(func(m *worker.Machine) {
+		machines++
+		if m.Checked.After(last) {
+			last = m.Checked
+		}
+	})
+	t.fencing.unreachable = machines >= tuning.UnreachableMachines && now.Sub(last) > config.Seconds(w.ReportS*tuning.UnreachableReports)+tuning.SilentGrace
+	if !t.fencing.unreachable || now.Before(t.fencing.probeDue) {
+		return
+	}
+	t.fencing.probeDue = now.Add(tuning.ProbeTimeout + tuning.ProgressTimeout)
+	t.log.Info("no worker is heard any more", "machines", machines, "for", now.Sub(last))
+	var addrs []string
+	each(func(m *worker.Machine) {
+		if len(addrs) < tuning.ProbeWorkers {
+			addrs = append(addrs, m.Address)
+		}
+	})
+	for _, k := range t.c.cfg.Known {
+		t.c.env.Probe(k.Member, &peerpb.ProbeRequest{Addresses: addrs}, func(now time.Time, r *peerpb.ProbeReply, err error) {
+			if err == nil && r.Answered > 0 && t.fencing.unreachable && t.state != tenureOver {
+				t.end(now, "only this node does not hear the workers")
+				t.c.after(now)
+			}
+		})
+	}
+}
--- a/internal/node/formats_test.go
+++ b/internal/node/formats_test.go
@@ -32,7 +32,7 @@
 		{"a member", `{"Member":"n0","Inc":7,"Since":1700000000000}`, &leader.MemberRec{}, &leader.MemberRec{Member: "n0", Inc: 7, Since: 1700000000000}},
 		{"the leader", `{"Member":"n0","Inc":7}`, &leader.Rec{}, &leader.Rec{Member: "n0", Inc: 7}},
 		{"a block", `{"Holder":"n1","Inc":9,"Baton":4,"Ended":true}`, &leader.BlockRec{}, &leader.BlockRec{Holder: "n1", Inc: 9, Token: 4, Ended: true}},
-		{"a block given back", `{"Holder":"","Inc":0,"Baton":4,"Ended":false,"Deaf":"n1"}`, &leader.BlockRec{}, &leader.BlockRec{Token: 4, Deaf: "n1"}},
+		{"a block given back", `{"Holder":"","Inc":0,"Baton":4,"Ended":false,"Deaf":"n1"}`, &leader.BlockRec{}, &leader.BlockRec{Token: 4, Unreachable: "n1"}},
 		{"an open job", `{"Spec":{"Id":"job-1","Lane":"train","Crew":"red","Shape":"standing","Rank":"critical","Pieces":3,"Vcpus":2,"Gpus":0,"MemGb":12.8,` +
 			`"Bundle":"img-1","ImageGb":1,"Builds":["g8"],"Yard":"a","Together":true,"Apart":true,"Loaners":true,"GuessS":0,"BookmarkS":5,"StowS":2,"DueS":9},"At":1700000000000,"Block":2}`,
 			&submission.OpenRec{}, &submission.OpenRec{At: 1700000000000, Block: 2, Spec: wire.Submission{ID: "job-1", Class: "train", Team: "red", Shape: wire.ShapeService, Priority: "critical",
--- /dev/null
+++ b/internal/node/tenure_reports.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"errors"
+	"juniperchute/internal/submission"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// absorb takes in a machine's account of itself and tells whether it was news.
+func (t *tenure) absorb(now time.Time, m *worker.Machine, rep *wire.Report, checkin bool) bool {
+	v := t.reg.Absorb(now, m, rep, checkin)
+	if v == worker.Stale {
+		return false
+	}
+	t.fleet.Reporting(now, m)
+	if t.state != tenureLoading {
+		was := m.Stranger
+		if t.board.Reported(now, m, v, checkin); m.Stranger && !was {
+			t.account() // before anything is drawn
+		}
+	}
+	return true
+}
+
+// Report answers a worker's report.
+func (t *tenure) Report(now time.Time, rep *wire.Report, reply func(status int, body any)) {
+	if rep.Token > t.Token {
+		// A machine that this block does not have may belong to another one
+		// whose record of it has not arrived here yet.
+		if m := t.reg.Get(rep.Host); m != nil && m.Used {
+			t.end(now, "a report shows a higher token")
+		}
+		t.c.redirect(t.Block, reply)
+		return
+	}
+	commands, err := t.answerReport(now, rep)
+	if err != nil {
+		reply(http.StatusServiceUnavailable, submission.Problem{Error: err.Error()})
+		return
+	}
+	reply(http.StatusOK, wire.Commands{Token: t.Token, Commands: commands})
+	if rep.Token == t.Token && t.c.leader.Entitled(now) {
+		t.sendUrgent(now)
+	}
+}
+
+// Reasons why a report gets no answer that would renew its worker's lease.
+var (
+	errCancellationsUnknown = errors.New("what is cancelled is not known")
+	errLoading              = errors.New("jobs are being read")
+	errStaleReport          = errors.New("a newer report has been handled")
+	errStartOutstanding     = errors.New("a start of a cancelled task is not accounted for")
+)
+
+// answerReport takes a report in and gives the commands of its answer, which renews the
+// worker's lease.
+func (t *tenure) answerReport(now time.Time, rep *wire.Report) ([]wire.Command, error) {
+	if now.After(t.knows(now).Add(t.renewBound())) {
+		// A worker's lease counts from when it sent its report: however late this
+		// answer is, no lease that it renews ends later than one renewed now.
+		return nil, errCancellationsUnknown
+	}
+	if t.state == tenureLoading && t.unread(rep) {
+		return nil, errLoading
+	}
+	if t.reg.IsGone(rep.Host) {
+		return nil, errStaleReport // a late copy: the machine was returned
+	}
+	if rep.Token < t.Token {
+		return t.answerBeforeToken(now, rep)
+	}
+	m := t.reg.Get(rep.Host)
+	if m == nil {
+		m = t.reg.Add(now, rep.Host, worker.Booting)
+		m.IdleFrom = now
+		m.Type, m.Zone, m.Spot = rep.Type, rep.Zone, rep.Spot
+	}
+	if !t.absorb(now, m, rep, true) {
+		return nil, errStaleReport
+	}
+	if t.board.Overdue(m, now.Add(t.reg.Expiry()+tuning.RenewMargin)) {
+		// A cancelled job's start may still be on its way to the machine, and no
+		// stop can reach it before: only the end of the session voids it.
+		return nil, errStartOutstanding
+	}
+	commands := []wire.Command{}
+	switch {
+	case t.state == tenureLoading:
+	case t.c.leader.Entitled(now):
+		t.board.Draw(now)
+		commands = append(commands, t.board.Commands(now, m, true)...)
+	default:
+		// past the lease's end nothing starts, but what is over still stops: under a
+		// superseded token that has no effect
+		commands = append(commands, t.board.Halts(m.Tasks)...)
+	}
+	m.Answered = now
+	return commands, nil
+}
+
+// answerBeforeToken answers a machine that has not seen this tenure's token. What it says
+// may be minutes old, a copy from a machine long gone: nothing is concluded from it. If it
+// is there, the answer renews its lease and it reports again at once.
+func (t *tenure) answerBeforeToken(now time.Time, rep *wire.Report) ([]wire.Command, error) {
+	if m := t.reg.Get(rep.Host); m != nil {
+		if !m.Glimpse(rep) {
+			return nil, errStaleReport
+		}
+		m.Answered = now
+		t.fleet.Entering(now, m, rep)
+	}
+	commands := []wire.Command{}
+	if t.state != tenureLoading {
+		// What is over may be stopped whatever has happened since: the answer
+		// that renews a cancelled task's lease must not leave it running.
+		commands = append(commands, t.board.Halts(rep.Tasks)...)
+	}
+	return commands, nil
+}
+
+// unread tells whether a report shows a task of a job that this node has not read as
+// open. While the records are being read it cannot be stopped, so its lease is not
+// renewed: the job may have been called off long ago.
+func (t *tenure) unread(rep *wire.Report) bool {
+	return slices.ContainsFunc(rep.Tasks, func(p wire.Task) bool {
+		id, _, ok := wire.ParseTask(p.Task)
+		if !ok || p.Stage == wire.TaskExited {
+			return false
+		}
+		_, open := t.c.open.Get(submission.OpenKey(id))
+		return !open
+	})
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -37,7 +37,7 @@
 	grew    uint64 // the change, counted by the survey, in which it last gained room or an image
 	roomy   int    // its place among the survey's machines with room, from 1; 0: it has none
 	touched bool   // something about it changed since the last survey
-	kick    bool   // it is among those to be told at once
+	urgent  bool   // it is among those to be told at once
 }
 
 // attempt is one attempt of a task.
@@ -64,7 +64,7 @@
 	order   []*Job // open jobs by priority, then age
 	hosts   map[*worker.Machine]*host
 	survey  survey
-	kicks   []*host
+	urgent  []*host
 	open    bool      // every machine the block may have is heard or surely gone
 	turns   []level   // the open jobs by priority and turn, as last sorted
 	turnsAt time.Time // when that was
@@ -287,7 +287,7 @@
 	t.reported, t.ordered, t.openDo, t.seq, t.session, t.stopDue, t.grace = false, false, 0, 0, 0, false, 0
 	b.setPhase(now, t, Sent, why)
 	if t.Job.Gang() || t.Job.Service() {
-		b.kick(m) // its mates, or its users, wait for it
+		b.noteUrgent(m) // its mates, or its users, wait for it
 	}
 }
 
@@ -305,7 +305,7 @@
 	}
 	t.grace, t.stopDue = grace, true
 	b.setPhase(now, t, Stopping, why)
-	b.kick(t.at)
+	b.noteUrgent(t.at)
 }
 
 // grace is how long a job's running task is given to save.
@@ -472,12 +472,12 @@
 	return h
 }
 
-// kick notes that a machine may have to be told something before its next
-// report; Kicks looks whether it is so.
-func (b *Board) kick(m *worker.Machine) {
-	if h := b.host(m); !h.kick {
-		h.kick = true
-		b.kicks = append(b.kicks, h)
+// noteUrgent notes that a machine may have to be told something before its next
+// report; Urgent looks whether it is so.
+func (b *Board) noteUrgent(m *worker.Machine) {
+	if h := b.host(m); !h.urgent {
+		h.urgent = true
+		b.urgent = append(b.urgent, h)
 	}
 }
 
--- a/internal/placement/commands.go
+++ b/internal/placement/commands.go
@@ -205,11 +205,11 @@
 	return true
 }
 
-// Kicks lists the machines that should be told at once rather than with the
+// Urgent lists the machines that should be told at once rather than with the
 // answer to their next report.
-func (b *Board) Kicks(now time.Time) []*worker.Machine {
+func (b *Board) Urgent(now time.Time) []*worker.Machine {
 	var out []*worker.Machine
-	b.kicks = slices.DeleteFunc(b.kicks, func(h *host) bool {
+	b.urgent = slices.DeleteFunc(b.urgent, func(h *host) bool {
 		pending, ready := false, false
 		for _, t := range h.on {
 			switch {
@@ -219,7 +219,7 @@
 				pending, ready = true, ready || t.ordered
 			}
 		}
-		if h.kick = pending; ready && h.m.State == worker.Up && !h.m.DoBusy && h.m.Used {
+		if h.urgent = pending; ready && h.m.State == worker.Up && !h.m.DoBusy && h.m.Used {
 			out = append(out, h.m)
 		}
 		return !pending
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -272,7 +272,7 @@
 	if g.located != 3 || g.tasks[0].attempt != g.tasks[2].attempt {
 		t.Fatalf("%d tasks handed out", g.located)
 	}
-	if kicks := x.b.Kicks(x.now); len(kicks) != 3 {
+	if kicks := x.b.Urgent(x.now); len(kicks) != 3 {
 		t.Fatalf("%d machines told at once, want all", len(kicks))
 	}
 	for _, m := range x.reg.All() {
@@ -309,7 +309,7 @@
 	}
 	x.b.Lost(x.now, g.tasks[1].at, "test")
 	x.b.Draw(x.now)
-	if len(x.b.Kicks(x.now)) != 0 || g.held() > 0 {
+	if len(x.b.Urgent(x.now)) != 0 || g.held() > 0 {
 		t.Error("a finished gang starts again")
 	}
 }
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -19,7 +19,7 @@
 	x.now = x.now.Add(tuning.DrawEvery)
 	x.b.Draw(x.now)
 	sent := ""
-	for _, m := range x.b.Kicks(x.now) {
+	for _, m := range x.b.Urgent(x.now) {
 		commands := x.b.Commands(x.now, m, false)
 		sent += x.verbs(commands)
 		x.b.Answered(m, commands)
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -125,6 +125,9 @@
 // Service tells whether the job is a service, which ends only when cancelled.
 func (j *Job) Service() bool { return j.Spec.Shape == wire.ShapeService }
 
+// Priority is the job's own, as its user gave it: a larger one goes first.
+func (j *Job) Priority() int { return j.priority }
+
 // Done is how many tasks have completed.
 func (j *Job) Done() int { return j.done.count }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -159,11 +159,11 @@
 	DoCalls = 16
 	DoShare = 0.025
 	DoIdle  = 16
-	// DeafMachines is how many machines must have reported lately, and
-	// DeafReports for how many report intervals none of them may have, for a
+	// UnreachableMachines is how many machines must have reported lately, and
+	// UnreachableReports for how many report intervals none of them may have, for a
 	// holder to suspect that it is the one cut off: reports vary by a quarter.
-	DeafMachines = 3
-	DeafReports  = 1.25
+	UnreachableMachines = 3
+	UnreachableReports  = 1.25
 	// ProbeWorkers is how many workers a peer is then asked to try, and
 	// ProbeTimeout how long it tries.
 	ProbeWorkers = 3
@@ -401,6 +401,9 @@
 	LateTick = 1 * time.Second
 	// TallyEvery is how long completions gather before they are written.
 	TallyEvery = 1500 * time.Millisecond
+	// EndsAtOnce is how many jobs' ends may be under way: the rest waits in the order of
+	// priority, and not behind whatever was asked for before.
+	EndsAtOnce = 8
 	// TallyBits is how many bits of a tally go into one byte of a value's
 	// limit: base64 takes its part, and a page should hold several jobs'.
 	TallyBits = 2
