--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
-# The one test command: format, vet, tests with the race detector.
+# The one test command: format, vet, linter, tests with the race detector.
 check:
 	@test -z "$$(gofmt -l cmd internal)" || { echo "not formatted:"; gofmt -l cmd internal; exit 1; }
 	go vet ./...
+	go tool staticcheck ./...
 	go test -race -count=1 ./...
 
 # The program, as deploy/service.toml builds it.
--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -37,7 +37,7 @@
 	var file string
 	cmd := &cobra.Command{
 		Use:           "juniperchute --config FILE",
-		Short:         "A cluster scheduler: runs users' jobs on machines hired from a cloud",
+		Short:         "A cluster scheduler: runs users' jobs on machines rented from a cloud",
 		Long:          "juniperchute --config FILE serves as one controller until it is killed.\nThe other commands are for operators.",
 		Version:       admin.Version(),
 		Args:          cobra.NoArgs,
--- a/internal/admin/settings.go
+++ b/internal/admin/settings.go
@@ -19,7 +19,7 @@
 type Settings struct {
 	DropThreshold int
 	MaxMachines   int
-	HirePaused    bool
+	RentalPaused  bool
 	IdleReturn    time.Duration
 }
 
@@ -51,9 +51,9 @@
 		func(s *Settings, v string) (err error) { s.MaxMachines, err = whole(v, 0, 100000); return },
 	},
 	"fleet.hire_paused": {
-		func(s *Settings) string { return strconv.FormatBool(s.HirePaused) },
+		func(s *Settings) string { return strconv.FormatBool(s.RentalPaused) },
 		func(s *Settings, v string) (err error) {
-			if s.HirePaused, err = strconv.ParseBool(v); err != nil {
+			if s.RentalPaused, err = strconv.ParseBool(v); err != nil {
 				err = fmt.Errorf("%q is not true or false", v)
 			}
 			return
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -1,4 +1,4 @@
-// Package fleet hires and returns a block's machines.
+// Package fleet rents and returns a block's machines.
 package fleet
 
 import (
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,18 +24,18 @@
 // Settings are the operators' settings that the fleet heeds.
 type Settings struct {
 	MaxMachines int           // 0: no bound of ours
-	Paused      bool          // hire nothing
+	Paused      bool          // rent nothing
 	IdleReturn  time.Duration // how long a machine may stand idle
 }
 
-// Key prefixes: all blocks' hires, and the machine types among the control
+// Key prefixes: all blocks' rentals, and the machine types among the control
 // records.
 const (
 	UnderRentals      = "h/"
 	underMachineTypes = "c/f/"
 )
 
-// Hires is the key prefix of a block's hire records.
+// Rentals is the key prefix of a block's rental records.
 func Rentals(block int) string { return fmt.Sprintf("%s%d/", UnderRentals, block) }
 
 // MachineTypeRec is a machine type as recorded for all nodes. Each tells how many there
@@ -81,7 +81,7 @@
 	rentals   map[string]*rental
 	unread    int                // rental records that cannot be read: their machines are not known
 	most      int                // machines that one rental may have, as far as its record's size goes
-	by        map[string]*rental // machines by their hires
+	by        map[string]*rental // machines by their rentals
 	seq       int
 	noneUntil map[string]time.Time
 	deleting  map[string]bool
@@ -113,7 +113,7 @@
 		block: block, token: token, tenure: tenure, facts: facts, cloud: cloud, state: state, log: log, reg: reg, board: board,
 		lost: lost, gone: gone, foreign: foreign, machineTypes: map[string]wire.MachineType{}, known: map[string]string{},
 		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))), back: back, born: now,
-		most:    tuning.HirePage,
+		most:    tuning.RentalPage,
 		rentals: map[string]*rental{}, by: map[string]*rental{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
 		listed: map[string]bool{}, missing: map[string]int{}, entered: map[string]bool{},
 	}
@@ -121,7 +121,7 @@
 	return s
 }
 
-// sorted lists the hires by name.
+// sorted lists the rentals by name.
 func (s *Slice) sorted() []*rental {
 	out := make([]*rental, 0, len(s.rentals))
 	for _, name := range slices.Sorted(maps.Keys(s.rentals)) {
@@ -194,7 +194,7 @@
 	}
 }
 
-// Flavor takes note of a machine type as recorded for all nodes.
+// MachineType takes note of a machine type as recorded for all nodes.
 func (s *Slice) MachineType(f wire.MachineType, raw string) {
 	s.known[f.Name] = raw
 	if _, ok := s.machineTypes[f.Name]; !ok {
@@ -225,8 +225,8 @@
 }
 
 func (s *Slice) enter(now time.Time, m *worker.Machine) {
-	// Its hire's record comes first: a successor that found the machine among
-	// the used ones and in no hire would take it for gone.
+	// Its rental's record comes first: a successor that found the machine among
+	// the used ones and in no rental would take it for gone.
 	if h := s.by[m.Host]; m.Used || m.State == worker.Deleting || s.entered[m.Host] || h == nil || !h.kept {
 		return
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -91,8 +91,8 @@
 	y.s.Tick(y.now)
 }
 
-// A hire's name is durable before the cloud hears it, stays the same until the
-// answer is certain, and is never used for another hire.
+// A rental's name is durable before the cloud hears it, stays the same until the
+// answer is certain, and is never used for another rental.
 func TestRental(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -139,7 +139,7 @@
 	}
 }
 
-// A morning asks for hundreds of machines at once: in hires of the cloud's size, and
+// A morning asks for hundreds of machines at once: in rentals of the cloud's size, and
 // never more than the operators' bound, those not yet granted counted.
 func TestRentalSizes(t *testing.T) {
 	for _, c := range []struct {
@@ -164,7 +164,7 @@
 			for _, h := range y.s.sorted() {
 				total += h.rec.Number
 				if h.rec.Number < 1 || h.rec.Number > 50 {
-					t.Errorf("a hire of %d", h.rec.Number)
+					t.Errorf("a rental of %d", h.rec.Number)
 				}
 			}
 			if total != c.total {
@@ -174,7 +174,7 @@
 	}
 }
 
-// What a successor makes of hire records: a name without an answer is asked for
+// What a successor makes of rental records: a name without an answer is asked for
 // again, only machines that were used are waited for.
 func TestLoad(t *testing.T) {
 	y := newZone(t)
@@ -301,7 +301,7 @@
 	}
 }
 
-// A machine that nobody expected is adopted once no hire under way may explain
+// A machine that nobody expected is adopted once no rental under way may explain
 // it, and not because a list lags behind a deletion.
 func TestFound(t *testing.T) {
 	y := newZone(t)
@@ -327,8 +327,8 @@
 		valueKB float64
 		most    int
 	}{
-		{"as now", 4, tuning.HirePage},
-		{"half of that", 2, tuning.HirePage},
+		{"as now", 4, tuning.RentalPage},
+		{"half of that", 2, tuning.RentalPage},
 		{"half a KiB", 0.5, 17},
 		{"next to nothing", 0.1, 1},
 	} {
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -9,10 +9,10 @@
 	"juniperchute/internal/worker"
 )
 
-// adopt records a machine that no hire explains: a late hire of some tenure.
+// adopt records a machine that no rental explains: a late rental of some tenure.
 func (s *Slice) adopt(now time.Time, m *worker.Machine) {
 	if s.unsettled() || s.foreign(m.Host) {
-		return // one of the hires under way may explain it
+		return // one of the rentals under way may explain it
 	}
 	if s.by[m.Host] != nil {
 		m.Recorded = true
@@ -57,7 +57,7 @@
 		m := s.reg.Get(h.ID)
 		if m == nil {
 			// deleted machines stay listed for a while: only one that is
-			// still there well after the lag was hired by nobody we know
+			// still there well after the lag was rented by nobody we know
 			if s.block != 0 || s.unsettled() || s.foreign(h.ID) || s.strangers(h.ID) {
 				continue
 			}
--- a/internal/fleet/rental.go
+++ b/internal/fleet/rental.go
@@ -53,7 +53,7 @@
 
 func (s *Slice) set(h *rental, st rentalState, why string) {
 	if h.state != st {
-		s.log.Debug("hire", "name", h.name, "from", h.state.String(), "to", st.String(), "why", why)
+		s.log.Debug("rental", "name", h.name, "from", h.state.String(), "to", st.String(), "why", why)
 	}
 	h.state = st
 }
@@ -108,7 +108,7 @@
 
 func (s *Slice) rentalName() string { return fmt.Sprintf("b%d-%d-%d", s.block, s.token, s.seq) }
 
-// Load takes over a hire record of an earlier tenure.
+// Load takes over a rental record of an earlier tenure.
 func (s *Slice) Load(now time.Time, it wire.Item) {
 	name := strings.TrimPrefix(it.Path, Rentals(s.block))
 	var rec RentalRec
@@ -134,7 +134,7 @@
 	}
 }
 
-// Named tells of a hire record whose block's it is and which machines it names,
+// Named tells of a rental record whose block's it is and which machines it names,
 // none while it waits for them.
 func Named(it wire.Item) (block int, hosts []string) {
 	num, _, _ := strings.Cut(strings.TrimPrefix(it.Path, UnderRentals), "/")
@@ -146,7 +146,7 @@
 	return block, rec.Hosts
 }
 
-// unsettled tells whether some hire's machines are not known yet.
+// unsettled tells whether some rental's machines are not known yet.
 func (s *Slice) unsettled() bool {
 	for _, h := range s.sorted() {
 		if h.state == rentalAsking || h.state == rentalRecording {
@@ -156,7 +156,7 @@
 	return false
 }
 
-// ask asks the cloud for a hire's machines. The name stays the same until the
+// ask asks the cloud for a rental's machines. The name stays the same until the
 // answer is certain: repeating it rents nothing twice.
 func (s *Slice) ask(now time.Time, h *rental) {
 	h.busy = true
@@ -174,7 +174,7 @@
 				s.noneUntil[kind] = now.Add(tuning.CapacityRetry)
 				s.drop(now, h, "no capacity")
 			case r.Status == 400:
-				s.log.Error("hire refused as malformed", "name", h.name, "type", h.rec.Type)
+				s.log.Error("rental refused as malformed", "name", h.name, "type", h.rec.Type)
 				s.noneUntil[kind] = now.Add(tuning.CapacityRetry)
 				s.drop(now, h, "malformed")
 			default:
@@ -190,7 +190,7 @@
 }
 
 func (s *Slice) granted(now time.Time, h *rental, hosts []string) {
-	s.log.Info("machines hired", "name", h.name, "type", h.rec.Type, "zone", h.rec.Zone, "spot", h.rec.Spot, "asked", h.rec.Number, "got", len(hosts))
+	s.log.Info("machines rented", "name", h.name, "type", h.rec.Type, "zone", h.rec.Zone, "spot", h.rec.Spot, "asked", h.rec.Number, "got", len(hosts))
 	if len(hosts) == 0 {
 		s.drop(now, h, "no machines")
 		return
@@ -209,12 +209,12 @@
 	return fmt.Sprintf("%s/%s/%t", build, zone, spot)
 }
 
-// demand compares the waiting work with the machines and hires the rest.
+// demand compares the waiting work with the machines and rents the rest.
 func (s *Slice) demand(now time.Time) {
 	var offers []placement.Offer
 	// as many as can be asked for by the time of the next look
 	page := s.rentalMost()
-	left := page * max(1, int(s.facts.Cloud.RPS*tuning.CloudShare*tuning.HireShare*tuning.DemandEvery.Seconds()))
+	left := page * max(1, int(s.facts.Cloud.RPS*tuning.CloudShare*tuning.RentalShare*tuning.DemandEvery.Seconds()))
 	room := s.room()
 	for _, name := range slices.Sorted(maps.Keys(s.machineTypes)) {
 		f := s.machineTypes[name]
@@ -264,7 +264,7 @@
 	return max(1, min(s.most, bytes/tuning.HostBytes))
 }
 
-// room is how many machines may still be hired by the operators' bound, which
+// room is how many machines may still be rented by the operators' bound, which
 // counts those asked for and not yet granted.
 func (s *Slice) room() int {
 	if s.Set.MaxMachines <= 0 {
@@ -284,7 +284,7 @@
 	return max(0, room)
 }
 
-// hire makes a new hire's name durable; the cloud is asked afterwards.
+// rental makes a new one's name durable; the cloud is asked afterwards.
 func (s *Slice) rental(now time.Time, rec RentalRec) {
 	s.seq++
 	h := &rental{name: s.rentalName(), rec: rec}
--- a/internal/fleet/returns.go
+++ b/internal/fleet/returns.go
@@ -120,7 +120,7 @@
 	})
 }
 
-// strike takes a machine that is gone off its hire's record.
+// strike takes a machine that is gone off its rental's record.
 func (s *Slice) strike(now time.Time, host string) {
 	delete(s.missing, host)
 	delete(s.entered, host)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -133,7 +133,7 @@
 	})
 }
 
-// Stamp is the version of a control record, 0 when it does not exist.
+// Version is the version of a control record, 0 when it does not exist.
 func (s *Slice) Version(key string) uint64 { return s.mirror.Version(key) }
 
 // Heard is when the state service last answered the control watch or a
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -52,8 +52,8 @@
 	leader         *leader.Slice
 	users          *submission.Slice
 	open           *store.Mirror  // open jobs of all blocks
-	rentals        *store.Mirror  // hires of all blocks
-	blockFor       map[string]int // machines by the hires that name them
+	rentals        *store.Mirror  // rentals of all blocks
+	blockFor       map[string]int // machines by the rentals that name them
 	tenures        map[int]*tenure
 	machineTypes   map[string]wire.MachineType
 	machineTypeRaw map[string]string
@@ -98,7 +98,7 @@
 			}
 		}
 	})
-	c.rentals = store.NewMirror(fleet.UnderRentals, c.state, c.hired)
+	c.rentals = store.NewMirror(fleet.UnderRentals, c.state, c.rentalChanged)
 	c.users = submission.New(cfg.Facts, blocks, wall, c.state, log,
 		c.types, c.open, c.progress, c.tell)
 	for _, k := range cfg.Known {
@@ -415,7 +415,7 @@
 	}
 }
 
-// blockOf finds the block of a machine: the one whose hire records name it;
+// blockOf finds the block of a machine: the one whose rental records name it;
 // machines that nobody expected go to the first block.
 func (c *Core) blockOf(host string) int {
 	if c.blocks == 1 {
@@ -429,8 +429,8 @@
 	return c.blockFor[host]
 }
 
-// hired takes note of a hire's record.
-func (c *Core) hired(_ time.Time, _ string, it wire.Item, gone bool) {
+// rentalChanged takes note of a rental's record.
+func (c *Core) rentalChanged(_ time.Time, _ string, it wire.Item, gone bool) {
 	block, hosts := fleet.Named(it)
 	for _, h := range hosts {
 		if gone {
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -112,7 +112,7 @@
 func (sim *simulation) hosts() []string { return sim.cluster.Names() }
 
 func (sim *simulation) logger(name string) *slog.Logger {
-	var out io.Writer = io.Discard
+	out := io.Discard
 	level := slog.LevelDebug
 	if sim.t == nil {
 		level = slog.LevelInfo // a benchmark logs what a controller does
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -17,7 +17,7 @@
 type tenureState int
 
 const (
-	// tenureLoading: jobs, tallies and hires are being read.
+	// tenureLoading: jobs, tallies and rentals are being read.
 	tenureLoading tenureState = iota
 	// tenureFencing: machines that an earlier tenure used are being heard.
 	tenureFencing
@@ -128,7 +128,7 @@
 func (t *tenure) configure() {
 	s := t.c.settings
 	t.board.Set = placement.Settings{DropThreshold: s.DropThreshold}
-	t.fleet.Set = fleet.Settings{MaxMachines: s.MaxMachines, Paused: s.HirePaused, IdleReturn: s.IdleReturn}
+	t.fleet.Set = fleet.Settings{MaxMachines: s.MaxMachines, Paused: s.RentalPaused, IdleReturn: s.IdleReturn}
 }
 
 // Tick starts what is due.
--- a/internal/placement/commands.go
+++ b/internal/placement/commands.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// Orders lists what a machine is to be told now. With checkin they go into
+// Commands lists what a machine is to be told now. With checkin they go into
 // the answer to its report, otherwise into a direct command.
 func (b *Board) Commands(now time.Time, m *worker.Machine, checkin bool) []wire.Command {
 	b.heads(now, m)
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -15,7 +15,7 @@
 // maxCount bounds how many tasks of no size are counted into a machine.
 const maxCount = wire.MaxTasks
 
-// Offer is a kind of machine that can be hired now.
+// Offer is a kind of machine that can be rented now.
 type Offer struct {
 	Type, Zone string
 	Spot       bool
@@ -25,7 +25,7 @@
 	Left       int // how many more may be asked for
 }
 
-// bin is a machine, present or to be hired, in the packing of the demand.
+// bin is a machine, present or to be rented, in the packing of the demand.
 type bin struct {
 	m     *worker.Machine
 	build string
@@ -130,7 +130,7 @@
 		}
 	}
 	whole := slices.Clone(bins)
-	var hired []*bin
+	var rented []*bin
 	for _, j := range b.order {
 		if now.Before(j.notBefore) || j.Gang() && len(j.tasks) > 0 || !j.Gang() && !j.Service() {
 			continue
@@ -146,7 +146,7 @@
 		b.wholeDemand(j, n, &whole, func(j *Job, zone string) *bin {
 			bn := open(j, zone)
 			if bn != nil {
-				hired = append(hired, bn)
+				rented = append(rented, bn)
 			}
 			return bn
 		}, func(zone string) bool {
@@ -155,13 +155,13 @@
 			})
 		})
 	}
-	bins = append(bins, hired...)
+	bins = append(bins, rented...)
 	b.reserve(now, offers, bins, open)
 	b.arrayDemand(now, bins, open, admit)
 	return rentals
 }
 
-// wholeDemand packs a job whose tasks are placed whole, and hires for those
+// wholeDemand packs a job whose tasks are placed whole, and rents for those
 // that fit nowhere. A job that has to be in one zone is packed into the zone
 // that lacks the fewest; zones that would get too many tasks are passed over.
 func (b *Board) wholeDemand(j *Job, n int, bins *[]*bin, open func(*Job, string) *bin, offered func(zone string) bool) {
@@ -333,7 +333,7 @@
 			}
 			left[of] = kept
 		}
-		for work > tuning.HireRest && admit(j, j.need) {
+		for work > tuning.RentalRest && admit(j, j.need) {
 			bn := open(j, "")
 			if bn == nil {
 				break
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -470,7 +470,7 @@
 			offers := []Offer{{Type: "g2", Zone: "a", Spot: true, Cap: x.reg.All()[0].Cap, Price: 1, BootS: c.boot, Left: 50}, {Type: "g2", Zone: "a", Cap: x.reg.All()[0].Cap, Price: 3, BootS: c.boot, Left: 50}}
 			got := x.b.Demand(x.now, offers, []int{0, 0})
 			if got[0] != c.want[0] || got[1] != c.want[1] {
-				t.Errorf("to be hired: %v, want %v", got, c.want)
+				t.Errorf("to be rented: %v, want %v", got, c.want)
 			}
 		})
 	}
@@ -480,7 +480,7 @@
 	return config.Objective{Kind: "wait", Class: class, WithinS: within, Share: 0.8}
 }
 
-// Replicas on machines that the cloud takes back need places by then: machines are hired
+// Replicas on machines that the cloud takes back need places by then: machines are rented
 // for those that find none, also where their team is at its limit, and for no others.
 func TestRecalledReplicas(t *testing.T) {
 	for _, c := range []struct {
@@ -488,7 +488,7 @@
 		machines int // that stay
 		recalled int // machines with two services' replicas
 		limit    bool
-		want     int // machines hired
+		want     int // machines rented
 	}{
 		{"none is recalled", 2, 0, false, 0},
 		{"there is room elsewhere", 2, 1, false, 0},
@@ -528,7 +528,7 @@
 			// beside them, room for one more service is kept on two machines
 			reserve := max(0, tuning.ReserveMachines-c.machines-max(c.recalled, 1)+c.recalled)
 			if got[0] < c.want || got[0] > c.want+reserve {
-				t.Errorf("%d machines to be hired, want %d and a reserve of %d at most", got[0], c.want, reserve)
+				t.Errorf("%d machines to be rented, want %d and a reserve of %d at most", got[0], c.want, reserve)
 			}
 		})
 	}
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -136,7 +136,7 @@
 	return it, ok
 }
 
-// Stamp returns a key's version, 0 when it does not exist.
+// Version returns a key's version, 0 when it does not exist.
 func (m *Mirror) Version(key string) uint64 { return m.items[key].Version }
 
 func (m *Mirror) set(s mirrorState) { m.state = s }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,7 +29,7 @@
 // Classes of calls, in the order in which they may spend the rate.
 const (
 	ClassLease Class = iota
-	// ClassTenure: what a holder has to write down before it can go on: hires,
+	// ClassTenure: what a holder has to write down before it can go on: rentals,
 	// used machines, begun jobs.
 	ClassTenure
 	ClassUser
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -323,8 +323,8 @@
 	CloudPage = 500
 	// CloudShare is the part of the cloud's rate that one holder uses.
 	CloudShare = 0.9
-	// HireShare is the part of the holder's rate that hires may take at a time.
-	HireShare = 0.5
+	// RentalShare is the part of the holder's rate that rentals may take at a time.
+	RentalShare = 0.5
 	// CloudRetry is the pause after a failed call; it grows to CloudRetryMost
 	// while calls fail in a row, which keeps an outage's end from being missed
 	// for long.
@@ -338,7 +338,7 @@
 	ListEvery = 5 * time.Second
 	// DemandEvery is how often the demand is compared with the machines.
 	DemandEvery = 1 * time.Second
-	// FenceDemand is how long after a takeover nothing is hired while machines
+	// FenceDemand is how long after a takeover nothing is rented while machines
 	// are still unheard: most answer within a second, the rest may be gone.
 	FenceDemand = 10 * time.Second
 	// FenceFew is how long after a takeover machines that have not been heard are
@@ -347,8 +347,8 @@
 	// within a second.
 	FenceFew     = 4 * time.Second
 	FenceFewPart = 100
-	// HirePage is the most machines asked for in one hire.
-	HirePage = 50
+	// RentalPage is the most machines asked for in one rental.
+	RentalPage = 50
 	// CapacityRetry is the pause after the cloud had none of a kind.
 	CapacityRetry = 10 * time.Second
 	// RentalBytes is what a rental request's record takes without its machines, and
@@ -381,12 +381,12 @@
 	// DefaultAim stands for a class's aim when the settings have none.
 	DefaultAim = 300 * time.Second
 	// HorizonShare is the part of a class's aim that its waiting work may
-	// take on the machines there are before more are hired.
+	// take on the machines there are before more are rented.
 	HorizonShare = 0.1
 	// LeastRun is the least run time assumed of a task.
 	LeastRun = 10 * time.Second
-	// HireRest is the waiting work, in tasks, not worth another machine.
-	HireRest = 0.5
+	// RentalRest is the waiting work, in tasks, not worth another machine.
+	RentalRest = 0.5
 )
 
 // The process.
@@ -414,7 +414,7 @@
 	// UsedEvery is how often machines heard for the first time are entered as
 	// used: hundreds come up within seconds, and each waits for its entry.
 	UsedEvery = 250 * time.Millisecond
-	// OpenPace is how soon after one change of the open jobs, or of the hires, a
+	// OpenPace is how soon after one change of the open jobs, or of the rentals, a
 	// node that holds no block looks for the next: questions bring it up to date.
 	OpenPace = 1 * time.Second
 	// HolderPace is the same for a holder, which has to act on them.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -98,7 +98,7 @@
 	Stored  bool   `json:",omitempty"`
 }
 
-// Order is one command to a worker.
+// Command is one command to a worker.
 type Command struct {
 	Verb      string   `json:"Verb"`
 	Task      string   `json:"Piece"`
@@ -106,7 +106,7 @@
 	WindDownS *float64 `json:",omitempty"`
 }
 
-// Orders answers a report.
+// Commands answers a report.
 type Commands struct {
 	Token    uint64    `json:"Baton"`
 	Commands []Command `json:"Orders"`
@@ -143,7 +143,7 @@
 	Types []MachineType `json:"Builds"`
 }
 
-// Hire asks the cloud for machines.
+// Rental asks the cloud for machines.
 type Rental struct {
 	Rental string `json:"Hire"`
 	Type   string `json:"Build"`
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -19,7 +19,7 @@
 
 // The states of a machine.
 const (
-	// Booting: hired, and never used by any tenure: nothing can be on it.
+	// Booting: rented, and never used by any tenure: nothing can be on it.
 	Booting State = iota
 	// Unheard: used by an earlier tenure and not heard in this one.
 	Unheard
@@ -70,8 +70,8 @@
 	Recall               time.Time // when the cloud takes it away; zero: no notice
 	Tasks                []wire.Task
 	Stranger             bool // has tasks that no open job explains
-	Recorded             bool // its hire record names it
-	Used                 bool // its hire record says that it may have tasks
+	Recorded             bool // its rental record names it
+	Used                 bool // its rental record says that it may have tasks
 	Faulty               bool
 	Wanted               bool // a demand pass found a use for it
 	Closing              bool // nothing more is drawn to it, so that it can be returned
