--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -32,12 +32,12 @@
 	// direct holds the attempts started by direct commands in the worker's
 	// session. A repeat of such a command may come minutes later, and starts
 	// the attempt anew if the worker has forgotten it: these are never reaped.
-	direct  map[attemptKey]bool
-	seen    view
-	grew    uint64 // the change, counted by the survey, in which it last gained room or an image
-	roomy   int    // its place among the survey's machines with room, from 1; 0: it has none
-	touched bool   // something about it changed since the last survey
-	urgent  bool   // it is among those to be told at once
+	direct   map[attemptKey]bool
+	seen     view
+	gainedAt uint64 // the change, counted by the survey, in which it last gained room or an image
+	roomy    int    // its place among the survey's machines with room, from 1; 0: it has none
+	touched  bool   // something about it changed since the last survey
+	urgent   bool   // it is among those to be told at once
 }
 
 // attempt is one attempt of a task.
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -91,7 +91,7 @@
 					jobs = l.whole // work may give way to them
 				}
 				for _, j := range jobs {
-					b.drawJob(now, j, guaranteed, image)
+					b.drawJob(now, j, drawPass{guaranteed, image})
 				}
 			}
 		}
@@ -110,186 +110,38 @@
 	}
 }
 
-func (b *Board) drawJob(now time.Time, j *Job, guaranteed, image bool) {
+// drawPass tells which of a draw's passes over the jobs this is.
+type drawPass struct {
+	guaranteed bool // only what stays within its team's guarantee
+	image      bool // only tasks whose image is on the machine, with some exceptions
+}
+
+// drawJob takes up what a job has waiting.
+func (b *Board) drawJob(now time.Time, j *Job, pass drawPass) {
 	// most jobs have nothing waiting: that is told first
+	whole := j.Gang() || j.Service()
 	switch {
-	case j.Gang() || j.Service():
-		if image || j.Service() && j.held() == 0 {
-			return // where the image is counts in the places' scores
-		}
-	case j.held() == 0 || len(b.survey.roomy) == 0:
+	case whole && pass.image:
+		return // where the image is counts in the places' scores
+	case !j.Gang() && j.held() == 0:
 		return
-	}
-	if j.closed || now.Before(j.notBefore) {
+	case !whole && len(b.survey.roomy) == 0:
 		return
-	}
-	if !b.startable(j) {
-		b.waits(j, "its tasks may be on machines not heard yet")
+	case j.closed || now.Before(j.notBefore):
 		return
-	}
-	if !b.canAsk(j) {
-		return
-	}
-	if j.Gang() {
-		b.drawGang(now, j, guaranteed)
-		return
-	}
-	if j.Service() {
-		b.drawService(now, j, guaranteed)
-		return
-	}
-	if guaranteed && !b.book.Guaranteed(j.Spec.Team, j.need) {
+	case !b.startable(j):
+		b.waits(j, "its tasks may be on machines not heard yet")
 		return
-	}
-	var spread map[string]int
-	patient, missed := 0, uint64(0)
-	if image {
-		if j.late {
-			return
-		}
-		if !j.seeds {
-			patient = 1
-		}
-	}
-	if j.constrained() {
-		spread = j.zones(true)
-	} else {
-		missed = j.missed[patient]
-	}
-	fit := func(m *worker.Machine) bool {
-		return m.FreeForMain().Fits(j.need) && (spread == nil || j.zoneOK(m.Zone, spread)) && (patient == 0 || b.hasImage(m, j.Spec.Bundle))
-	}
-	var cands []cell
-	kept := false
-	for _, h := range b.survey.roomy {
-		m := h.m
-		switch {
-		case h.grew < missed || !m.Usable(now) || !fit(m) || !j.allows(m.Type, m.Zone, m.Spot) || j.avoids(m):
-		case b.keptFor(now, j, m):
-			kept = true
-		default:
-			cands = append(cands, cell{m, b.tier(j, m)})
-		}
-	}
-	if len(cands) > 0 && !b.mayBegin(now, j) {
+	case !b.canAsk(j):
 		return
 	}
-	for n := 0; j.held() > 0; n++ {
-		if b.drawn == tuning.DrawTasks {
-			b.survey.again() // what else there is to do goes first
-			return
-		}
-		if j.level >= wire.Priorities+j.priority && n == tuning.BeginTasks {
-			return // it has begun; the rest waits for its turn
-		}
-		if guaranteed && !b.book.Guaranteed(j.Spec.Team, j.need) {
-			return
-		}
-		if !b.book.Admits(j.Spec.Team, j.need, true) {
-			b.waits(j, "team's limit")
-			return
-		}
-		at := b.pick(cands)
-		if at < 0 {
-			b.waits(j, "no room")
-			if !kept {
-				j.missed[patient] = b.survey.change + 1
-			}
-			return
-		}
-		n, ok := j.take(now)
-		if !ok {
-			b.waits(j, "pause after a failure")
-			return
-		}
-		j.why = ""
-		m := cands[at].m
-		t := &Task{Job: j, N: n}
-		j.tasks[n] = t
-		b.queueMain(now, t, m)
-		b.drawn++
-		if spread != nil {
-			spread[m.Zone]++
-			cands = slices.DeleteFunc(cands, func(c cell) bool { return !fit(c.m) })
-			for i := range cands {
-				cands[i].tier = b.tier(j, cands[i].m)
-			}
-		} else if fit(m) {
-			cands[at].tier = b.tier(j, m)
-		} else {
-			cands = slices.Delete(cands, at, at+1)
-		}
-		b.drawSpare(now, t)
-	}
-}
-
-// tier ranks machines that fit: cheap ones for whoever may use them, then ones
-// that have the image or are about to, then the fuller ones, in steps, so that
-// others empty and can be returned.
-func (b *Board) tier(j *Job, m *worker.Machine) int {
-	s := 0
-	if j.Spec.Spot && !m.Spot {
-		s += 4 * tuning.FillSteps
-	}
-	if !b.hasImage(m, j.Spec.Bundle) {
-		s += 2 * tuning.FillSteps
-	}
-	return s + int(tuning.FillSteps*m.FreeForMain().Share(m.Cap))
-}
-
-// hasImage tells whether a machine has an image, or some task there will have
-// it fetched.
-func (b *Board) hasImage(m *worker.Machine, bundle string) bool {
-	if _, ok := m.Images[bundle]; ok {
-		return true
-	}
-	has := func(t *Task) bool { return t.Job.Spec.Bundle == bundle }
-	h := b.host(m)
-	return slices.ContainsFunc(h.on, has) || slices.ContainsFunc(h.high, has)
-}
-
-// cell is a machine that has room for a task, and its tier.
-type cell struct {
-	m    *worker.Machine
-	tier int
-}
-
-// pick chooses at random among the machines of the lowest tier, -1 if there is none.
-func (b *Board) pick(among []cell) int {
-	low, n := 0, 0
-	for i := range among {
-		switch tier := among[i].tier; {
-		case n == 0 || tier < low:
-			low, n = tier, 1
-		case tier == low:
-			n++
-		}
-	}
-	if n == 0 {
-		return -1
-	}
-	n = b.rng.IntN(n)
-	return slices.IndexFunc(among, func(c cell) bool {
-		if c.tier == low {
-			n--
-		}
-		return n < 0
-	})
-}
-
-// drawSpare queues a task's spare low at another random worker whose whole
-// room it fits. A few tries find one in most cases; a spare that finds none is
-// no loss, as mains are drawn into room that is there.
-func (b *Board) drawSpare(now time.Time, t *Task) {
-	j := t.Job
-	all := b.reg.All()
-	for range min(tuning.SpareDraws, 2*len(all)) {
-		m := all[b.rng.IntN(len(all))]
-		if m != t.main && m.Usable(now) && j.allows(m.Type, m.Zone, m.Spot) && m.Cap.Fits(j.need) &&
-			len(b.host(m).low) < tuning.LowDepth && !j.avoids(m) {
-			b.queueLow(t, m)
-			return
-		}
+	switch {
+	case j.Gang():
+		b.drawGang(now, j, pass.guaranteed)
+	case j.Service():
+		b.drawService(now, j, pass.guaranteed)
+	default:
+		b.drawArray(now, j, pass)
 	}
 }
 
--- a/internal/placement/draw_test.go
+++ b/internal/placement/draw_test.go
@@ -65,9 +65,9 @@
 		{"any of the lowest", []int{2, 1, 4, 1, 1}, []int{1, 3, 4}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var among []cell
+			var among []candidate
 			for _, tier := range c.tiers {
-				among = append(among, cell{tier: tier})
+				among = append(among, candidate{tier: tier})
 			}
 			got := map[int]bool{}
 			for range 200 {
--- a/internal/placement/survey.go
+++ b/internal/placement/survey.go
@@ -111,7 +111,7 @@
 		if v.more(h.seen) {
 			gained = true
 			s.change++
-			h.grew = s.change
+			h.gainedAt = s.change
 		}
 		h.seen = v
 		s.setRoomy(h, v.usable && v.free.Fits(s.least))
