--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -7,7 +7,6 @@
 
 	"juniperchute/internal/quota"
 	"juniperchute/internal/tuning"
-	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
 )
 
@@ -264,92 +263,6 @@
 	}
 }
 
-// spare machines for services: what the next service, or the replicas of a machine that
-// is lost, will need, is there before they do.
-func (b *Board) reserve(now time.Time, offers []Offer, bins []*bin, open func(j *Job, zone string) *bin) {
-	var largest *Job
-	for _, j := range b.order {
-		if j.Service() && (largest == nil || j.need.Times(float64(j.Spec.Tasks)).Share(b.typical(offers)) > largest.need.Times(float64(largest.Spec.Tasks)).Share(b.typical(offers))) {
-			largest = j
-		}
-	}
-	if largest == nil {
-		b.reserveUnseen(offers, bins, open)
-		return
-	}
-	j := largest
-	lacks, machines := j.Spec.Tasks, 0
-	// machines that are in use anyway come first: an idle one costs as much
-	for _, busy := range []bool{true, false} {
-		for _, bn := range bins {
-			if (bn.m != nil && bn.m.Busy > 0) != busy || bn.spot || !j.allows(bn.build, bn.zone, bn.spot) ||
-				lacks <= 0 && machines >= tuning.ReserveMachines {
-				continue
-			}
-			room := bn.cap
-			if bn.m != nil {
-				if bn.m.State == worker.Silent || j.avoids(bn.m) {
-					continue
-				}
-				for _, t := range b.host(bn.m).on {
-					if t.Job.priority >= j.priority {
-						room = room.Sub(t.Job.need) // the rest would give way
-					}
-				}
-			}
-			if n := room.Count(j.need, j.Spec.Tasks); n > 0 {
-				lacks -= n
-				machines++
-				if bn.m != nil {
-					bn.m.Wanted = true
-				}
-			}
-		}
-	}
-	for lacks > 0 || machines < tuning.ReserveMachines {
-		bn := open(j, "")
-		if bn == nil || bn.spot {
-			return
-		}
-		lacks -= bn.cap.Count(j.need, j.Spec.Tasks)
-		machines++
-	}
-}
-
-// typical is the room of the first machine type on offer, to compare needs by.
-func (b *Board) typical(offers []Offer) quota.Room {
-	if len(offers) == 0 {
-		return quota.Room{}
-	}
-	return offers[0].Cap
-}
-
-// reserveUnseen keeps one machine that is not spot for a class that is expected to start
-// in far less time than a machine takes to boot, and of which no job has come yet.
-func (b *Board) reserveUnseen(offers []Offer, bins []*bin, open func(j *Job, zone string) *bin) {
-	boot := 0.0
-	for _, o := range offers {
-		if boot == 0 || o.BootS < boot {
-			boot = o.BootS
-		}
-	}
-	for _, o := range b.facts.Objectives {
-		if o.Kind != "wait" || o.WithinS <= 0 || o.WithinS*tuning.UnseenBoots > boot || b.seen[o.Class] {
-			continue
-		}
-		for _, bn := range bins {
-			if !bn.spot {
-				if bn.m != nil {
-					bn.m.Wanted = true
-				}
-				return
-			}
-		}
-		open(&Job{Spec: wire.Submission{AnyType: true}}, "")
-		return
-	}
-}
-
 // leaving tells whether a replica has to leave its machine, which the cloud takes back.
 func (t *Task) leaving() bool {
 	return t.Job.Service() && t.phase == Live && !t.at.Recall.IsZero()
