--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -196,29 +196,45 @@
 	return &c, c.check()
 }
 
+// check finds the first field that is missing or invalid.
 func (c *Config) check() error {
+	for _, check := range []func() error{c.checkNames, c.checkAddresses, c.Facts.checkTeams, c.Facts.checkObjectives, c.Facts.checkAmounts, c.Facts.State.check} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Config) checkNames() error {
 	for _, f := range []struct{ name, value string }{{"member", c.Member}, {"area", c.Area}} {
 		if f.value == "" {
 			return fmt.Errorf("%s: missing", f.name)
 		}
 	}
-	addrs := []struct{ name, value string }{
-		{"api_addr", c.APIAddr}, {"peer_bind", c.PeerBind},
-		{"external.cloud", c.External.Cloud}, {"external.state", c.External.State},
-	}
 	names := map[string]bool{c.Member: true}
 	for i, k := range c.Known {
-		field := fmt.Sprintf("known[%d]", i)
 		if k.Member == "" {
-			return fmt.Errorf("%s.member: missing", field)
+			return fmt.Errorf("known[%d].member: missing", i)
 		}
 		if names[k.Member] {
-			return fmt.Errorf("%s.member: %q is named twice", field, k.Member)
+			return fmt.Errorf("known[%d].member: %q is named twice", i, k.Member)
 		}
 		names[k.Member] = true
-		addrs = append(addrs, struct{ name, value string }{field + ".address", k.Address})
 	}
-	for _, a := range addrs {
+	return nil
+}
+
+func (c *Config) checkAddresses() error {
+	type address struct{ name, value string }
+	addresses := []address{
+		{"api_addr", c.APIAddr}, {"peer_bind", c.PeerBind},
+		{"external.cloud", c.External.Cloud}, {"external.state", c.External.State},
+	}
+	for i, k := range c.Known {
+		addresses = append(addresses, address{fmt.Sprintf("known[%d].address", i), k.Address})
+	}
+	for _, a := range addresses {
 		if a.value == "" {
 			return fmt.Errorf("%s: missing", a.name)
 		}
@@ -226,7 +242,10 @@
 			return fmt.Errorf("%s: %q is not an IP address with a port", a.name, a.value)
 		}
 	}
-	f := &c.Facts
+	return nil
+}
+
+func (f *Facts) checkTeams() error {
 	if len(f.Zones) == 0 {
 		return errors.New("facts.zones: missing")
 	}
@@ -247,11 +266,19 @@
 			return fmt.Errorf("%s: negative amount", field)
 		}
 	}
+	return nil
+}
+
+func (f *Facts) checkObjectives() error {
 	for i, o := range f.Objectives {
 		if o.Kind == "" || o.WithinS < 0 {
 			return fmt.Errorf("facts.objectives[%d]: invalid", i)
 		}
 	}
+	return nil
+}
+
+func (f *Facts) checkAmounts() error {
 	for _, p := range []struct {
 		name  string
 		value float64
@@ -272,19 +299,23 @@
 		{"facts.machine_limits.memory_mb", f.Limits.MemoryMB},
 		{"facts.machine_limits.sockets", float64(f.Limits.Sockets)},
 	} {
-		if !(p.value > 0) {
+		if !(p.value > 0) { // NaN too
 			return fmt.Errorf("%s: missing or not above 0", p.name)
 		}
 	}
-	if err := f.State.Next.check(); err != nil {
+	if f.TimeBoundMS < 0 {
+		return errors.New("facts.time_bound_ms: negative")
+	}
+	return nil
+}
+
+func (s *State) check() error {
+	if err := s.Next.check(); err != nil {
 		return err
 	}
-	if f.State.Stored().TxnOps < tuning.TxnOpsLeast {
+	if s.Stored().TxnOps < tuning.TxnOpsLeast {
 		return fmt.Errorf("facts.state.txn_ops, or next.txn_ops: below %d, the changes that go together", tuning.TxnOpsLeast)
 	}
-	if f.TimeBoundMS < 0 {
-		return errors.New("facts.time_bound_ms: negative")
-	}
 	return nil
 }
 
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -64,25 +64,11 @@
 	return &Client{base: "http://" + addr, http: &http.Client{Transport: rt}}
 }
 
-// Do carries out a call. It blocks until the answer or the time limit.
+// Do carries out a call. It blocks until the answer or the call's time limit.
 func (c *Client) Do(ctx context.Context, call Call) Result {
 	ctx, cancel := context.WithTimeout(ctx, tuning.CloudTimeout)
 	defer cancel()
-	method, path := http.MethodGet, "/flavors"
-	var body []byte
-	switch call.Op {
-	case OpRent:
-		method, path = http.MethodPost, "/machines"
-		body, _ = json.Marshal(call.Rental)
-	case OpDelete:
-		method, path = http.MethodPost, "/machines/delete"
-		body, _ = json.Marshal(wire.HostNames{Hosts: call.Hosts})
-	case OpList:
-		path = "/machines?Page=" + strconv.Itoa(tuning.CloudPage)
-		if call.After != "" {
-			path += "&After=" + url.QueryEscape(call.After)
-		}
-	}
+	method, path, body := call.request()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return Result{}
@@ -99,8 +85,32 @@
 	if err != nil {
 		return Result{}
 	}
-	res := Result{Status: resp.StatusCode}
-	if resp.StatusCode != http.StatusOK {
+	return call.result(resp.StatusCode, raw)
+}
+
+// request is the call's HTTP request; a nil body means none.
+func (c Call) request() (method, path string, body []byte) {
+	switch c.Op {
+	case OpRent:
+		body, _ = json.Marshal(c.Rental)
+		return http.MethodPost, "/machines", body
+	case OpDelete:
+		body, _ = json.Marshal(wire.HostNames{Hosts: c.Hosts})
+		return http.MethodPost, "/machines/delete", body
+	case OpList:
+		path = "/machines?Page=" + strconv.Itoa(tuning.CloudPage)
+		if c.After != "" {
+			path += "&After=" + url.QueryEscape(c.After)
+		}
+		return http.MethodGet, path, nil
+	}
+	return http.MethodGet, "/flavors", nil
+}
+
+// result reads the answer to the call. One that cannot be read is as good as none.
+func (c Call) result(status int, raw []byte) Result {
+	res := Result{Status: status}
+	if status != http.StatusOK {
 		var e struct {
 			Error string `json:"error"`
 		}
@@ -109,7 +119,8 @@
 		}
 		return res
 	}
-	switch call.Op {
+	var err error
+	switch c.Op {
 	case OpMachineTypes:
 		var f wire.MachineTypes
 		err = json.Unmarshal(raw, &f)
@@ -122,7 +133,7 @@
 		err = json.Unmarshal(raw, &res.Page)
 	}
 	if err != nil {
-		return Result{} // an answer that cannot be read is as good as none
+		return Result{}
 	}
 	return res
 }
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"juniperchute/internal/placement"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
 	"net/http"
@@ -65,7 +66,7 @@
 		return
 	}
 	for _, m := range t.board.Urgent(now) {
-		if commands := t.board.Commands(now, m, false); len(commands) > 0 {
+		if commands := t.board.Commands(now, m, placement.Direct); len(commands) > 0 {
 			t.direct(now, m, commands)
 		}
 	}
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -126,22 +126,24 @@
 		r.peers.Close()
 	}()
 	r.log.Info("serving", "api", r.cfg.APIAddr, "peers", r.cfg.PeerBind)
+	return r.own(ctx, failed)
+}
+
+// own is the loop of the goroutine that owns all state. A lease's renewal must wait
+// neither behind a thousand reports nor behind the results of all that the block needs:
+// ticks go first, then results, then reports and requests in turn.
+func (r *Runtime) own(ctx context.Context, failed <-chan error) error {
 	tick := time.NewTicker(tuning.TickEvery)
 	defer tick.Stop()
 	last := time.Now()
 	turn := func(now time.Time) {
-		if late := now.Sub(last) - tuning.TickEvery; late > tuning.LateTick {
-			r.log.Warn("too little processor time", "late", late, "goroutines", runtime.NumGoroutine(),
-				"events", len(r.events), "reports", len(r.reports), "requests", len(r.users))
-		}
+		r.noteLate(now.Sub(last) - tuning.TickEvery)
 		last = now
 		r.core.Tick(now)
 		r.healthy.Store(r.core.Healthy(now))
 	}
 	r.carry("tick", turn)
 	for {
-		// a lease's renewal must wait neither behind a thousand reports nor behind
-		// the results of all that the block needs
 		select {
 		case <-tick.C:
 			r.carry("tick", turn)
@@ -171,6 +173,14 @@
 	}
 }
 
+// noteLate tells of a tick that came late: leases and reports are next.
+func (r *Runtime) noteLate(late time.Duration) {
+	if late > tuning.LateTick {
+		r.log.Warn("too little processor time", "late", late, "goroutines", runtime.NumGoroutine(),
+			"events", len(r.events), "reports", len(r.reports), "requests", len(r.users))
+	}
+}
+
 // carry has the owner do one thing, and tells of one that took long: on a starved
 // machine that is what makes leases and reports late.
 func (r *Runtime) carry(what string, f func(now time.Time)) {
--- a/internal/node/tenure_reports.go
+++ b/internal/node/tenure_reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"juniperchute/internal/placement"
 	"juniperchute/internal/submission"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
@@ -93,7 +94,7 @@
 	case t.state == tenureLoading:
 	case t.c.leader.Entitled(now):
 		t.board.Draw(now)
-		commands = append(commands, t.board.Commands(now, m, true)...)
+		commands = append(commands, t.board.Commands(now, m, placement.InAnswer)...)
 	default:
 		// past the lease's end nothing starts, but what is over still stops: under a
 		// superseded token that has no effect
--- a/internal/placement/commands.go
+++ b/internal/placement/commands.go
@@ -84,91 +84,116 @@
 	}
 }
 
-// Commands lists what a machine is to be told now. With checkin they go into
-// the answer to its report, otherwise into a direct command.
-func (b *Board) Commands(now time.Time, m *worker.Machine, checkin bool) []wire.Command {
+// Channel is the way by which commands reach a machine.
+type Channel int
+
+// The ways to a machine.
+const (
+	InAnswer Channel = iota // in the answer to its report
+	Direct                  // as a direct command
+)
+
+// Commands lists what a machine is to be told now.
+func (b *Board) Commands(now time.Time, m *worker.Machine, by Channel) []wire.Command {
 	b.heads(now, m)
-	h := b.host(m)
 	var out []wire.Command
-	zero := 0.0
 	for i := range m.Tasks {
 		if len(out) == tuning.CommandsMost {
 			return out
 		}
-		p := &m.Tasks[i]
-		id, n, ok := wire.ParseTask(p.Task)
-		if b.unreadable[id] {
-			continue
-		}
-		var j *Job
-		if ok {
-			if j = b.jobs[id]; j != nil && n >= j.Spec.Tasks {
-				j = nil
-			}
-		}
-		if p.Stage == wire.TaskExited {
-			// A completion stays reported until it is kept elsewhere.
-			if (j == nil || j.closed || p.Cause != wire.CauseDone || j.Service() || j.durable.has(n)) && !h.direct[attemptKey{p.Task, p.Attempt}] {
-				out = append(out, wire.Command{Verb: wire.VerbReap, Task: p.Task, Attempt: p.Attempt})
-			}
-			continue
-		}
-		var t *Task
-		if j != nil {
-			t = j.tasks[n]
-		}
-		switch {
-		case t == nil || t.at != m || t.attempt != p.Attempt:
-			out = append(out, wire.Command{Verb: wire.VerbStop, Task: p.Task, Attempt: p.Attempt, WindDownS: &zero})
-		case t.phase == Stopping && (p.Stage != wire.TaskSaving || t.grace == 0):
-			g := t.grace
-			out = append(out, wire.Command{Verb: wire.VerbStop, Task: p.Task, Attempt: p.Attempt, WindDownS: &g})
-			t.stopDue = false
-		}
+		out = append(out, b.reportedCommands(m, &m.Tasks[i])...)
 	}
-	for _, t := range h.on {
+	for _, t := range b.host(m).on {
 		if len(out) == tuning.CommandsMost {
 			return out
 		}
-		switch {
-		case t.phase == Sent && !checkin && len(h.direct) >= tuning.DirectMost:
-			// goes out with the answer to the next report
-		case t.phase == Sent:
-			if !checkin {
-				if h.direct == nil {
-					h.direct = map[attemptKey]bool{}
-				}
-				h.direct[attemptKey{t.Name(), t.attempt}] = true
-			}
-			out = append(out, wire.Command{Verb: wire.VerbRun, Task: t.Name(), Attempt: t.attempt})
-			t.ordered, t.session = true, m.Session
-			if checkin {
-				t.seq = m.Seq
-			} else {
-				t.openDo++
-			}
-		case t.phase == Stopping && !t.reported && t.ordered:
-			// perhaps on its way: the stop follows it
-			g := t.grace
-			out = append(out, wire.Command{Verb: wire.VerbStop, Task: t.Name(), Attempt: t.attempt, WindDownS: &g})
-			t.stopDue = false
-		}
+		out = append(out, b.handedOutCommands(m, t, by)...)
 	}
 	return out
 }
 
+// reportedCommands are the commands, at most one, for a task that its machine reports: one
+// that is not expected there stops, one that has ended is taken off its reports.
+func (b *Board) reportedCommands(m *worker.Machine, p *wire.Task) []wire.Command {
+	id, n, ok := wire.ParseTask(p.Task)
+	if b.unreadable[id] {
+		return nil
+	}
+	var j *Job
+	if ok {
+		if j = b.jobs[id]; j != nil && n >= j.Spec.Tasks {
+			j = nil
+		}
+	}
+	if p.Stage == wire.TaskExited {
+		if b.reapable(m, j, n, p) {
+			return []wire.Command{{Verb: wire.VerbReap, Task: p.Task, Attempt: p.Attempt}}
+		}
+		return nil
+	}
+	var t *Task
+	if j != nil {
+		t = j.tasks[n]
+	}
+	switch {
+	case t == nil || t.at != m || t.attempt != p.Attempt:
+		return []wire.Command{stopCommand(p.Task, p.Attempt, 0)}
+	case t.phase == Stopping && (p.Stage != wire.TaskSaving || t.grace == 0):
+		t.stopDue = false
+		return []wire.Command{stopCommand(p.Task, p.Attempt, t.grace)}
+	}
+	return nil
+}
+
+// reapable tells whether an exited task may be taken off its machine's reports: a
+// completion stays there until it is kept elsewhere.
+func (b *Board) reapable(m *worker.Machine, j *Job, n int, p *wire.Task) bool {
+	kept := j == nil || j.closed || p.Cause != wire.CauseDone || j.Service() || j.durable.has(n)
+	return kept && !b.host(m).direct[attemptKey{p.Task, p.Attempt}]
+}
+
+// handedOutCommands are the commands, at most one, for a task that was handed out to a
+// machine and that it has not reported yet.
+func (b *Board) handedOutCommands(m *worker.Machine, t *Task, by Channel) []wire.Command {
+	h := b.host(m)
+	switch {
+	case t.phase == Sent && by == Direct && len(h.direct) >= tuning.DirectMost:
+		// goes out with the answer to the next report
+	case t.phase == Sent:
+		t.ordered, t.session = true, m.Session
+		if by == Direct {
+			if h.direct == nil {
+				h.direct = map[attemptKey]bool{}
+			}
+			h.direct[attemptKey{t.Name(), t.attempt}] = true
+			t.openDo++
+		} else {
+			t.seq = m.Seq
+		}
+		return []wire.Command{{Verb: wire.VerbRun, Task: t.Name(), Attempt: t.attempt}}
+	case t.phase == Stopping && !t.reported && t.ordered:
+		// perhaps on its way: the stop follows it
+		t.stopDue = false
+		return []wire.Command{stopCommand(t.Name(), t.attempt, t.grace)}
+	}
+	return nil
+}
+
+func stopCommand(task string, attempt uint64, grace float64) wire.Command {
+	return wire.Command{Verb: wire.VerbStop, Task: task, Attempt: attempt, WindDownS: &grace}
+}
+
 // Halts are the stops for those of a machine's tasks whose jobs are over. They may be
 // given at any time, by whoever knows of the end.
 func (b *Board) Halts(tasks []wire.Task) []wire.Command {
 	var out []wire.Command
-	zero := 0.0
 	for _, p := range tasks {
 		id, _, ok := wire.ParseTask(p.Task)
 		if !ok || p.Stage == wire.TaskExited || b.unreadable[id] || len(out) == tuning.CommandsMost {
 			continue
 		}
 		if j := b.jobs[id]; j == nil || j.closed {
-			out = append(out, wire.Command{Verb: wire.VerbStop, Task: p.Task, Attempt: p.Attempt, WindDownS: &zero})
+			out = append(out, stopCommand(p.Task, p.Attempt, 0))
 		}
 	}
 	return out
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -26,74 +26,87 @@
 		}
 		return
 	}
-	if len(j.tasks) > 0 || j.Complete() {
+	if len(j.tasks) > 0 || j.Complete() || !b.mayDrawGang(now, j, guaranteed) {
 		return
 	}
-	all := j.need.Times(float64(j.Spec.Tasks))
-	if guaranteed && !b.book.Guaranteed(j.Spec.Team, all) {
+	// before the places are chosen: thousands may wait for their marks
+	if !b.mayBegin(now, j) {
 		return
 	}
-	if !b.book.Admits(j.Spec.Team, all, true) {
-		b.waits(j, "team's limit")
+	places := b.cheapestZone(now, j, guaranteed)
+	if places == nil {
+		b.noRoom(now, j)
 		return
 	}
-	if b.first != nil && b.first != j {
+	b.placeGang(now, j, places)
+}
+
+// mayDrawGang tells whether a gang is to be placed now, if it fits.
+func (b *Board) mayDrawGang(now time.Time, j *Job, guaranteed bool) bool {
+	all := j.need.Times(float64(j.Spec.Tasks))
+	switch {
+	case guaranteed && !b.book.Guaranteed(j.Spec.Team, all):
+		return false
+	case !b.book.Admits(j.Spec.Team, all, true):
+		b.waits(j, "team's limit")
+		return false
+	case b.first != nil && b.first != j:
 		b.waits(j, "an older gang goes first")
-		return
-	}
-	if b.tried >= tuning.GangsTried {
-		return // there is no room for so many before it
-	}
-	if !b.reachable(now, j, guaranteed) {
+		return false
+	case b.tried >= tuning.GangsTried:
+		return false // there is no room for so many before it
+	case !b.reachable(now, j, guaranteed):
 		b.tried++
 		b.noRoom(now, j)
-		return
-	}
-	if b.fitted == tuning.DrawGangs {
+		return false
+	case b.fitted == tuning.DrawGangs:
 		b.survey.again() // what else there is to do goes first
-		return
-	}
-	// before the places are chosen: thousands may wait for their marks
-	if !b.mayBegin(now, j) {
-		return
+		return false
 	}
+	return true
+}
+
+// cheapestZone finds a place for each task of a gang, in the zone that costs least if they
+// have to share one; nil if there is none.
+func (b *Board) cheapestZone(now time.Time, j *Job, guaranteed bool) []place {
 	zones := []string{""}
 	if j.Spec.Together {
 		zones = b.facts.Zones
 	}
 	var best []place
-	cost := 0.0
-	for _, y := range zones {
-		if got := b.fitGang(now, j, y, guaranteed); got != nil {
-			sum := 0.0
-			for _, p := range got {
-				sum += p.score
-			}
-			if best == nil || sum < cost {
-				best, cost = got, sum
-			}
+	least := 0.0
+	for _, zone := range zones {
+		places := b.fitGang(now, j, zone, guaranteed)
+		cost := 0.0
+		for _, p := range places {
+			cost += p.score
+		}
+		if places != nil && (best == nil || cost < least) {
+			best, least = places, cost
 		}
 	}
-	if best == nil {
-		b.noRoom(now, j)
-		return
-	}
+	return best
+}
+
+// placeGang queues a gang's tasks at their places and stops what gives way to them.
+func (b *Board) placeGang(now time.Time, j *Job, places []place) {
 	b.fitted++
 	b.Count.GangsPlaced++
 	j.why = ""
-	hurry := b.hurry(now, j, best)
-	for n, p := range best {
+	hurry := b.hurry(now, j, places)
+	for n, p := range places {
 		t := &Task{Job: j, N: n}
 		j.tasks[n] = t
 		b.queueMain(now, t, p.m)
 		for _, v := range p.stop {
-			if v.phase == Sent || v.phase == Live {
-				b.Count.Preempted++
-				if hurry && !v.Job.Gang() {
-					b.stop(now, v, 0, "gives way at once to "+j.Spec.ID)
-				} else {
-					b.yield(now, v, "gives way to "+j.Spec.ID)
-				}
+			if v.phase != Sent && v.phase != Live {
+				continue
+			}
+			b.Count.Preempted++
+			if hurry && !v.Job.Gang() {
+				b.stop(now, v, 0, "gives way at once to "+j.Spec.ID)
+			} else {
+				b.yield(now, v, "gives way to "+j.Spec.ID)
 			}
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -67,7 +67,7 @@
 	v := x.reg.Absorb(x.now, m, rep, true)
 	x.b.Reported(x.now, m, v, true)
 	x.b.Draw(x.now)
-	return x.b.Commands(x.now, m, true)
+	return x.b.Commands(x.now, m, InAnswer)
 }
 
 func (x *bench) job(team, shape, priority string, tasks int, gpus float64) *Job {
@@ -199,7 +199,7 @@
 			if task.phase != Sent || !task.spare {
 				t.Fatalf("the spare does not start: %v", task.phase)
 			}
-			x.b.Commands(x.now, away, true)
+			x.b.Commands(x.now, away, InAnswer)
 			x.reg.Absorb(x.now, away, &wire.Report{Host: away.Host, Type: "g2", Zone: "a", Session: 1, Seq: away.Seq + 1,
 				Tasks: []wire.Task{{Task: task.Name(), Attempt: task.attempt, Stage: wire.TaskRunning}}}, true)
 			x.b.Reported(x.now, away, worker.Fresh, true)
@@ -319,22 +319,22 @@
 func TestUnreportedCommand(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		direct  bool // the order went out by direct command
-		settled bool // which was answered
-		checkin bool // the task is missing in a report, not in another answer
+		by      Channel // by which the order went out
+		settled bool    // which was answered
+		checkin bool    // the task is missing in a report, not in another answer
 		gone    bool
 	}{
-		{"a later report", false, false, true, true},
-		{"only another command's answer", false, false, false, false},
-		{"an unanswered direct command", true, false, true, false},
-		{"an answered direct command", true, true, true, true},
+		{"a later report", InAnswer, false, true, true},
+		{"only another command's answer", InAnswer, false, false, false},
+		{"an unanswered direct command", Direct, false, true, false},
+		{"an answered direct command", Direct, true, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := newBench(t, 1)
 			m := x.reg.All()[0]
 			j := x.job("blue", wire.ShapeBatch, "low", 1, 1)
 			x.b.Draw(x.now)
-			commands := x.b.Commands(x.now, m, !c.direct)
+			commands := x.b.Commands(x.now, m, c.by)
 			if c.settled {
 				x.b.Answered(m, commands)
 			}
@@ -366,7 +366,7 @@
 		}
 	}
 	j.Durable(0)
-	if o := x.b.Commands(x.now, m, true); x.verbs(o) != "reap job-1/0;" {
+	if o := x.b.Commands(x.now, m, InAnswer); x.verbs(o) != "reap job-1/0;" {
 		t.Errorf("orders %s, want the reap", x.verbs(o))
 	}
 }
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -20,7 +20,7 @@
 	x.b.Draw(x.now)
 	sent := ""
 	for _, m := range x.b.Urgent(x.now) {
-		commands := x.b.Commands(x.now, m, false)
+		commands := x.b.Commands(x.now, m, Direct)
 		sent += x.verbs(commands)
 		x.b.Answered(m, commands)
 		x.report(m)
