--- a/internal/node/cancellation_test.go
+++ b/internal/node/cancellation_test.go
@@ -16,12 +16,12 @@
 	"juniperchute/internal/wire"
 )
 
-// The gap: the state service refuses the holder alone, another controller confirms
+// The state service refuses the holder alone, another controller confirms
 // cancellations that the holder cannot read there, and then it is down for all, longer
 // than a cancelled job's tasks have, while workers go on reporting to the holder. What
 // the holder knows comes from its peers, or its renewals end. That the tasks are gone in
 // time is checked after each step.
-func TestGap(t *testing.T) {
+func TestCancelledBeforeOutage(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		before func(sim *simulation, holder, other *simulatedNode) // as the holder is refused
--- a/internal/node/cancellations.go
+++ b/internal/node/cancellations.go
@@ -1,11 +1,12 @@
 package node
 
 import (
+	"maps"
+	"time"
+
 	"juniperchute/internal/config"
 	"juniperchute/internal/leader"
 	"juniperchute/internal/tuning"
-	"maps"
-	"time"
 )
 
 // cancellations is what a block's holder knows of cancelled jobs, and up to when it knows
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -1,11 +1,12 @@
 package node
 
 import (
+	"net/http"
+	"time"
+
 	"juniperchute/internal/placement"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
-	"net/http"
-	"time"
 )
 
 // direct sends a direct command.
--- a/internal/node/fencing.go
+++ b/internal/node/fencing.go
@@ -1,13 +1,14 @@
 package node
 
 import (
+	"time"
+
 	"juniperchute/internal/config"
 	"juniperchute/internal/peer/peerpb"
 	"juniperchute/internal/quota"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
-	"time"
 )
 
 // fencing is what a tenure does to learn where tasks of earlier tenures are, and whether
--- a/internal/node/loading.go
+++ b/internal/node/loading.go
@@ -3,15 +3,16 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
+	"time"
+
 	"juniperchute/internal/fleet"
 	"juniperchute/internal/store"
 	"juniperchute/internal/submission"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
-	"slices"
-	"strings"
-	"time"
 )
 
 // records are what a tenure reads of its block before it begins to act.
--- a/internal/node/outcomes.go
+++ b/internal/node/outcomes.go
@@ -2,16 +2,17 @@
 
 import (
 	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
 	"juniperchute/internal/leader"
 	"juniperchute/internal/placement"
 	"juniperchute/internal/store"
 	"juniperchute/internal/submission"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
-	"maps"
-	"net/http"
-	"slices"
-	"time"
 )
 
 // outcomes writes down what has become of a block's jobs: which tasks have completed, in
--- a/internal/node/random_faults_test.go
+++ b/internal/node/random_faults_test.go
@@ -175,7 +175,7 @@
 
 // seedFactor lets a longer search than CI's be asked for.
 func seedFactor() int {
-	if n, err := strconv.Atoi(os.Getenv("WORLD_SEEDS")); err == nil {
+	if n, err := strconv.Atoi(os.Getenv("SIMULATION_SEEDS")); err == nil {
 		return n
 	}
 	return 1
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -117,7 +117,7 @@
 	if sim.t == nil {
 		level = slog.LevelInfo // a benchmark logs what a controller does
 	}
-	if os.Getenv("WORLD_LOG") != "" {
+	if os.Getenv("SIMULATION_LOG") != "" {
 		out = os.Stderr
 	}
 	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level,
--- a/internal/node/tenure_reports.go
+++ b/internal/node/tenure_reports.go
@@ -2,14 +2,15 @@
 
 import (
 	"errors"
+	"net/http"
+	"slices"
+	"time"
+
 	"juniperchute/internal/placement"
 	"juniperchute/internal/submission"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
-	"net/http"
-	"slices"
-	"time"
 )
 
 // absorb takes in a machine's account of itself and tells whether it was news.
--- a/internal/placement/array.go
+++ b/internal/placement/array.go
@@ -1,11 +1,12 @@
 package placement
 
 import (
+	"slices"
+	"time"
+
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
-	"slices"
-	"time"
 )
 
 // arrayDraw is the draw of one array's waiting tasks in one pass.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -204,22 +204,7 @@
 			reply(store.Result{Status: 404, Revision: s.Revision})
 		}
 	case store.OpList:
-		var keys []string
-		for k := range s.Keys {
-			if strings.HasPrefix(k, c.Under) && k > c.After {
-				keys = append(keys, k)
-			}
-		}
-		sort.Strings(keys)
-		r := store.Result{Status: 200, Revision: s.Revision}
-		for _, k := range keys {
-			if len(r.Items) == s.Page {
-				r.More = true
-				break
-			}
-			r.Items = append(r.Items, s.Keys[k])
-		}
-		reply(r)
+		reply(s.list(c))
 	case store.OpGrant:
 		s.nextLease++
 		s.leases[s.nextLease] = &lease{c.Life, s.clk.Now().Add(c.Life)}
@@ -235,24 +220,48 @@
 	case store.OpMulti:
 		reply(s.multi(c.Multi))
 	case store.OpChanges:
-		if r, ok := s.changes(c.Under, c.Since); (ok || c.WaitMs == 0) && !s.down {
-			reply(r)
-			return
+		s.watch(c, reply)
+	}
+}
+
+// list answers with the keys under a prefix, a page at a time.
+func (s *StateService) list(c store.Call) store.Result {
+	var keys []string
+	for k := range s.Keys {
+		if strings.HasPrefix(k, c.Under) && k > c.After {
+			keys = append(keys, k)
 		}
-		w := &watch{c.Under, c.Since, reply}
-		s.watches = append(s.watches, w)
-		s.clk.In(time.Duration(c.WaitMs)*time.Millisecond, func() {
-			for i, o := range s.watches {
-				if o == w {
-					s.watches = append(s.watches[:i:i], s.watches[i+1:]...)
-					if !s.down {
-						reply(store.Result{Status: 200, Revision: s.Revision})
-					}
-					return
-				}
-			}
-		})
 	}
+	sort.Strings(keys)
+	r := store.Result{Status: 200, Revision: s.Revision}
+	for _, k := range keys {
+		if len(r.Items) == s.Page {
+			r.More = true
+			break
+		}
+		r.Items = append(r.Items, s.Keys[k])
+	}
+	return r
+}
+
+// watch answers once a key with the prefix has changed, or when the time has run out.
+func (s *StateService) watch(c store.Call, reply func(store.Result)) {
+	if r, ok := s.changes(c.Under, c.Since); (ok || c.WaitMs == 0) && !s.down {
+		reply(r)
+		return
+	}
+	w := &watch{c.Under, c.Since, reply}
+	s.watches = append(s.watches, w)
+	s.clk.In(time.Duration(c.WaitMs)*time.Millisecond, func() {
+		i := slices.Index(s.watches, w)
+		if i < 0 {
+			return
+		}
+		s.watches = slices.Delete(s.watches, i, i+1)
+		if !s.down {
+			reply(store.Result{Status: 200, Revision: s.Revision})
+		}
+	})
 }
 
 // multi executes a transaction.
