--- /dev/null
+++ b/internal/node/outcomes_test.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"juniperchute/internal/standin"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// In which order the ends of jobs are written when the rate of writes is short: an
+// important job's end must not wait behind hundreds of others that completed before it.
+func TestOrderOfEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	board, _ := tallyBoard(wire.Submission{ID: "job-9", Shape: wire.ShapeBatch, Tasks: 1})
+	o := newOutcomes(nil, nil)
+	add := func(id, priority string, ago time.Duration) {
+		j := board.AddJob(now, wire.Submission{ID: id, Shape: wire.ShapeBatch, Priority: priority, Tasks: 1}, now, 1, false)
+		j.Recover(0)
+		o.taskCompleted(now.Add(-ago), j)
+	}
+	add("job-1", "low", 3*time.Second)
+	add("job-2", "low", 5*time.Second)
+	add("job-3", "high", 1*time.Second)
+	add("job-4", "normal", 9*time.Second)
+	add("job-5", "critical", 0)
+	add("job-6", "low", 5*time.Second)
+	o.ending["job-5"] = true
+	o.retryAt["job-4"] = now.Add(time.Second)
+	var got []string
+	for _, j := range o.ended(now) {
+		got = append(got, j.Spec.ID)
+	}
+	if want := []string{"job-3", "job-2", "job-6", "job-1"}; !slices.Equal(got, want) {
+		t.Errorf("ends are written in the order %v, want %v", got, want)
+	}
+}
+
+// While the state service takes few writes, the ends of jobs that matter more are told
+// first, and no more than a few are asked for at once.
+func TestEndsUnderAShortRate(t *testing.T) {
+	sim := newSimulation(t, 5, facts([]string{"a"}, steadyTeams, 1.5, 10), 1, []wire.MachineType{smallType})
+	sim.cloud.Room[standin.RoomKey(smallType.Name, "a", false)] = 40
+	for i := range 150 {
+		s := steadyJob(i)
+		s.Tasks, s.Gpus, s.Vcpus, s.MemGb, s.Priority = 1, 0, 1, 1, "low"
+		if i%15 == 0 {
+			s.Priority = "high"
+		}
+		sim.add(s, 20*time.Second)
+	}
+	sim.runFor(26 * time.Second)
+	sim.state.Limits.Writes = 4 // two ends a second
+	completed, longest := map[*standin.Job]time.Time{}, map[string]time.Duration{}
+	sim.cluster.CompletedHook = func(j *standin.Job) { completed[j] = sim.clk.Now() }
+	for range 120 {
+		sim.runFor(500 * time.Millisecond)
+		for _, n := range sim.nodes {
+			if te := n.core.tenures[0]; te != nil && len(te.outcomes.ending) > tuning.EndsAtOnce {
+				t.Fatalf("%d ends are under way", len(te.outcomes.ending))
+			}
+		}
+		for j, at := range completed {
+			if !j.Ended() {
+				longest[j.Spec.Priority] = max(longest[j.Spec.Priority], sim.clk.Now().Sub(at))
+			}
+		}
+	}
+	if longest["low"] < 20*time.Second {
+		t.Errorf("ends of low priority waited %v at most: the rate is not short", longest["low"])
+	}
+	if longest["high"] > longest["low"]*3/4 {
+		t.Errorf("an end of high priority waited %v, of low priority %v at most", longest["high"], longest["low"])
+	}
+	sim.requireUnbroken()
+}
