--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"juniperchute/internal/admin"
 	"juniperchute/internal/config"
@@ -28,11 +30,24 @@
 
 func main() {
 	if err := root().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "juniperchute:", err)
+		fmt.Fprintln(os.Stderr, "juniperchute:", message(err))
 		os.Exit(1)
 	}
 }
 
+// message is what an error says to an operator: a controller's refusal without the words
+// of the call that carried it.
+func message(err error) string {
+	s, ok := status.FromError(err)
+	switch {
+	case !ok:
+		return err.Error()
+	case s.Code() == codes.Unavailable:
+		return "the controller cannot be reached: " + s.Message()
+	}
+	return s.Message()
+}
+
 func root() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -189,7 +189,7 @@
 	if f, ok := s.machineTypes[m.Type]; ok {
 		if room := (quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb}); m.Cap != room {
 			m.Cap, m.Fetch = room, f.FetchGbPerS
-			s.board.Touch(m)
+			s.board.NoteChange(m)
 		}
 	}
 }
@@ -234,7 +234,7 @@
 	s.entered[m.Host] = true
 	s.used.Put(m.Host, m.Address, func(now time.Time) {
 		m.Used = true
-		s.board.Touch(m)
+		s.board.NoteChange(m)
 	})
 	s.used.Tick(now)
 }
--- a/internal/placement/array.go
+++ b/internal/placement/array.go
@@ -64,7 +64,7 @@
 	if d.spread == nil {
 		missed = j.missed[d.missedIndex()]
 	}
-	for _, h := range d.b.survey.roomy {
+	for _, h := range d.b.survey.withRoom {
 		m := h.m
 		switch {
 		case h.gainedAt < missed || !m.Usable(now) || !d.fits(m) || !j.allows(m.Type, m.Zone, m.Spot) || j.avoids(m):
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -32,12 +32,12 @@
 	// direct holds the attempts started by direct commands in the worker's
 	// session. A repeat of such a command may come minutes later, and starts
 	// the attempt anew if the worker has forgotten it: these are never reaped.
-	direct   map[attemptKey]bool
-	seen     view
-	gainedAt uint64 // the change, counted by the survey, in which it last gained room or an image
-	roomy    int    // its place among the survey's machines with room, from 1; 0: it has none
-	touched  bool   // something about it changed since the last survey
-	urgent   bool   // it is among those to be told at once
+	direct    map[attemptKey]bool
+	seen      view
+	gainedAt  uint64 // the change, counted by the survey, in which it last gained room or an image
+	roomIndex int    // its place among the survey's machines with room, from 1; 0: it has none
+	noted     bool   // something about it changed since the last survey
+	urgent    bool   // it is among those to be told at once
 }
 
 // attempt is one attempt of a task.
@@ -51,32 +51,32 @@
 	Set Settings
 	// Begin is asked to mark a job as begun, and calls Begun once that is
 	// durable. Without it no marks are kept.
-	Begin   func(now time.Time, j *Job)
-	asked   int // marks on their way
-	Count   Counters
-	facts   config.Facts
-	token   uint64
-	book    *quota.Book
-	reg     *worker.Registry
-	rng     *rand.Rand
-	log     *slog.Logger
-	jobs    map[string]*Job
-	order   []*Job // open jobs by priority, then age
-	hosts   map[*worker.Machine]*host
-	survey  survey
-	urgent  []*host
-	open    bool      // every machine the block may have is heard or surely gone
-	turns   []level   // the open jobs by priority and turn, as last sorted
-	turnsAt time.Time // when that was
-	resort  bool      // jobs have come or gone since
-	drawDue time.Time
-	tried   int  // gangs that found no room in this draw
-	fitted  int  // gangs placed in this draw
-	drawn   int  // arrays' tasks queued in this draw
-	first   *Job // the gang before which no other of its priority is placed
-	strays  map[*worker.Machine][]wire.Task
-	pace    map[string]float64 // by class: run time over the owner's estimate
-	seen    map[string]bool    // classes of which a job has come
+	Begin      func(now time.Time, j *Job)
+	asked      int // marks on their way
+	Count      Counters
+	facts      config.Facts
+	token      uint64
+	book       *quota.Book
+	reg        *worker.Registry
+	rng        *rand.Rand
+	log        *slog.Logger
+	jobs       map[string]*Job
+	order      []*Job // open jobs by priority, then age
+	hosts      map[*worker.Machine]*host
+	survey     survey
+	urgent     []*host
+	open       bool      // every machine the block may have is heard or surely gone
+	levels     []level   // the open jobs by priority and turn, as last sorted
+	sortedAt   time.Time // when that was
+	unsorted   bool      // jobs have come or gone since
+	drawDue    time.Time
+	tried      int  // gangs that found no room in this draw
+	fitted     int  // gangs placed in this draw
+	drawn      int  // arrays' tasks queued in this draw
+	first      *Job // the gang before which no other of its priority is placed
+	unexpected map[*worker.Machine][]wire.Task
+	runRatio   map[string]float64 // by class: run time over the owner's estimate
+	seen       map[string]bool    // classes of which a job has come
 	// unreadable are open jobs whose records cannot be read.
 	unreadable map[string]bool
 	closeDue   time.Time
@@ -89,7 +89,7 @@
 	return &Board{
 		Set: Settings{DropThreshold: tuning.DropThreshold}, facts: facts, token: token, book: book, reg: reg, rng: rng, log: log,
 		jobs: map[string]*Job{}, hosts: map[*worker.Machine]*host{}, survey: newSurvey(),
-		strays: map[*worker.Machine][]wire.Task{}, pace: map[string]float64{}, seen: map[string]bool{}, unreadable: map[string]bool{}, finished: finished,
+		unexpected: map[*worker.Machine][]wire.Task{}, runRatio: map[string]float64{}, seen: map[string]bool{}, unreadable: map[string]bool{}, finished: finished,
 	}
 }
 
@@ -210,7 +210,7 @@
 	if h == nil {
 		h = &host{m: m}
 		b.hosts[m] = h
-		b.touch(h)
+		b.noteChange(h)
 	}
 	return h
 }
--- a/internal/placement/close.go
+++ b/internal/placement/close.go
@@ -115,7 +115,7 @@
 	for _, m := range b.reg.All() {
 		if m.Closing {
 			m.Closing = false
-			b.touch(b.host(m))
+			b.noteChange(b.host(m))
 		}
 	}
 }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -61,7 +61,7 @@
 // Expect estimates a task's run time in seconds.
 func (b *Board) Expect(j *Job) float64 {
 	e := j.Spec.GuessS
-	if r, ok := b.pace[j.Spec.Class]; ok {
+	if r, ok := b.runRatio[j.Spec.Class]; ok {
 		e *= r
 	}
 	return max(e, tuning.LeastRun.Seconds())
--- a/internal/placement/draw.go
+++ b/internal/placement/draw.go
@@ -87,7 +87,7 @@
 			// somewhat earlier turn that would have it fetched
 			for _, image := range []bool{true, false} {
 				jobs := l.all
-				if len(b.survey.roomy) == 0 {
+				if len(b.survey.withRoom) == 0 {
 					jobs = l.whole // work may give way to them
 				}
 				for _, j := range jobs {
@@ -125,7 +125,7 @@
 		return // where the image is counts in the places' scores
 	case !j.Gang() && j.held() == 0:
 		return
-	case !whole && len(b.survey.roomy) == 0:
+	case !whole && len(b.survey.withRoom) == 0:
 		return
 	case j.closed || now.Before(j.notBefore):
 		return
--- a/internal/placement/lifecycle.go
+++ b/internal/placement/lifecycle.go
@@ -21,7 +21,7 @@
 	var h *host
 	if onBefore || onAfter {
 		h = b.host(m)
-		b.touch(h)
+		b.noteChange(h)
 	}
 	switch {
 	case !onBefore && onAfter:
@@ -165,11 +165,11 @@
 		j.wellOn[t.at.Host] = true
 		if !t.runFrom.IsZero() && j.Spec.GuessS > 0 && !j.Gang() {
 			ratio := now.Sub(t.runFrom).Seconds() / j.Spec.GuessS
-			old, ok := b.pace[j.Spec.Class]
+			old, ok := b.runRatio[j.Spec.Class]
 			if !ok {
 				old = 1
 			}
-			b.pace[j.Spec.Class] = old + (ratio-old)*tuning.PaceWeight
+			b.runRatio[j.Spec.Class] = old + (ratio-old)*tuning.PaceWeight
 		}
 		b.setPhase(now, t, Finished, "done")
 	} else {
@@ -189,7 +189,7 @@
 	for h := b.host(m); len(h.on) > 0; {
 		b.gone(now, h.on[0], 0, why)
 	}
-	delete(b.strays, m)
+	delete(b.unexpected, m)
 	m.Stranger = false
 }
 
--- a/internal/placement/turns.go
+++ b/internal/placement/order.go
@@ -21,17 +21,17 @@
 
 // reorder makes the jobs be sorted anew.
 func (b *Board) reorder() {
-	b.resort = true
+	b.unsorted = true
 	b.survey.again()
 }
 
 // byPriority lists the open jobs by priority and turn, as of a moment ago.
 func (b *Board) byPriority(now time.Time) []level {
-	if since := now.Sub(b.turnsAt); since < tuning.TurnsEvery && (!b.resort || since < tuning.TurnsSoon) {
-		return b.turns
+	if since := now.Sub(b.sortedAt); since < tuning.TurnsEvery && (!b.unsorted || since < tuning.TurnsSoon) {
+		return b.levels
 	}
-	b.turnsAt, b.resort = now, false
-	b.turns = nil
+	b.sortedAt, b.unsorted = now, false
+	b.levels = nil
 	levels := map[int][]*Job{}
 	least := quota.Unbounded()
 	for _, j := range b.order {
@@ -46,7 +46,7 @@
 	for _, l := range slices.Backward(slices.Sorted(maps.Keys(levels))) {
 		jobs := b.byTurn(levels[l])
 		whole := slices.DeleteFunc(slices.Clone(jobs), func(j *Job) bool { return !j.Gang() && !j.Service() })
-		b.turns = append(b.turns, level{jobs, whole})
+		b.levels = append(b.levels, level{jobs, whole})
 		first, ahead := math.Inf(1), 0
 		for _, j := range jobs {
 			if j.held() > 0 && !j.Gang() && !j.Service() {
@@ -59,7 +59,7 @@
 			}
 		}
 	}
-	return b.turns
+	return b.levels
 }
 
 // imageCounts tells on how many machines each image is.
--- a/internal/placement/queues.go
+++ b/internal/placement/queues.go
@@ -47,10 +47,10 @@
 	t.main, t.mainSince = m, now
 	h := b.host(m)
 	h.high = append(h.high, t)
-	b.touch(h)
+	b.noteChange(h)
 	m.Promised = m.Promised.Add(t.Job.need)
 	if !m.FreeForMain().Fits(b.survey.least) {
-		b.survey.setRoomy(h, false)
+		b.survey.setRoom(h, false)
 	}
 	b.book.Promise(t.Job.Spec.Team, t.Job.need, 1)
 }
@@ -61,7 +61,7 @@
 		return
 	}
 	h := b.host(m)
-	b.touch(h)
+	b.noteChange(h)
 	if i := slices.Index(h.high, t); i >= 0 {
 		h.high = slices.Delete(h.high, i, i+1)
 	}
--- a/internal/placement/reports.go
+++ b/internal/placement/reports.go
@@ -12,7 +12,7 @@
 // Reported brings the board up to date with a machine's newest account.
 func (b *Board) Reported(now time.Time, m *worker.Machine, v worker.Verdict, checkin bool) {
 	h := b.host(m)
-	b.touch(h)
+	b.noteChange(h)
 	if v == worker.Renewed {
 		b.Lost(now, m, "worker's session is a new one")
 		h.direct = nil // commands of an earlier session are void
@@ -143,7 +143,7 @@
 // there: tasks that an earlier tenure started, and the remains of jobs that
 // are over.
 func (b *Board) unexplained(now time.Time, m *worker.Machine, shown map[string]*wire.Task) {
-	delete(b.strays, m)
+	delete(b.unexpected, m)
 	m.Stranger = false
 	for _, p := range m.Tasks {
 		id, n, ok := wire.ParseTask(p.Task)
@@ -171,7 +171,7 @@
 			}
 		}
 		b.log.Info("stray task", "task", p.Task, "attempt", p.Attempt, "host", m.Host)
-		b.strays[m] = append(b.strays[m], p)
+		b.unexpected[m] = append(b.unexpected[m], p)
 		m.Stranger = m.Stranger || j == nil
 	}
 }
--- a/internal/placement/survey.go
+++ b/internal/placement/survey.go
@@ -29,13 +29,13 @@
 // draw ends where there is none; and it keeps count of the places that gangs of a
 // kind could have.
 type survey struct {
-	touched []*host
-	change  uint64     // the newest change by which a machine gained something
-	least   quota.Room // no open array's task needs less, of anything
-	roomy   []*host    // usable machines with room for that
-	beyond  uint64     // which teams are beyond their guarantees
-	reaches map[kind]*reach
-	changed bool // jobs, limits or the order have changed since the last draw
+	changedHosts []*host
+	change       uint64     // the newest change by which a machine gained something
+	least        quota.Room // no open array's task needs less, of anything
+	withRoom     []*host    // usable machines with room for that
+	beyond       uint64     // which teams are beyond their guarantees
+	reaches      map[kind]*reach
+	changed      bool // jobs, limits or the order have changed since the last draw
 }
 
 func newSurvey() survey { return survey{reaches: map[kind]*reach{}} }
@@ -44,23 +44,23 @@
 func (s *survey) again() { s.changed = true }
 
 func (s *survey) forget(h *host) {
-	s.setRoomy(h, false)
+	s.setRoom(h, false)
 	for _, r := range s.reaches {
 		r.set(h.m, 0)
 	}
 }
 
-// setRoomy enters a machine among those with room, or takes it off.
-func (s *survey) setRoomy(h *host, roomy bool) {
+// setRoom enters a machine among those with room, or takes it off.
+func (s *survey) setRoom(h *host, withRoom bool) {
 	switch {
-	case roomy && h.roomy == 0:
-		s.roomy = append(s.roomy, h)
-		h.roomy = len(s.roomy)
-	case !roomy && h.roomy != 0:
-		last := s.roomy[len(s.roomy)-1]
-		s.roomy[h.roomy-1], last.roomy = last, h.roomy
-		s.roomy = s.roomy[:len(s.roomy)-1]
-		h.roomy = 0
+	case withRoom && h.roomIndex == 0:
+		s.withRoom = append(s.withRoom, h)
+		h.roomIndex = len(s.withRoom)
+	case !withRoom && h.roomIndex != 0:
+		last := s.withRoom[len(s.withRoom)-1]
+		s.withRoom[h.roomIndex-1], last.roomIndex = last, h.roomIndex
+		s.withRoom = s.withRoom[:len(s.withRoom)-1]
+		h.roomIndex = 0
 	}
 }
 
@@ -72,21 +72,21 @@
 	}
 	s.least = least
 	for _, m := range b.reg.All() {
-		s.setRoomy(b.host(m), m.Usable(now) && m.FreeForMain().Fits(least))
+		s.setRoom(b.host(m), m.Usable(now) && m.FreeForMain().Fits(least))
 	}
 }
 
-// touch notes that something about a machine has changed.
-func (b *Board) touch(h *host) {
-	if !h.touched {
-		h.touched = true
-		b.survey.touched = append(b.survey.touched, h)
+// noteChange notes that something about a machine has changed.
+func (b *Board) noteChange(h *host) {
+	if !h.noted {
+		h.noted = true
+		b.survey.changedHosts = append(b.survey.changedHosts, h)
 	}
 }
 
-// Touch notes that something about a machine has changed that the board itself
+// NoteChange notes that something about a machine has changed that the board itself
 // does not see.
-func (b *Board) Touch(m *worker.Machine) { b.touch(b.host(m)) }
+func (b *Board) NoteChange(m *worker.Machine) { b.noteChange(b.host(m)) }
 
 // look brings the survey up to date and tells whether some machine has gained
 // something.
@@ -104,8 +104,8 @@
 		clear(s.reaches)
 	}
 	gained := false
-	for _, h := range s.touched {
-		h.touched = false
+	for _, h := range s.changedHosts {
+		h.noted = false
 		m := h.m
 		v := view{m.Usable(now), m.FreeForMain(), len(m.Images), len(h.on) + len(h.high)}
 		if v.more(h.seen) {
@@ -114,12 +114,12 @@
 			h.gainedAt = s.change
 		}
 		h.seen = v
-		s.setRoomy(h, v.usable && v.free.Fits(s.least))
+		s.setRoom(h, v.usable && v.free.Fits(s.least))
 		for k, r := range s.reaches {
 			r.set(m, b.places(now, k, m))
 		}
 	}
-	s.touched = s.touched[:0]
+	s.changedHosts = s.changedHosts[:0]
 	return gained
 }
 
--- a/internal/submission/told.go
+++ b/internal/submission/cancellation_log.go
@@ -7,10 +7,10 @@
 	"juniperchute/internal/tuning"
 )
 
-// Told is the cancellations that this process has told users of. A holder cut off
+// CancellationLog is the cancellations that this process has told users of. A holder cut off
 // from the state service cannot read them there, and goes on renewing workers'
 // leases: it has to hear of them from whoever told.
-type Told struct {
+type CancellationLog struct {
 	blocks int
 	keep   time.Duration // past it the job's tasks are gone, whoever holds its block
 	items  []*telling    // in the order of telling
@@ -24,14 +24,14 @@
 	had []uint64 // for each block, the highest token under which its holder said it has it
 }
 
-// NewTold makes an empty list for a deployment in which cancelled jobs' tasks are
+// NewCancellationLog makes an empty list for a deployment in which cancelled jobs' tasks are
 // gone within cancel.
-func NewTold(blocks int, cancel time.Duration) *Told {
-	return &Told{blocks: blocks, keep: cancel * tuning.ToldCancels, byID: map[string]*telling{}}
+func NewCancellationLog(blocks int, cancel time.Duration) *CancellationLog {
+	return &CancellationLog{blocks: blocks, keep: cancel * tuning.ToldCancels, byID: map[string]*telling{}}
 }
 
 // Add enters a cancellation, before its user is told.
-func (t *Told) Add(now time.Time, id string) {
+func (t *CancellationLog) Add(now time.Time, id string) {
 	t.prune(now)
 	if t.byID[id] != nil {
 		return
@@ -47,7 +47,7 @@
 
 // Had notes that the holder of a block under a token knows of cancellations. A later
 // holder may not: what it read last may be older.
-func (t *Told) Had(ids []string, block int, token uint64) {
+func (t *CancellationLog) Had(ids []string, block int, token uint64) {
 	for _, id := range ids {
 		if e := t.byID[id]; e != nil && block >= 0 && block < t.blocks {
 			e.had[block] = max(e.had[block], token)
@@ -57,7 +57,7 @@
 
 // Pending lists the cancellations that some holder of these tokens, by block, has not
 // said it has, and tells whether they are all there are.
-func (t *Told) Pending(now time.Time, tokens []uint64) (ids []string, whole bool) {
+func (t *CancellationLog) Pending(now time.Time, tokens []uint64) (ids []string, whole bool) {
 	t.prune(now)
 	for _, e := range t.items {
 		for b, token := range tokens {
@@ -73,7 +73,7 @@
 	return ids, t.lost.IsZero()
 }
 
-func (t *Told) prune(now time.Time) {
+func (t *CancellationLog) prune(now time.Time) {
 	n := 0
 	for n < len(t.items) && now.Sub(t.items[n].at) > t.keep {
 		delete(t.byID, t.items[n].id)
--- a/internal/submission/told_test.go
+++ b/internal/submission/cancellation_log_test.go
@@ -17,26 +17,26 @@
 	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
 	for _, c := range []struct {
 		name   string
-		play   func(l *Told)
+		play   func(l *CancellationLog)
 		when   float64
 		tokens []uint64
 		want   []string
 		whole  bool
 	}{
-		{"told, and no holder has it", func(l *Told) { l.Add(now, "job-1") }, 1, []uint64{4}, []string{"job-1"}, true},
-		{"the holder has it", func(l *Told) { l.Add(now, "job-1"); l.Had([]string{"job-1"}, 0, 4) }, 1, []uint64{4}, nil, true},
-		{"a later holder may not have it", func(l *Told) { l.Add(now, "job-1"); l.Had([]string{"job-1"}, 0, 4) }, 1, []uint64{5}, []string{"job-1"}, true},
-		{"an earlier holder's word changes nothing", func(l *Told) {
+		{"told, and no holder has it", func(l *CancellationLog) { l.Add(now, "job-1") }, 1, []uint64{4}, []string{"job-1"}, true},
+		{"the holder has it", func(l *CancellationLog) { l.Add(now, "job-1"); l.Had([]string{"job-1"}, 0, 4) }, 1, []uint64{4}, nil, true},
+		{"a later holder may not have it", func(l *CancellationLog) { l.Add(now, "job-1"); l.Had([]string{"job-1"}, 0, 4) }, 1, []uint64{5}, []string{"job-1"}, true},
+		{"an earlier holder's word changes nothing", func(l *CancellationLog) {
 			l.Add(now, "job-1")
 			l.Had([]string{"job-1"}, 0, 5)
 			l.Had([]string{"job-1"}, 0, 4)
 		}, 1, []uint64{5}, nil, true},
-		{"one block's holder has it, the other's not", func(l *Told) { l.Add(now, "job-1"); l.Had([]string{"job-1"}, 0, 4) }, 1, []uint64{4, 7}, []string{"job-1"}, true},
-		{"no holder is known", func(l *Told) { l.Add(now, "job-1") }, 1, []uint64{0}, []string{"job-1"}, true},
-		{"told twice", func(l *Told) { l.Add(now, "job-1"); l.Add(at(1), "job-1") }, 2, []uint64{4}, []string{"job-1"}, true},
-		{"within the time its tasks have, still kept", func(l *Told) { l.Add(now, "job-1") }, 69, []uint64{4}, []string{"job-1"}, true},
-		{"long told", func(l *Told) { l.Add(now, "job-1"); l.Add(at(20), "job-2") }, 71, []uint64{4}, []string{"job-2"}, true},
-		{"no room for one: no vouching until its tasks are gone", func(l *Told) {
+		{"one block's holder has it, the other's not", func(l *CancellationLog) { l.Add(now, "job-1"); l.Had([]string{"job-1"}, 0, 4) }, 1, []uint64{4, 7}, []string{"job-1"}, true},
+		{"no holder is known", func(l *CancellationLog) { l.Add(now, "job-1") }, 1, []uint64{0}, []string{"job-1"}, true},
+		{"told twice", func(l *CancellationLog) { l.Add(now, "job-1"); l.Add(at(1), "job-1") }, 2, []uint64{4}, []string{"job-1"}, true},
+		{"within the time its tasks have, still kept", func(l *CancellationLog) { l.Add(now, "job-1") }, 69, []uint64{4}, []string{"job-1"}, true},
+		{"long told", func(l *CancellationLog) { l.Add(now, "job-1"); l.Add(at(20), "job-2") }, 71, []uint64{4}, []string{"job-2"}, true},
+		{"no room for one: no vouching until its tasks are gone", func(l *CancellationLog) {
 			for i := range tuning.ToldKept + 1 {
 				l.Add(now, fmt.Sprintf("job-%d", i))
 			}
@@ -44,14 +44,14 @@
 				l.Had([]string{fmt.Sprintf("job-%d", i)}, 0, 4)
 			}
 		}, 60, []uint64{4}, nil, false},
-		{"and after that again", func(l *Told) {
+		{"and after that again", func(l *CancellationLog) {
 			for i := range tuning.ToldKept + 1 {
 				l.Add(now, fmt.Sprintf("job-%d", i))
 			}
 		}, 71, []uint64{4}, nil, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := NewTold(2, cancel)
+			l := NewCancellationLog(2, cancel)
 			c.play(l)
 			got, whole := l.Pending(at(c.when), c.tokens)
 			if !slices.Equal(got, c.want) || whole != c.whole {
@@ -59,7 +59,7 @@
 			}
 		})
 	}
-	l := NewTold(1, cancel)
+	l := NewCancellationLog(1, cancel)
 	for i := range tuning.ToldAtOnce + 1 {
 		l.Add(now, fmt.Sprintf("job-%d", i))
 	}
