--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,12 +89,10 @@
 	delRetry  time.Time
 
 	machineTypesDue time.Time
-	listDue         time.Time
-	listBusy        bool
 	demandDue       time.Time
 	listed          map[string]bool // hosts seen in some list
 	missing         map[string]int  // lists in a row that a once listed host was not in
-	page            []wire.Host
+	listing         listing
 	few             bool // so few machines are unheard that what waits for them is worth more
 }
 
@@ -273,10 +271,7 @@
 	if !now.Before(s.machineTypesDue) && s.may(now) {
 		s.askMachineTypes(now)
 	}
-	if !s.listBusy && !now.Before(s.listDue) && s.may(now) {
-		s.page = nil
-		s.list(now, "")
-	}
+	s.list(now)
 	// Machines that this tenure has not heard yet look like none: hiring then
 	// would replace the whole fleet at each takeover.
 	if len(s.machineTypes) > 0 && !now.Before(s.demandDue) && (s.board.IsOpen() || now.Sub(s.born) > tuning.FenceDemand) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"juniperchute/internal/config"
 	"juniperchute/internal/placement"
 	"juniperchute/internal/quota"
@@ -347,3 +349,38 @@
 		})
 	}
 }
+
+// The pages of a large fleet's list keep to the cloud's rate, and lists of many pages come
+// less often.
+func TestListPages(t *testing.T) {
+	const pages, rps = 8, 2
+	y := newZone(t)
+	y.s.facts.Cloud.RPS = rps
+	y.s.limit = rate.NewLimiter(rps*tuning.CloudShare, 1)
+	var asked []time.Time
+	began := y.now
+	for len(asked) < pages+1 {
+		y.pass(100 * time.Millisecond)
+		if y.now.Sub(began) > time.Minute {
+			t.Fatalf("%d pages in a minute", len(asked))
+		}
+		for y.asked(OpMachineTypes) {
+			y.take(OpMachineTypes, Result{Status: 200})
+		}
+		if !y.asked(OpList) {
+			continue
+		}
+		n := len(asked) % pages
+		asked = append(asked, y.now)
+		page := wire.HostPage{Hosts: []wire.Host{{ID: fmt.Sprintf("i-%d", n), Stage: wire.HostRunning}}, More: n < pages-1}
+		if call := y.take(OpList, Result{Status: 200, Page: page}); n > 0 && call.After != fmt.Sprintf("i-%d", n-1) {
+			t.Errorf("page %d begins after %q", n, call.After)
+		}
+	}
+	if took := asked[pages-1].Sub(asked[0]); took < (pages-2)*time.Second/rps {
+		t.Errorf("%d pages within %v", pages, took)
+	}
+	if pause, share := asked[pages].Sub(asked[pages-1]), float64(pages)/(rps*tuning.ListShare); pause.Seconds() < share {
+		t.Errorf("the next list began after %v, its share of the rate allows one in %v s", pause, share)
+	}
+}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -29,25 +29,48 @@
 	m.Recorded = true
 }
 
-func (s *Slice) list(now time.Time, after string) {
-	s.listBusy = true
-	s.call(Call{Op: OpList, After: after}, func(now time.Time, r Result) {
-		s.listBusy = false
+// listing is the reading of the cloud's list, a page at a time.
+type listing struct {
+	due   time.Time // when the next page, or a new list, is asked for
+	busy  bool      // a page is under way
+	after string    // the last machine of the pages read so far; "": a new list begins
+	hosts []wire.Host
+	pages int
+}
+
+// list asks for the next page when it is due. Each page takes its part of the cloud's
+// rate: a large fleet's list has many.
+func (s *Slice) list(now time.Time) {
+	l := &s.listing
+	if l.busy || now.Before(l.due) || !s.may(now) {
+		return
+	}
+	l.busy = true
+	s.call(Call{Op: OpList, After: l.after}, func(now time.Time, r Result) {
+		l.busy = false
 		if r.Status != 200 {
-			s.listDue = s.pause(now)
+			*l = listing{due: s.pause(now)}
 			return
 		}
-		s.page = append(s.page, r.Page.Hosts...)
+		l.pages++
+		l.hosts = append(l.hosts, r.Page.Hosts...)
 		if n := len(r.Page.Hosts); r.Page.More && n > 0 {
-			s.list(now, r.Page.Hosts[n-1].ID)
+			l.after = r.Page.Hosts[n-1].ID
+			s.list(now)
 			return
 		}
-		s.listDue = now.Add(tuning.ListEvery)
-		s.compare(now, s.page)
-		s.page = nil
+		hosts := l.hosts
+		*l = listing{due: now.Add(s.listPause(l.pages))}
+		s.compare(now, hosts)
 	})
 }
 
+// listPause is the time from one list of so many pages to the next: lists take no more
+// than their share of the cloud's rate.
+func (s *Slice) listPause(pages int) time.Duration {
+	return max(tuning.ListEvery, config.Seconds(float64(pages)/(s.facts.Cloud.RPS*tuning.ListShare)))
+}
+
 // compare holds the cloud's list, which lags, against what is known.
 func (s *Slice) compare(now time.Time, hosts []wire.Host) {
 	in := map[string]bool{}
--- /dev/null
+++ b/internal/node/cancellation_loading_test.go
@@ -0,0 +1,217 @@
+package node
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/quota"
+	"juniperchute/internal/standin"
+	"juniperchute/internal/submission"
+	"juniperchute/internal/wire"
+)
+
+// A successor is still reading the records when the state service goes: it may not renew
+// the lease of a task that was called off before it began, as it cannot stop it.
+func TestOutageWhileLoading(t *testing.T) {
+	for seed := range uint64(4) {
+		sim := steadySimulationOf(t, 20+seed, 6, 2)
+		long := sim.add(wire.Submission{ID: "job-100", Team: "red", Class: "train", Shape: wire.ShapeBatch, Priority: "high", Tasks: 4,
+			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 300}, 400*time.Second)
+		other := sim.add(wire.Submission{ID: "job-101", Team: "red", Class: "train", Shape: wire.ShapeBatch, Priority: "high", Tasks: 2,
+			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 300}, 400*time.Second)
+		sim.runFor(40 * time.Second)
+		h := sim.holder()
+		for _, o := range sim.machines {
+			o.partitioned = true
+		}
+		sim.cancel(long)
+		sim.runFor(3 * time.Second)
+		h.crash(time.Hour)
+		loading := func() bool {
+			for _, n := range sim.nodes {
+				if t := n.core.tenures[0]; n.alive && t != nil && t.state == tenureLoading {
+					return true
+				}
+			}
+			return false
+		}
+		for !loading() {
+			sim.clk.Step()
+		}
+		if long.Told != wire.JobWithdrawn {
+			t.Fatalf("told %q", long.Told)
+		}
+		sim.state.SetDown(true)
+		renewed := map[bool]int{} // by whether the job was called off
+		for _, n := range sim.nodes {
+			if t := n.core.tenures[0]; n.alive && t != nil && t.state == tenureLoading {
+				for _, id := range sim.hosts() {
+					rep := sim.machines[id].Report()
+					for _, p := range rep.Tasks {
+						one := *rep
+						one.Tasks = []wire.Task{p}
+						off := strings.HasPrefix(p.Task, long.Spec.ID)
+						t.Report(sim.clk.Now(), &one, func(status int, _ any) {
+							if status == 200 && p.Stage != wire.TaskExited {
+								renewed[off]++
+							}
+						})
+						rep.Seq++
+					}
+				}
+			}
+		}
+		if renewed[true] > 0 || renewed[false] == 0 {
+			t.Errorf("leases renewed of %d tasks that were called off and of %d others", renewed[true], renewed[false])
+		}
+		for _, o := range sim.machines {
+			o.partitioned = false
+			sim.release(o)
+		}
+		sim.runFor(50 * time.Second)
+		sim.state.SetDown(false)
+		h.crash(0)
+		sim.cancel(other)
+		sim.settle()
+	}
+}
+
+// A cancellation is passed to a holder that is still reading the records, and has read
+// the jobs already: it says that it has it, so it may not take the job up as open.
+func TestToldWhileLoading(t *testing.T) {
+	sim := steadySimulation(t, 6, 8)
+	sim.holder().crash(time.Hour)
+	for range 100000 {
+		sim.clk.Step()
+		for _, n := range sim.nodes {
+			te := n.core.tenures[0]
+			if !n.alive || te == nil || te.state != tenureLoading {
+				continue
+			}
+			id := sim.cluster.Order[3].Spec.ID
+			if _, open := n.core.open.Get(submission.OpenKey(id)); !open {
+				t.Fatalf("%s is not open", id)
+			}
+			other := sim.nodes[0]
+			if other == n {
+				other = sim.nodes[1]
+			}
+			m := other.core.pulseMessage(sim.clk.Now(), n.name)
+			m.Withdrawn = []string{id}
+			r := n.core.Pulse(sim.clk.Now(), m)
+			if !slices.Contains(r.Have, id) {
+				t.Fatal("it does not say that it has it")
+			}
+			for te.state == tenureLoading {
+				sim.clk.Step()
+			}
+			if te.state != tenureFencing || te.board.Job(id) != nil || te.board.Job(sim.cluster.Order[4].Spec.ID) == nil {
+				t.Errorf("%v: the job that was called off is open: %v", te.state, te.board.Job(id) != nil)
+			}
+			return
+		}
+	}
+	t.Fatal("no successor")
+}
+
+// A cancellation is passed to a holder before it has read that the job was submitted, as
+// the state service's answers are slow: what it reads then is old.
+func TestToldBeforeRead(t *testing.T) {
+	sim := steadySimulation(t, 6, 2)
+	n := sim.holder()
+	other := sim.nodes[0]
+	if other == n {
+		other = sim.nodes[1]
+	}
+	m := other.core.pulseMessage(sim.clk.Now(), n.name)
+	m.Withdrawn = []string{"job-900"}
+	n.core.Pulse(sim.clk.Now(), m)
+	for _, id := range []string{"job-900", "job-901"} {
+		sim.add(wire.Submission{ID: id, Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "normal", Tasks: 1,
+			Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 5}, 5*time.Second)
+	}
+	sim.runFor(2 * time.Second)
+	if b := n.core.tenures[0].board; b.Job("job-900") != nil || b.Job("job-901") == nil {
+		t.Errorf("called off and open: %v; another open: %v", b.Job("job-900") != nil, b.Job("job-901") != nil)
+	}
+}
+
+// The room of machines not heard counts against a team's limit from the moment at which
+// the records are read: a report, and a start, may come before the next tick.
+func TestUnheardCountsAtOnce(t *testing.T) {
+	sim := newSimulation(t, 11, facts([]string{"a"}, []config.Team{{Name: "red", GPUsMax: 12}}, 1.5, 10), 1,
+		[]wire.MachineType{{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}})
+	sim.cloud.Room[standin.RoomKey("g2", "a", false)] = 4
+	sim.add(wire.Submission{ID: "job-1", Team: "red", Class: "sweep", Shape: wire.ShapeBatch, Priority: "normal", Tasks: 8,
+		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 50}, 50*time.Second)
+	sim.runFor(25 * time.Second)
+	for _, h := range sim.machines {
+		h.partitioned = true
+	}
+	sim.holder().crash(time.Hour)
+	for range 100000 {
+		sim.clk.Step()
+		for _, n := range sim.nodes {
+			if te := n.core.tenures[0]; n.alive && te != nil && te.state == tenureFencing {
+				all := quota.Room{GPUs: 12}
+				if te.book.Admits("red", all, false) {
+					t.Error("the whole limit may be used, though no machine has been heard")
+				}
+				return
+			}
+		}
+	}
+	t.Fatal("no successor")
+}
+
+// A machine that a successor hears for the first time gets the stops for what is over
+// with the very answer that renews its lease.
+func TestInheritedCancellation(t *testing.T) {
+	sim := steadySimulation(t, 6, 2)
+	long := sim.add(wire.Submission{ID: "job-100", Team: "red", Class: "train", Shape: wire.ShapeBatch, Priority: "high", Tasks: 2,
+		Vcpus: 4, Gpus: 1, MemGb: 20, Bundle: "img", ImageGb: 2, AnyType: true, GuessS: 300}, 400*time.Second)
+	sim.runFor(40 * time.Second)
+	var on *machine
+	for _, id := range sim.hosts() {
+		for _, p := range sim.machines[id].Tasks {
+			if p.Job == long && p.OnMachine() {
+				on = sim.machines[id]
+			}
+		}
+	}
+	on.partitioned = true
+	h := sim.holder()
+	h.crash(time.Hour)
+	sim.cancel(long)
+	var next *tenure
+	for range 200 {
+		sim.runFor(50 * time.Millisecond)
+		for _, n := range sim.nodes {
+			if t := n.core.tenures[0]; n.alive && t != nil && t.state == tenureFencing {
+				next = t
+			}
+		}
+		if next != nil {
+			break
+		}
+	}
+	if next == nil || long.Told != wire.JobWithdrawn {
+		t.Fatalf("no successor, or told %q", long.Told)
+	}
+	stopped := false
+	next.Report(sim.clk.Now(), on.Report(), func(status int, body any) {
+		for _, o := range body.(wire.Commands).Commands {
+			id, _, _ := wire.ParseTask(o.Task)
+			stopped = stopped || status == 200 && o.Verb == wire.VerbStop && id == long.Spec.ID
+		}
+	})
+	if !stopped {
+		t.Error("its lease is renewed, and its task not stopped")
+	}
+	on.partitioned = false
+	sim.release(on)
+	sim.settle()
+}
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -15,17 +15,17 @@
 // pools are how many of a controller's own connections may be under way at once,
 // by what they are for, within the machine's limit of sockets.
 type pools struct {
-	do     int // direct commands, and as many again that only ask for an account
-	guests int // connections of workers, users and health checks
+	do      int // direct commands, and as many again that only ask for an account
+	clients int // connections of workers, users and health checks
 }
 
 // newPools divides the sockets. Commands get a part that grows with the limit, as
-// a fifth of the machines may hang at once; workers need one connection each, so
-// clients get whatever the controller itself does not need.
+// a fifth of the machines may hang at once; clients get whatever the controller itself
+// does not need. Where that is fewer than the machines, workers take turns.
 func newPools(l config.Limits, peers int) pools {
 	p := pools{do: max(tuning.DoCalls, int(float64(l.Sockets)*tuning.DoShare))}
 	own := 2*p.do + stateConns() + tuning.CloudCalls + 2*peers + tuning.OwnSockets
-	p.guests = max(tuning.GuestsLeast, l.Sockets-own)
+	p.clients = max(tuning.ClientsLeast, l.Sockets-own)
 	return p
 }
 
@@ -34,51 +34,55 @@
 	return tuning.StateReads + store.Classes*tuning.StateWrites + tuning.StateExtra
 }
 
-// guests is the listener for workers, users and health checks. It keeps their
-// connections within a limit: when that is reached, a new one takes the place of
-// the user's connection that has been idle longest, so that users push no worker
-// out and a successor has room for all workers at once. Only when no such
-// connection is left is a new one refused, at once.
-type guests struct {
+// clientListener is the listener for workers, users and health checks. It keeps their
+// connections within a limit. When that is reached, a new one takes the place of the
+// user's connection that has been idle longest, so that users push no worker out and a
+// successor has room for all workers at once. If there is none, it takes the place of
+// the idle worker's connection that was answered last: a worker reports no sooner than
+// half a second after an answer, so no report is lost by that. Only when every
+// connection has a request in hand is a new one refused, at once.
+type clientListener struct {
 	net.Listener
-	limit int
-	clock func() time.Time
-	lock  sync.Mutex
-	open  map[*guest]bool
+	limit  int
+	shared int // from so many open connections on, workers share them in time
+	clock  func() time.Time
+	lock   sync.Mutex
+	open   map[*clientConn]bool
 }
 
-func newGuests(l net.Listener, limit int, clock func() time.Time) *guests {
-	return &guests{Listener: l, limit: limit, clock: clock, open: map[*guest]bool{}}
+func newClientListener(l net.Listener, limit int, clock func() time.Time) *clientListener {
+	return &clientListener{Listener: l, limit: limit, shared: int(float64(limit) * tuning.SharedClients), clock: clock, open: map[*clientConn]bool{}}
 }
 
-// guest is one connection.
-type guest struct {
+// clientConn is one connection.
+type clientConn struct {
 	net.Conn
-	of     *guests
-	worker bool      // it has brought a report
-	idle   time.Time // since when it has waited for a request; zero: one is in hand
+	listener *clientListener
+	worker   bool      // it has brought a report
+	idle     time.Time // since when it has waited for a request; zero: one is in hand
+	used     bool      // it has brought a request
 }
 
 // Accept is part of net.Listener.
-func (g *guests) Accept() (net.Conn, error) {
+func (l *clientListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := g.Listener.Accept()
+		conn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		c := &guest{Conn: conn, of: g, idle: g.clock()}
-		g.lock.Lock()
-		room := len(g.open) < g.limit
-		var out *guest
+		c := &clientConn{Conn: conn, listener: l, idle: l.clock()}
+		l.lock.Lock()
+		room := len(l.open) < l.limit
+		var evicted *clientConn
 		if !room {
-			out = g.longest()
+			evicted = l.leastNeeded()
 		}
-		if room || out != nil {
-			g.open[c] = true
+		if room || evicted != nil {
+			l.open[c] = true
 		}
-		g.lock.Unlock()
-		if out != nil {
-			out.Close()
+		l.lock.Unlock()
+		if evicted != nil {
+			evicted.Close()
 		} else if !room {
 			conn.Close()
 			continue
@@ -87,54 +91,80 @@
 	}
 }
 
-// longest finds the connection without a worker that has been idle longest.
-func (g *guests) longest() *guest {
-	var out *guest
-	for c := range g.open {
-		if !c.worker && !c.idle.IsZero() && (out == nil || c.idle.Before(out.idle)) {
-			out = c
+// leastNeeded finds the idle connection whose end costs least: the user's that has been
+// idle longest, or else the worker's that has been idle shortest.
+func (l *clientListener) leastNeeded() *clientConn {
+	var user, worker *clientConn
+	now := l.clock()
+	for c := range l.open {
+		switch {
+		case c.idle.IsZero():
+		case !c.used && now.Sub(c.idle) < tuning.FirstRequest:
+			// its first request is on its way: in a burst of new connections each
+			// would take the place of the one before
+		case c.worker:
+			if worker == nil || c.idle.After(worker.idle) {
+				worker = c
+			}
+		case user == nil || c.idle.Before(user.idle):
+			user = c
 		}
 	}
-	return out
+	if user != nil {
+		return user
+	}
+	return worker
+}
+
+// crowded tells whether a worker's connection is to be closed with the answer to its
+// report, so that another worker's has room.
+func (l *clientListener) crowded() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return len(l.open) >= l.shared
 }
 
 // Close is part of net.Conn.
-func (c *guest) Close() error {
-	c.of.lock.Lock()
-	delete(c.of.open, c)
-	c.of.lock.Unlock()
+func (c *clientConn) Close() error {
+	c.listener.lock.Lock()
+	delete(c.listener.open, c)
+	c.listener.lock.Unlock()
 	return c.Conn.Close()
 }
 
 // state follows a connection for http.Server.
-func (g *guests) state(conn net.Conn, s http.ConnState) {
-	c, ok := conn.(*guest)
+func (l *clientListener) state(conn net.Conn, s http.ConnState) {
+	c, ok := conn.(*clientConn)
 	if !ok {
 		return
 	}
-	g.lock.Lock()
-	defer g.lock.Unlock()
+	l.lock.Lock()
+	defer l.lock.Unlock()
 	switch s {
 	case http.StateActive:
-		c.idle = time.Time{}
+		c.idle, c.used = time.Time{}, true
 	case http.StateIdle:
-		c.idle = g.clock()
+		c.idle = l.clock()
 	}
 }
 
-type guestKey struct{}
+type clientConnKey struct{}
 
-func withGuest(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, guestKey{}, conn)
+func withClientConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, clientConnKey{}, conn)
 }
 
-// isWorker notes that a request's connection is a worker's.
-func isWorker(req *http.Request) {
-	if c, ok := req.Context().Value(guestKey{}).(*guest); ok {
-		c.of.lock.Lock()
-		c.worker = true
-		c.of.lock.Unlock()
+// noteWorker notes that a request's connection is a worker's, and tells whether it is to
+// be closed with the answer.
+func noteWorker(req *http.Request) (closes bool) {
+	c, ok := req.Context().Value(clientConnKey{}).(*clientConn)
+	if !ok {
+		return false
 	}
+	c.listener.lock.Lock()
+	c.worker = true
+	c.listener.lock.Unlock()
+	return c.listener.crowded()
 }
 
 // idleTimeout is after how long without a request a client's connection is closed:
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -79,7 +79,7 @@
 	c := &Core{cfg: cfg, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
 		tenures: map[int]*tenure{}, machineTypes: map[string]wire.MachineType{}, machineTypeRaw: map[string]string{},
 		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}, blockFor: map[string]int{}, asking: map[int]*asking{},
-		process: rng.Uint64() | 1, told: submission.NewCancellationLog(blocks, config.Seconds(cfg.Facts.Workers.CancelS)), passing: map[string]bool{}}
+		process: rng.Uint64() | 1, told: submission.NewCancellationLog(blocks, config.Seconds(cfg.Facts.Workers.CancelS), cfg.Facts.State.WriteRPS), passing: map[string]bool{}}
 	c.leader = leader.New(cfg.Member, blocks, wall, c.state, log, c.control)
 	c.open = store.NewMirror(submission.OpenUnder, c.state, func(now time.Time, _ string, it wire.Item, gone bool) {
 		for _, t := range c.tenures {
--- /dev/null
+++ b/internal/node/fleet_limits_test.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/standin"
+	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
+)
+
+// largeFleet is the number of machines below which nothing may have a fixed limit.
+const largeFleet = 4000
+
+// A deployment of 4,000 simulated machines starts, loses its holder, is taken over and
+// goes on serving: the rules hold, every job ends and no machine loses its lease.
+func TestLargeFleet(t *testing.T) {
+	const (
+		arrays, arrayTasks = 60, 260
+		checkEvery         = 2 * time.Second
+	)
+	machineType := wire.MachineType{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 8, Zones: []string{"a"}}
+	cfg := facts([]string{"a"}, []config.Team{{Name: "red", GPUs: 8000, GPUsMax: 30000}, {Name: "free"}}, 5, 26.5)
+	cfg.Facts.State = config.State{RPS: 400, WriteRPS: 40, ValueKB: 8, TxnOps: 16}
+	sim := newSimulation(t, 41, cfg, 1, []wire.MachineType{machineType})
+	sim.checkEvery = checkEvery
+	sim.state.Page, sim.state.Kept, sim.cloud.Page = tuning.ListPage, 10000, tuning.CloudPage
+	sim.state.Limits = standin.StateLimits{ValueBytes: 8 << 10, TxnOps: 16, Writes: 40, Requests: 400}
+	sim.cloud.Room[standin.RoomKey("g8", "a", false)] = largeFleet
+	for i := range arrays {
+		spec := wire.Submission{ID: fmt.Sprintf("job-%06d", i), Team: []string{"red", "free"}[i%2], Class: "sweep", Shape: wire.ShapeBatch, Priority: "normal",
+			Tasks: arrayTasks, Vcpus: 16, Gpus: 2, MemGb: 90, Bundle: fmt.Sprintf("img-%d", i%12), ImageGb: 2, AnyType: true, GuessS: 90}
+		sim.add(spec, 80*time.Second)
+	}
+	sim.runFor(70 * time.Second)
+	sim.requireUnbroken()
+	if n := len(sim.machines); n < largeFleet*9/10 {
+		t.Fatalf("%d machines of %d", n, largeFleet)
+	}
+	sessions := map[string]uint64{}
+	for _, host := range sim.hosts() {
+		sessions[host] = sim.machines[host].Session
+	}
+	before := sim.holder()
+	before.crash(time.Second)
+	sim.runFor(15 * time.Second)
+	if after := sim.holder(); after == nil || after == before {
+		t.Fatal("nobody has taken over")
+	}
+	lapsed := 0
+	for host, session := range sessions {
+		if m := sim.machines[host]; m != nil && m.Session != session {
+			lapsed++
+		}
+	}
+	if lapsed > 0 {
+		t.Errorf("%d machines lost their leases in the takeover", lapsed)
+	}
+	sim.settle()
+}
+
+// The board of a tenure whose attempt numbers are nearly used up: the block is given
+// back, and the next tenure, under a new token, goes on with all jobs.
+func TestAttemptNumbersUsedUp(t *testing.T) {
+	sim := steadySimulation(t, 6, 8)
+	tenure := sim.holder().core.tenures[0]
+	tenure.board.AttemptsUsedUp = true
+	sim.runFor(10 * time.Second)
+	next := sim.holder()
+	if next == nil || next.core.tenures[0].Token <= tenure.Token {
+		t.Fatal("no tenure under a newer token")
+	}
+	sim.settle()
+}
+
+// Workers whose controller has fewer sockets than there are machines share them in time:
+// every report is answered, and as many connections as there may be are kept open.
+func TestSharedConnections(t *testing.T) {
+	const (
+		limit   = 50
+		workers = 120
+		rounds  = 10
+		atOnce  = 8 // reports in hand
+	)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := newClientListener(ln, limit, time.Now)
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if noteWorker(req) {
+			w.Header().Set("Connection", "close")
+		}
+	}))
+	srv.Listener.Close()
+	srv.Listener = clients
+	srv.Config.ConnState, srv.Config.ConnContext = clients.state, withClientConn
+	srv.Start()
+	defer srv.Close()
+	slots := make(chan struct{}, atOnce)
+	var running sync.WaitGroup
+	var idle []*http.Client
+	for range workers {
+		client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+		idle = append(idle, client)
+		running.Go(func() {
+			for range rounds {
+				leave := enter(slots)
+				resp, err := client.Post(srv.URL, "application/json", strings.NewReader("{}"))
+				if err != nil {
+					t.Error(err)
+				} else {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+				leave()
+			}
+		})
+	}
+	running.Wait()
+	clients.lock.Lock()
+	if n := len(clients.open); n > limit || n < limit*9/10 {
+		t.Errorf("%d connections are open, the limit is %d", n, limit)
+	}
+	clients.lock.Unlock()
+	for _, client := range idle {
+		client.CloseIdleConnections()
+	}
+}
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -165,7 +165,9 @@
 		answer(w, http.StatusBadRequest, submission.Problem{Error: "not a report"}, 0)
 		return
 	}
-	isWorker(req)
+	if noteWorker(req) {
+		w.Header().Set("Connection", "close")
+	}
 	ch := make(chan submission.Response, 1)
 	came := time.Now()
 	report := func(now time.Time) {
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -114,9 +114,9 @@
 		return fmt.Errorf("peer_bind: %w", err)
 	}
 	failed := make(chan error, 2)
-	clients := newGuests(api, r.pools.guests, time.Now)
+	clients := newClientListener(api, r.pools.clients, time.Now)
 	srv := r.server()
-	srv.ConnState, srv.ConnContext = clients.state, withGuest
+	srv.ConnState, srv.ConnContext = clients.state, withClientConn
 	go func() { failed <- srv.Serve(clients) }()
 	rpc := peer.NewServer(r)
 	go func() { failed <- rpc.Serve(inner) }()
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -136,6 +136,10 @@
 	if t.state == tenureOver {
 		return
 	}
+	if t.board.AttemptsUsedUp {
+		t.end(now, "the attempt numbers of its token are used up")
+		return
+	}
 	for _, m := range t.reg.Quiet(now, t.unheardUntil()) {
 		t.board.Lost(now, m, "lease surely over")
 	}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -51,32 +51,35 @@
 	Set Settings
 	// Begin is asked to mark a job as begun, and calls Begun once that is
 	// durable. Without it no marks are kept.
-	Begin      func(now time.Time, j *Job)
-	asked      int // marks on their way
-	Count      Counters
-	facts      config.Facts
-	token      uint64
-	book       *quota.Book
-	reg        *worker.Registry
-	rng        *rand.Rand
-	log        *slog.Logger
-	jobs       map[string]*Job
-	order      []*Job // open jobs by priority, then age
-	hosts      map[*worker.Machine]*host
-	survey     survey
-	urgent     []*host
-	open       bool      // every machine the block may have is heard or surely gone
-	levels     []level   // the open jobs by priority and turn, as last sorted
-	sortedAt   time.Time // when that was
-	unsorted   bool      // jobs have come or gone since
-	drawDue    time.Time
-	tried      int  // gangs that found no room in this draw
-	fitted     int  // gangs placed in this draw
-	drawn      int  // arrays' tasks queued in this draw
-	first      *Job // the gang before which no other of its priority is placed
-	unexpected map[*worker.Machine][]wire.Task
-	runRatio   map[string]float64 // by class: run time over the owner's estimate
-	seen       map[string]bool    // classes of which a job has come
+	Begin func(now time.Time, j *Job)
+	// AttemptsUsedUp tells that a job has had nearly as many attempts as a tenure has
+	// numbers for: a new tenure is needed before they are repeated.
+	AttemptsUsedUp bool
+	asked          int // marks on their way
+	Count          Counters
+	facts          config.Facts
+	token          uint64
+	book           *quota.Book
+	reg            *worker.Registry
+	rng            *rand.Rand
+	log            *slog.Logger
+	jobs           map[string]*Job
+	order          []*Job // open jobs by priority, then age
+	hosts          map[*worker.Machine]*host
+	survey         survey
+	urgent         []*host
+	open           bool      // every machine the block may have is heard or surely gone
+	levels         []level   // the open jobs by priority and turn, as last sorted
+	sortedAt       time.Time // when that was
+	unsorted       bool      // jobs have come or gone since
+	drawDue        time.Time
+	tried          int  // gangs that found no room in this draw
+	fitted         int  // gangs placed in this draw
+	drawn          int  // arrays' tasks queued in this draw
+	first          *Job // the gang before which no other of its priority is placed
+	unexpected     map[*worker.Machine][]wire.Task
+	runRatio       map[string]float64 // by class: run time over the owner's estimate
+	seen           map[string]bool    // classes of which a job has come
 	// unreadable are open jobs whose records cannot be read.
 	unreadable map[string]bool
 	closeDue   time.Time
--- a/internal/placement/lifecycle.go
+++ b/internal/placement/lifecycle.go
@@ -65,10 +65,13 @@
 	}
 }
 
-// nextTry makes an attempt number that no earlier attempt of the job has: the
+// nextAttempt makes an attempt number that no earlier attempt of the job has: the
 // tenure's token is in the high bits, so it grows without a write.
 func (b *Board) nextAttempt(j *Job) uint64 {
 	j.seq++
+	if j.seq >= 1<<tuning.AttemptBits-tuning.AttemptsLeft {
+		b.AttemptsUsedUp = true
+	}
 	return b.token<<tuning.AttemptBits | j.seq&(1<<tuning.AttemptBits-1)
 }
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -45,10 +45,16 @@
 		return res
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, tuning.StateAnswerBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, tuning.StateAnswerBytes+1))
 	if err != nil {
 		return res
 	}
+	if len(raw) > tuning.StateAnswerBytes && call.Op == OpChanges {
+		// Asked again the same changes would come, and more: the keys have to be read
+		// anew, a page at a time.
+		res.Status = http.StatusGone
+		return res
+	}
 	var out struct {
 		wire.Item
 		Items    []wire.Item
--- a/internal/submission/cancellation_log.go
+++ b/internal/submission/cancellation_log.go
@@ -13,6 +13,7 @@
 type CancellationLog struct {
 	blocks int
 	keep   time.Duration // past it the job's tasks are gone, whoever holds its block
+	most   int           // how many are noted
 	items  []*telling    // in the order of telling
 	byID   map[string]*telling
 	lost   time.Time // when the last one was left out for want of room; zero: never
@@ -25,9 +26,12 @@
 }
 
 // NewCancellationLog makes an empty list for a deployment in which cancelled jobs' tasks are
-// gone within cancel.
-func NewCancellationLog(blocks int, cancel time.Duration) *CancellationLog {
-	return &CancellationLog{blocks: blocks, keep: cancel * tuning.ToldCancels, byID: map[string]*telling{}}
+// gone within cancel and the state service takes so many changes a second: it has room for
+// as many cancellations as can be written in the time for which they are kept.
+func NewCancellationLog(blocks int, cancel time.Duration, writesPerS float64) *CancellationLog {
+	keep := cancel * tuning.ToldCancels
+	written := int(keep.Seconds() * writesPerS / tuning.CancelWrites)
+	return &CancellationLog{blocks: blocks, keep: keep, most: max(tuning.ToldKept, written), byID: map[string]*telling{}}
 }
 
 // Add enters a cancellation, before its user is told.
@@ -36,7 +40,7 @@
 	if t.byID[id] != nil {
 		return
 	}
-	if len(t.items) == tuning.ToldKept {
+	if len(t.items) == t.most {
 		t.lost = now
 		return
 	}
