--- /dev/null
+++ b/internal/duty/cleanup.go
@@ -0,0 +1,59 @@
+package duty
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"juniperchute/internal/store"
+	"juniperchute/internal/wire"
+)
+
+// cleaning counts removals from the state service in this tenure.
+type cleaning struct {
+	underWay, removed int
+	oldest            time.Time // when the first of those under way was sent
+}
+
+// CleanUp passes on the tenure's calls of the state service and sees to it that records
+// under the given prefixes are removed by the holder alone: a removal that is not
+// conditioned on the tenure is refused here, one of a replaced holder by the service. What
+// there is to remove follows from what is stored, so a successor goes on where its
+// predecessor stopped.
+func (l *Log) CleanUp(call store.Caller, prefixes ...string) store.Caller {
+	return func(c store.Call, then func(now time.Time, r store.Result)) {
+		removed := removals(c.Multi, prefixes)
+		if removed == 0 {
+			call(c, then)
+			return
+		}
+		if !slices.Contains(c.Multi.When, l.opt.Tenure) {
+			l.opt.Log.Error("duty: a removal that is not conditioned on the tenure is refused", "removals", removed)
+			then(l.opt.Wall(), store.Result{Status: http.StatusConflict, Failed: []string{l.opt.Tenure.Path}})
+			return
+		}
+		if l.cleaned.underWay == 0 {
+			l.cleaned.oldest = l.opt.Wall()
+		}
+		l.cleaned.underWay += removed
+		call(c, func(now time.Time, r store.Result) {
+			l.cleaned.underWay -= removed
+			if r.OK() {
+				l.cleaned.removed += removed
+			}
+			then(now, r)
+		})
+	}
+}
+
+// removals counts the removals of records under some prefixes in a transaction.
+func removals(m wire.Multi, prefixes []string) int {
+	n := 0
+	for _, w := range m.Writes {
+		if w.Remove != "" && slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(w.Remove, p) }) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"juniperchute/internal/duty"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 )
@@ -46,6 +47,17 @@
 	Page         wire.HostPage
 }
 
+// outcome is what came of a call that changes something.
+func (r Result) outcome() duty.Outcome {
+	switch r.Status {
+	case http.StatusOK:
+		return duty.Done
+	case 0:
+		return duty.Unknown
+	}
+	return duty.NotExecuted
+}
+
 // NoCapacity is the cloud's word for a refusal that says: none available.
 const NoCapacity = "no capacity"
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"juniperchute/internal/config"
+	"juniperchute/internal/duty"
 	"juniperchute/internal/placement"
 	"juniperchute/internal/quota"
 	"juniperchute/internal/store"
@@ -66,6 +67,7 @@
 	log          *slog.Logger
 	reg          *worker.Registry
 	board        *placement.Board
+	duties       *duty.Log
 	lost         func(now time.Time)
 	gone         func(now time.Time, m *worker.Machine)
 	foreign      func(host string) bool
@@ -84,7 +86,6 @@
 	by        map[string]*rental // machines by their rentals
 	seq       int
 	noneUntil map[string]time.Time
-	deleting  map[string]bool
 	delBusy   bool
 	delRetry  time.Time
 
@@ -96,26 +97,43 @@
 	few             bool // so few machines are unheard that what waits for them is worth more
 }
 
-// New makes the slice of one tenure. lost is told when the tenure is over, gone
-// when a machine's deletion was answered; foreign tells whether a machine is or
-// may turn out to be another block's.
-func New(now time.Time, block int, token uint64, tenure wire.Cond, facts config.Facts, cloud Caller, state store.Caller, log *slog.Logger,
-	reg *worker.Registry, board *placement.Board, lost func(time.Time), gone func(time.Time, *worker.Machine), foreign func(host string) bool) *Slice {
-	rps := facts.Cloud.RPS * tuning.CloudShare
+// Options are what the slice needs of the tenure that it belongs to.
+type Options struct {
+	Block    int
+	Token    uint64
+	Tenure   wire.Cond // the condition of each write
+	Facts    config.Facts
+	Cloud    Caller
+	State    store.Caller
+	Log      *slog.Logger
+	Machines *worker.Registry
+	Board    *placement.Board
+	// Duties is the log of what is asked of the cloud.
+	Duties *duty.Log
+	// Lost is told when the tenure is over, Gone when a machine's deletion was answered.
+	Lost func(now time.Time)
+	Gone func(now time.Time, m *worker.Machine)
+	// Foreign tells whether a machine is or may turn out to be another block's.
+	Foreign func(host string) bool
+}
+
+// New makes the slice of one tenure.
+func New(now time.Time, o Options) *Slice {
+	rps := o.Facts.Cloud.RPS * tuning.CloudShare
 	back := backoff.NewExponentialBackOff()
 	back.InitialInterval, back.MaxInterval = tuning.CloudRetry, tuning.CloudRetryMost
 	back.RandomizationFactor = 0 // one holder asks: there is no crowd to part, and tests repeat
 	back.Reset()
 	s := &Slice{
 		Set:   Settings{IdleReturn: tuning.IdleReturn},
-		block: block, token: token, tenure: tenure, facts: facts, cloud: cloud, state: state, log: log, reg: reg, board: board,
-		lost: lost, gone: gone, foreign: foreign, machineTypes: map[string]wire.MachineType{}, known: map[string]string{},
+		block: o.Block, token: o.Token, tenure: o.Tenure, facts: o.Facts, cloud: o.Cloud, state: o.State, log: o.Log, reg: o.Machines, board: o.Board,
+		duties: o.Duties, lost: o.Lost, gone: o.Gone, foreign: o.Foreign, machineTypes: map[string]wire.MachineType{}, known: map[string]string{},
 		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))), back: back, born: now,
 		most:    tuning.RentalPage,
-		rentals: map[string]*rental{}, by: map[string]*rental{}, noneUntil: map[string]time.Time{}, deleting: map[string]bool{},
+		rentals: map[string]*rental{}, by: map[string]*rental{}, noneUntil: map[string]time.Time{},
 		listed: map[string]bool{}, missing: map[string]int{}, entered: map[string]bool{},
 	}
-	s.used = store.NewPages(UsedUnder(block), facts.State.Stored().ValueKB, tuning.UsedEvery, store.ClassTenure, tenure, state, log, lost)
+	s.used = store.NewPages(UsedUnder(o.Block), o.Facts.State.Stored().ValueKB, tuning.UsedEvery, store.ClassTenure, o.Tenure, o.State, o.Log, o.Lost)
 	return s
 }
 
@@ -149,6 +167,7 @@
 	if s.used.Unread() > 0 {
 		s.assumeUsed(now)
 	}
+	s.takeOverEndings(now)
 }
 
 // assumeUsed takes all machines for ones that may have tasks: pages that name those that
@@ -264,10 +283,9 @@
 			s.ask(now, h)
 		}
 	}
+	s.duties.Tick(now)
 	s.returns(now)
-	if len(s.deleting) > 0 && !s.delBusy && !now.Before(s.delRetry) && s.may(now) {
-		s.delete(now)
-	}
+	s.delete(now)
 	if !now.Before(s.machineTypesDue) && s.may(now) {
 		s.askMachineTypes(now)
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"juniperchute/internal/config"
+	"juniperchute/internal/duty"
 	"juniperchute/internal/placement"
 	"juniperchute/internal/quota"
 	"juniperchute/internal/store"
@@ -32,9 +33,13 @@
 	kv    []store.Call
 	kvs   []func(time.Time, store.Result)
 	gone  []string
+
+	tenure wire.Cond
+	duties *duty.Log
 }
 
 func newZone(t *testing.T) *zone {
+	const token, valueKB = 7, 4
 	y := &zone{t: t, now: time.Unix(1000, 0)}
 	facts := config.Facts{Zones: []string{"a"}, Teams: []config.Team{{Name: "red"}}, Cloud: config.Cloud{RPS: 100, ListLagS: 3},
 		Workers: config.Workers{ReportS: 1.5, LeaseS: 10}}
@@ -42,15 +47,18 @@
 	y.reg = worker.NewRegistry(facts.Workers, quiet)
 	y.board = placement.NewBoard(facts, 7, quota.NewBook(facts.Teams, 0, 1), y.reg, rand.New(rand.NewPCG(1, 1)), quiet, func(time.Time, *placement.Job) {})
 	y.board.Open(y.now)
-	y.s = New(y.now, 0, 7, store.Is("c/b/0", 3), facts,
-		func(c Call, then func(time.Time, Result)) {
+	state := func(c store.Call, then func(time.Time, store.Result)) {
+		y.kv, y.kvs = append(y.kv, c), append(y.kvs, then)
+	}
+	y.tenure = store.Is("c/b/0", 3)
+	y.duties = duty.NewLog(duty.Options{Token: token, Tenure: y.tenure, ValueKB: valueKB, Call: state, Wall: func() time.Time { return y.now }, Log: quiet, Lost: func(time.Time) {}})
+	y.s = New(y.now, Options{Token: token, Tenure: y.tenure, Facts: facts,
+		Cloud: func(c Call, then func(time.Time, Result)) {
 			y.cloud, y.reply = append(y.cloud, c), append(y.reply, then)
 		},
-		func(c store.Call, then func(time.Time, store.Result)) {
-			y.kv, y.kvs = append(y.kv, c), append(y.kvs, then)
-		},
-		quiet, y.reg, y.board, func(time.Time) {}, func(_ time.Time, m *worker.Machine) { y.gone = append(y.gone, m.Host) },
-		func(string) bool { return false })
+		State: state, Log: quiet, Machines: y.reg, Board: y.board, Duties: y.duties,
+		Lost: func(time.Time) {}, Gone: func(_ time.Time, m *worker.Machine) { y.gone = append(y.gone, m.Host) },
+		Foreign: func(string) bool { return false }})
 	y.s.MachineType(wire.MachineType{Name: "g2", Vcpus: 12, Gpus: 2, MemGb: 96, Price: 5, LowPrice: 2, BootS: 25, Zones: []string{"a"}}, "")
 	return y
 }
@@ -276,7 +284,7 @@
 			}
 			y.now = y.now.Add(c.after)
 			y.s.returns(y.now)
-			if got := len(y.s.deleting); got != 0 != c.goes || c.goes && got != c.unheard {
+			if got := y.duties.Open(); got != 0 != c.goes || c.goes && got != c.unheard {
 				t.Errorf("%d returned, want any: %t", got, c.goes)
 			}
 		})
--- a/internal/fleet/rental.go
+++ b/internal/fleet/rental.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"juniperchute/internal/duty"
 	"juniperchute/internal/placement"
 	"juniperchute/internal/quota"
 	"juniperchute/internal/store"
@@ -49,6 +50,24 @@
 	busy  bool
 	retry time.Time
 	kept  bool // its record names its machines durably
+	// action is the intended rental; the record is its entry.
+	action *duty.Action
+	// refusedAt is since when a rental that a late call may still carry out has been
+	// refused for want of capacity; zero: it has not been.
+	refusedAt time.Time
+	gone      []goneMachine // whose removal from the record is not durable yet
+}
+
+// goneMachine is a machine that is gone and the version of the rental's record from which
+// on it is not named.
+type goneMachine struct {
+	host    string
+	version int
+}
+
+// coming tells whether machines are to be expected of a rental.
+func (h *rental) coming() bool {
+	return (h.state == rentalRecording || h.state == rentalAsking) && h.refusedAt.IsZero()
 }
 
 func (s *Slice) set(h *rental, st rentalState, why string) {
@@ -59,9 +78,11 @@
 }
 
 func (s *Slice) file(h *rental, version uint64) {
-	h.file = store.NewRecord(Rentals(s.block)+h.name, version, store.ClassTenure, s.tenure, s.state, func(now time.Time, _ int) {
+	h.file = store.NewRecord(Rentals(s.block)+h.name, version, store.ClassTenure, s.tenure, s.state, func(now time.Time, ver int) {
+		s.forgetGone(h, ver)
 		switch h.state {
 		case rentalRecording:
+			s.duties.Recorded(now, h.action)
 			s.set(h, rentalAsking, "recorded")
 		case rentalGranted:
 			h.kept = true
@@ -106,6 +127,42 @@
 	return true
 }
 
+// forgetGone forgets the actions that ended machines which a durable version of the
+// rental's record does not name any more.
+func (s *Slice) forgetGone(h *rental, version int) {
+	kept := h.gone[:0]
+	for _, g := range h.gone {
+		if g.version > version {
+			kept = append(kept, g)
+			continue
+		}
+		s.forget(g.host)
+	}
+	h.gone = kept
+	if h.action != nil {
+		s.duties.Forget(h.action)
+	}
+}
+
+// forget forgets the settled action that ended a machine.
+func (s *Slice) forget(host string) {
+	for _, d := range []duty.Duty{duty.Returning, duty.Reclaiming} {
+		if a := s.duties.Get(d, host); a != nil {
+			s.duties.Forget(a)
+		}
+	}
+}
+
+// tokenOf is the token of the tenure that made a rental's name, 0 if it is of another form.
+func tokenOf(name string) uint64 {
+	var block, number int
+	var token uint64
+	if _, err := fmt.Sscanf(name, "b%d-%d-%d", &block, &token, &number); err != nil {
+		return 0
+	}
+	return token
+}
+
 func (s *Slice) rentalName() string { return fmt.Sprintf("b%d-%d-%d", s.block, s.token, s.seq) }
 
 // Load takes over a rental record of an earlier tenure.
@@ -123,6 +180,7 @@
 	if len(rec.Hosts) == 0 {
 		// The earlier holder did not get to write the answer down. Asking
 		// again by the same name tells it, or rents the machines now.
+		h.action = s.duties.InheritRecorded(now, duty.Renting, name, tokenOf(name))
 		s.set(h, rentalAsking, "taken over without an answer")
 		return
 	}
@@ -146,23 +204,36 @@
 	return block, rec.Hosts
 }
 
+// Unanswered tells whether a rental record is one of a block's that names no machines yet,
+// and under which token it was entered.
+func Unanswered(it wire.Item, block int) (name string, token uint64, open bool) {
+	name, ok := strings.CutPrefix(it.Path, Rentals(block))
+	if !ok {
+		return "", 0, false
+	}
+	var rec RentalRec
+	if err := json.Unmarshal(it.Value, &rec); err != nil {
+		return "", 0, false
+	}
+	return name, tokenOf(name), len(rec.Hosts) == 0
+}
+
 // unsettled tells whether some rental's machines are not known yet.
 func (s *Slice) unsettled() bool {
-	for _, h := range s.sorted() {
-		if h.state == rentalAsking || h.state == rentalRecording {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.sorted(), (*rental).coming)
 }
 
 // ask asks the cloud for a rental's machines. The name stays the same until the
 // answer is certain: repeating it rents nothing twice.
 func (s *Slice) ask(now time.Time, h *rental) {
+	if !s.duties.Send(now, h.action) {
+		return
+	}
 	h.busy = true
 	s.call(Call{Op: OpRent, Rental: wire.Rental{Rental: h.name, Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot, Number: h.rec.Number}},
 		func(now time.Time, r Result) {
 			h.busy = false
+			s.duties.Answered(now, h.action, r.outcome())
 			kind := kindOf(h.rec.Type, h.rec.Zone, h.rec.Spot)
 			switch {
 			case r.Status == 200:
@@ -172,7 +243,7 @@
 				}
 			case r.Status == 503 && r.Error == NoCapacity:
 				s.noneUntil[kind] = now.Add(tuning.CapacityRetry)
-				s.drop(now, h, "no capacity")
+				s.refused(now, h)
 			case r.Status == 400:
 				s.log.Error("rental refused as malformed", "name", h.name, "type", h.rec.Type)
 				s.noneUntil[kind] = now.Add(tuning.CapacityRetry)
@@ -183,7 +254,24 @@
 		})
 }
 
+// refused ends a rental of which the cloud had none, unless a call for it may still come
+// late: then its name is asked for again until none can, as machines that nobody knows of
+// would be rented by it.
+func (s *Slice) refused(now time.Time, h *rental) {
+	if h.refusedAt.IsZero() {
+		h.refusedAt = now
+	}
+	if !s.duties.Durable() || !h.action.Doubtful || now.Sub(h.refusedAt) > tuning.LateCall {
+		s.drop(now, h, "no capacity")
+		return
+	}
+	h.retry = now.Add(tuning.CapacityRetry)
+}
+
 func (s *Slice) drop(now time.Time, h *rental, why string) {
+	if h.action != nil {
+		s.duties.Settle(now, h.action, why)
+	}
 	s.set(h, rentalEmpty, why)
 	h.file.Set(nil)
 	h.file.Tick(now)
@@ -191,6 +279,8 @@
 
 func (s *Slice) granted(now time.Time, h *rental, hosts []string) {
 	s.log.Info("machines rented", "name", h.name, "type", h.rec.Type, "zone", h.rec.Zone, "spot", h.rec.Spot, "asked", h.rec.Number, "got", len(hosts))
+	// one that has turned up already was adopted
+	hosts = slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return s.by[host] != nil })
 	if len(hosts) == 0 {
 		s.drop(now, h, "no machines")
 		return
@@ -235,7 +325,7 @@
 	// machines asked for and not yet granted count as on their way
 	coming := make([]int, len(offers))
 	for _, h := range s.sorted() {
-		if h.state == rentalRecording || h.state == rentalAsking {
+		if h.coming() {
 			for i, o := range offers {
 				if o.Type == h.rec.Type && o.Zone == h.rec.Zone && o.Spot == h.rec.Spot {
 					coming[i] += h.rec.Number
@@ -277,7 +367,7 @@
 		}
 	}
 	for _, h := range s.rentals {
-		if h.state == rentalRecording || h.state == rentalAsking {
+		if h.coming() {
 			room -= h.rec.Number
 		}
 	}
@@ -288,9 +378,10 @@
 func (s *Slice) rental(now time.Time, rec RentalRec) {
 	s.seq++
 	h := &rental{name: s.rentalName(), rec: rec}
+	h.action = s.duties.EnterRecorded(now, duty.Renting, h.name, "waiting work")
 	s.file(h, 0)
 	s.rentals[h.name] = h
-	s.log.Info("hiring", "name", h.name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "number", rec.Number)
+	s.log.Info("renting", "name", h.name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "number", rec.Number)
 	h.file.Set(h.rec)
 	h.file.Tick(now)
 }
--- a/internal/fleet/returns.go
+++ b/internal/fleet/returns.go
@@ -1,16 +1,27 @@
 package fleet
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"juniperchute/internal/config"
+	"juniperchute/internal/duty"
 	"juniperchute/internal/quota"
 	"juniperchute/internal/tuning"
+	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
 )
 
+// ending is why a machine is given up, and by which duty; without one it is kept.
+type ending struct {
+	duty duty.Duty
+	why  string
+}
+
+func keep() ending                { return ending{} }
+func returned(why string) ending  { return ending{duty.Returning, why} }
+func reclaimed(why string) ending { return ending{duty.Reclaiming, why} }
+
 // returns looks for machines to give back.
 func (s *Slice) returns(now time.Time) {
 	unheard := 0
@@ -21,96 +32,175 @@
 	}
 	s.few = unheard*tuning.FenceFewPart <= len(s.reg.All())
 	for _, m := range s.reg.All() {
-		why := s.reason(now, m)
-		if why == "" {
-			continue
+		if e := s.ending(now, m); e.duty != "" {
+			s.giveUp(now, m, e)
 		}
-		s.reg.Set(now, m, worker.Deleting, why)
-		s.deleting[m.Host] = true
 	}
 }
 
-func (s *Slice) reason(now time.Time, m *worker.Machine) string {
+// giveUp enters a machine's end. From here on it gets no work; if there is no room in the
+// log it stays as it is, and is looked at again.
+func (s *Slice) giveUp(now time.Time, m *worker.Machine, e ending) {
+	if s.duties.Enter(now, e.duty, m.Host, e.why) {
+		s.reg.Set(now, m, worker.Deleting, e.why)
+	}
+}
+
+func (s *Slice) ending(now time.Time, m *worker.Machine) ending {
 	if s.Unreachable {
-		return ""
+		return keep()
 	}
-	age := now.Sub(m.Since)
-	lease := config.Seconds(s.facts.Workers.LeaseS)
 	switch m.State {
 	case worker.Booting:
-		boot := config.Seconds(s.machineTypes[m.Type].BootS)
-		if boot > 0 && now.Sub(m.Born) > boot*tuning.StuckBoots {
-			return "boot is stuck"
-		}
-		if s.missing[m.Host] >= tuning.MissingLists {
-			return "no longer listed"
-		}
+		return s.endingOfBooting(now, m)
 	case worker.Up:
-		if m.Mute(now, tuning.MuteLeases*lease) && m.Busy == 0 {
-			return "no answer reaches it"
-		}
-		if m.OpenDo > 0 && s.board.InDoubt(m) {
-			// A direct command that was never answered may still start its
-			// task there, minutes from now: only this machine's end settles it.
-			return "a command was never answered"
-		}
-		if m.Busy > 0 || len(m.Tasks) > 0 && m.Stranger {
-			return ""
-		}
-		if m.Faulty {
-			return "faulty"
-		}
-		if m.Closing {
-			return "its work went elsewhere"
-		}
-		if !m.Wanted && m.Promised == (quota.Room{}) && now.Sub(m.IdleFrom) > s.Set.IdleReturn {
-			return "idle"
-		}
+		return s.endingOfUp(now, m)
 	case worker.Silent:
 		if !m.Recall.IsZero() && now.After(m.Recall.Add(tuning.RecallOver)) {
-			return "taken by the cloud"
+			return reclaimed("taken by the cloud")
 		}
 		if s.missing[m.Host] >= tuning.MissingLists {
-			return "no longer listed"
+			return reclaimed("no longer listed")
 		}
 	case worker.Unheard:
-		if s.missing[m.Host] >= tuning.UnheardLists {
-			return "no longer listed, and not heard"
-		}
-		if now.Sub(s.born) > lease {
-			return "never heard in this tenure"
-		}
-		if s.few && now.Sub(s.born) > tuning.FenceFew {
-			return "one of few not heard"
-		}
+		return s.endingOfUnheard(now, m)
 	case worker.Lapsed:
-		if age > tuning.LapsedReturn {
-			return "silent"
+		if now.Sub(m.Since) > tuning.LapsedReturn {
+			return reclaimed("silent")
 		}
 	}
-	return ""
+	return keep()
+}
+
+func (s *Slice) endingOfBooting(now time.Time, m *worker.Machine) ending {
+	boot := config.Seconds(s.machineTypes[m.Type].BootS)
+	if boot > 0 && now.Sub(m.Born) > boot*tuning.StuckBoots {
+		return reclaimed("boot is stuck")
+	}
+	if s.missing[m.Host] >= tuning.MissingLists {
+		return reclaimed("no longer listed")
+	}
+	return keep()
 }
 
-// Failed takes note that the cloud lists a machine as stopped on its own.
+func (s *Slice) endingOfUp(now time.Time, m *worker.Machine) ending {
+	lease := config.Seconds(s.facts.Workers.LeaseS)
+	if m.Mute(now, tuning.MuteLeases*lease) && m.Busy == 0 {
+		return reclaimed("no answer reaches it")
+	}
+	if m.OpenDo > 0 && s.board.InDoubt(m) {
+		// A direct command that was never answered may still start its
+		// task there, minutes from now: only this machine's end settles it.
+		return reclaimed("a command was never answered")
+	}
+	switch {
+	case m.Busy > 0 || len(m.Tasks) > 0 && m.Stranger:
+		return keep()
+	case m.Faulty:
+		return returned("faulty")
+	case m.Closing:
+		return returned("its work went elsewhere")
+	case !m.Wanted && m.Promised == (quota.Room{}) && now.Sub(m.IdleFrom) > s.Set.IdleReturn:
+		return returned("idle")
+	}
+	return keep()
+}
+
+func (s *Slice) endingOfUnheard(now time.Time, m *worker.Machine) ending {
+	lease := config.Seconds(s.facts.Workers.LeaseS)
+	switch {
+	case s.missing[m.Host] >= tuning.UnheardLists:
+		return reclaimed("no longer listed, and not heard")
+	case now.Sub(s.born) > lease:
+		return reclaimed("never heard in this tenure")
+	case s.few && now.Sub(s.born) > tuning.FenceFew:
+		return reclaimed("one of few not heard")
+	}
+	return keep()
+}
+
+// failed takes note that the cloud lists a machine as stopped on its own.
 func (s *Slice) failed(now time.Time, m *worker.Machine) {
 	if m.State != worker.Deleting {
-		s.reg.Set(now, m, worker.Deleting, "listed as failed")
-		s.deleting[m.Host] = true
+		s.giveUp(now, m, reclaimed("listed as failed"))
+	}
+}
+
+// takeOverEndings goes on with the machines that earlier tenures entered as given up:
+// they get no work, and are deleted, again if need be.
+func (s *Slice) takeOverEndings(now time.Time) {
+	for _, a := range s.duties.Inherited(duty.Returning, duty.Reclaiming) {
+		m := s.reg.Get(a.Target)
+		if m == nil {
+			// no rental names it: it is gone, and that is written down
+			s.duties.Settle(now, a, "gone already")
+			s.duties.Forget(a)
+			continue
+		}
+		s.reg.Set(now, m, worker.Deleting, "entered by an earlier tenure")
+	}
+}
+
+// next lists the machines that may be deleted now, as many as one call takes.
+func (s *Slice) next(now time.Time) []*duty.Action {
+	var out []*duty.Action
+	for _, a := range s.duties.Ready(duty.Returning, duty.Reclaiming) {
+		m := s.reg.Get(a.Target)
+		if m != nil && a.Inherited && !s.confirmed(now, m, a) {
+			continue
+		}
+		if out = append(out, a); len(out) == tuning.DeletePage {
+			break
+		}
+	}
+	return out
+}
+
+// confirmed tells whether an inherited entry stands. A tenure of an earlier version may
+// have held the block since: it reads no log, and may have given the machine work. If no
+// other token lies between it cannot; otherwise the machine is heard first, or its lease
+// is surely over. The entry of one that has work of a later tenure than its own is void.
+func (s *Slice) confirmed(now time.Time, m *worker.Machine, a *duty.Action) bool {
+	if a.Token+1 == s.token || m.LeaseOver {
+		return true
+	}
+	if m.Heard.IsZero() {
+		return m.State != worker.Deleting || !m.Used
+	}
+	if slices.ContainsFunc(m.Tasks, func(t wire.Task) bool { return t.Attempt>>tuning.AttemptBits > a.Token }) {
+		s.duties.Settle(now, a, "a later tenure gave the machine work")
+		s.duties.Forget(a)
+		s.reg.Set(now, m, worker.Up, "a later tenure gave it work")
+		s.board.NoteChange(m)
+		return false
 	}
+	return true
 }
 
 func (s *Slice) delete(now time.Time) {
-	hosts := slices.Sorted(maps.Keys(s.deleting))
-	hosts = hosts[:min(len(hosts), tuning.DeletePage)]
+	if s.delBusy || now.Before(s.delRetry) {
+		return
+	}
+	actions := s.next(now)
+	if len(actions) == 0 || !s.may(now) {
+		return
+	}
+	hosts := make([]string, len(actions))
+	for i, a := range actions {
+		s.duties.Send(now, a)
+		hosts[i] = a.Target
+	}
 	s.delBusy = true
 	s.call(Call{Op: OpDelete, Hosts: hosts}, func(now time.Time, r Result) {
 		s.delBusy = false
+		for _, a := range actions {
+			s.duties.Answered(now, a, r.outcome())
+		}
 		if r.Status != 200 {
 			s.delRetry = s.pause(now)
 			return
 		}
 		for _, host := range hosts {
-			delete(s.deleting, host)
 			if m := s.reg.Get(host); m != nil {
 				s.gone(now, m)
 				s.reg.Set(now, m, worker.Gone, "deletion answered")
@@ -127,13 +217,15 @@
 	s.used.Drop(host)
 	h := s.by[host]
 	if h == nil {
+		s.forget(host)
 		return
 	}
 	delete(s.by, host)
 	h.rec.Hosts = slices.DeleteFunc(slices.Clone(h.rec.Hosts), func(o string) bool { return o == host })
 	if len(h.rec.Hosts) == 0 {
+		h.gone = append(h.gone, goneMachine{host, h.file.Newest() + 1})
 		s.drop(now, h, "all machines gone")
-	} else {
-		h.file.Set(h.rec)
+		return
 	}
+	h.gone = append(h.gone, goneMachine{host, h.file.Set(h.rec)})
 }
--- a/internal/integration/benchmark_test.go
+++ b/internal/integration/benchmark_test.go
@@ -14,9 +14,11 @@
 	"testing"
 	"time"
 
+	"juniperchute/internal/clock"
 	"juniperchute/internal/config"
 	"juniperchute/internal/node"
 	"juniperchute/internal/standin"
+	"juniperchute/internal/tuning"
 )
 
 // Variables of the environment of benchmarks.
@@ -45,7 +47,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("member", cfg.Member)
-	return node.NewRuntime(cfg, log, rand.New(rand.NewPCG(1, uint64(os.Getpid())))).Run(ctx)
+	return node.NewRuntime(cfg, node.Options{Blocks: tuning.Blocks}, clock.New(nil), log, rand.New(rand.NewPCG(1, uint64(os.Getpid())))).Run(ctx)
 }
 
 // profile begins a processor profile; stop ends it and writes the allocations too.
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"juniperchute/internal/store"
@@ -43,7 +45,7 @@
 		// a member whose record was replaced by a later process of its name
 		// has ended; one that is merely absent may only be cut off
 		_, back := s.members[r.val.Holder]
-		rec := BlockRec{Holder: to.Member, Inc: to.Inc, Token: s.token.val.Last + 1, Ended: r.version == 0 || back || r.val.Holder == ""}
+		rec := BlockRec{Holder: to.Member, Inc: to.Inc, Token: s.token.val.Last + 1, Ended: r.version == 0 || back || r.val.Holder == "", Since: s.wall().UnixMilli()}
 		when := []wire.Cond{
 			store.Is(keyLeader, s.leader.version), store.Is(blockKey(b), r.version),
 			store.Is(keyToken, s.token.version), store.Is(underMem+to.Member, toVersion),
@@ -54,6 +56,26 @@
 		}})
 		return
 	}
+	s.enforce(now)
+}
+
+// enforce writes down which switches are in force: those that every member announces. A
+// member of a version that announces nothing ends them.
+func (s *Slice) enforce(now time.Time) {
+	var common []string
+	for _, name := range s.announced {
+		if !slices.ContainsFunc(slices.Collect(maps.Values(s.members)), func(m item[MemberRec]) bool { return !slices.Contains(m.val.Switches, name) }) {
+			common = append(common, name)
+		}
+	}
+	if slices.Equal(common, s.inForce.val.InForce) {
+		return
+	}
+	s.log.Info("changing the switches in force", "from", s.inForce.val.InForce, "to", common)
+	s.txn(now, wire.Multi{
+		When:   []wire.Cond{store.Is(keyLeader, s.leader.version), store.Is(keySwitches, s.inForce.version)},
+		Writes: []wire.Write{store.Put(keySwitches, SwitchesRec{InForce: common}, 0)},
+	})
 }
 
 // choose picks the member to give a block to: the one with the fewest blocks,
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -24,6 +24,8 @@
 	keyLeader = "c/leader"
 	underMem  = "c/m/"
 	underBlk  = "c/b/"
+	// keySwitches is one that versions before 0.3 do not list.
+	keySwitches = "c/switches"
 )
 
 // MemberRec is a live process, attached to its lease.
@@ -31,6 +33,8 @@
 	Member string
 	Inc    uint64 // its lease, the process's identity
 	Since  int64  // when it joined, ms of the time of day
+	// Switches are what it announces that it can do; versions before 0.3 announce nothing.
+	Switches []string `json:",omitempty"`
 }
 
 // Rec names the leader.
@@ -50,6 +54,14 @@
 	// Unreachable: the block was given back by this member because it alone does not
 	// hear the workers.
 	Unreachable string `json:"Deaf,omitempty"`
+	// Since is when the tenure was assigned, ms of the leader's time of day; 0: by a
+	// version that does not tell.
+	Since int64 `json:",omitempty"`
+}
+
+// SwitchesRec tells what is in force: what every member announced when the leader looked.
+type SwitchesRec struct {
+	InForce []string
 }
 
 type tokenRec struct{ Last uint64 }
@@ -79,10 +91,12 @@
 type Slice struct {
 	self   string
 	blocks int
-	wall   func() time.Time
-	call   store.Caller
-	log    *slog.Logger
-	mirror *store.Mirror
+	// announced is what this process can do, by its switches.
+	announced []string
+	wall      func() time.Time
+	call      store.Caller
+	log       *slog.Logger
+	mirror    *store.Mirror
 
 	state    memberState
 	lease    uint64
@@ -97,6 +111,7 @@
 	leader  item[Rec]
 	recs    map[int]item[BlockRec]
 	token   item[tokenRec]
+	inForce item[SwitchesRec]
 	other   func(now time.Time, key string, it wire.Item, gone bool)
 }
 
@@ -105,11 +120,11 @@
 	version uint64
 }
 
-// New makes the slice. other is told of changes of control keys that are not
-// this slice's own.
-func New(self string, blocks int, wall func() time.Time, call store.Caller, log *slog.Logger,
+// New makes the slice of a member that announces some switches. other is told of changes
+// of control keys that are not this slice's own.
+func New(self string, blocks int, announced []string, wall func() time.Time, call store.Caller, log *slog.Logger,
 	other func(now time.Time, key string, it wire.Item, gone bool)) *Slice {
-	s := &Slice{self: self, blocks: blocks, wall: wall, call: call, log: log, other: other,
+	s := &Slice{self: self, blocks: blocks, announced: announced, wall: wall, call: call, log: log, other: other,
 		members: map[string]item[MemberRec]{}, recs: map[int]item[BlockRec]{}}
 	s.mirror = store.NewMirror(Control, call, s.changed)
 	return s
@@ -190,6 +205,18 @@
 	return s.lease != 0 && s.leader.version != 0 && s.leader.val.Member == s.self && s.leader.val.Inc == s.lease
 }
 
+// BlockSince is when a block's tenure was assigned, by the leader's time of day; zero: not
+// told.
+func (s *Slice) BlockSince(block int) time.Time {
+	if at := s.recs[block].val.Since; at != 0 {
+		return time.UnixMilli(at)
+	}
+	return time.Time{}
+}
+
+// InForce tells whether the leader has written down that every member announced a switch.
+func (s *Slice) InForce(name string) bool { return slices.Contains(s.inForce.val.InForce, name) }
+
 // Members lists the live members by name, and the leader's name.
 func (s *Slice) Members() (names []string, leader string) {
 	for n := range s.members {
@@ -216,6 +243,12 @@
 		if !gone {
 			s.token, _ = decode[tokenRec](s.log, it)
 		}
+	case key == keySwitches:
+		s.inForce = item[SwitchesRec]{}
+		if !gone {
+			s.inForce, _ = decode[SwitchesRec](s.log, it)
+			s.log.Info("switches in force", "switches", s.inForce.val.InForce)
+		}
 	case key == keyLeader:
 		s.leader = item[Rec]{}
 		if !gone {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +24,7 @@
 
 func newElect() *elect {
 	e := &elect{now: time.Unix(1000, 0)}
-	e.s = New("n0", 1, func() time.Time { return e.now }, func(c store.Call, then func(time.Time, store.Result)) {
+	e.s = New("n0", 1, nil, func() time.Time { return e.now }, func(c store.Call, then func(time.Time, store.Result)) {
 		e.sent, e.then = append(e.sent, c), append(e.then, then)
 	}, slog.New(slog.NewTextHandler(io.Discard, nil)), func(time.Time, string, wire.Item, bool) {})
 	return e
@@ -130,12 +132,12 @@
 		last, deaf string
 		want       string
 	}{
-		{"the one restarted already, not the one that is next", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}, {"n3", 3, 11}}, "", "n0", "", "n2"},
-		{"one that does not lead", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}}, "n2", "n0", "", "n1"},
-		{"not the one that ended a moment ago", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}}, "n1", "n2", "", "n1"},
-		{"not the one that hears no worker", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}}, "n1", "", "n2", "n1"},
-		{"the one that ended rather than one that hears no worker", []MemberRec{{"n1", 1, 10}, {"n2", 2, 90}}, "", "n1", "n2", "n1"},
-		{"whoever is there", []MemberRec{{"n2", 2, 90}}, "n2", "n2", "n2", "n2"},
+		{"the one restarted already, not the one that is next", []MemberRec{{Member: "n1", Inc: 1, Since: 10}, {Member: "n2", Inc: 2, Since: 90}, {Member: "n3", Inc: 3, Since: 11}}, "", "n0", "", "n2"},
+		{"one that does not lead", []MemberRec{{Member: "n1", Inc: 1, Since: 10}, {Member: "n2", Inc: 2, Since: 90}}, "n2", "n0", "", "n1"},
+		{"not the one that ended a moment ago", []MemberRec{{Member: "n1", Inc: 1, Since: 10}, {Member: "n2", Inc: 2, Since: 90}}, "n1", "n2", "", "n1"},
+		{"not the one that hears no worker", []MemberRec{{Member: "n1", Inc: 1, Since: 10}, {Member: "n2", Inc: 2, Since: 90}}, "n1", "", "n2", "n1"},
+		{"the one that ended rather than one that hears no worker", []MemberRec{{Member: "n1", Inc: 1, Since: 10}, {Member: "n2", Inc: 2, Since: 90}}, "", "n1", "n2", "n1"},
+		{"whoever is there", []MemberRec{{Member: "n2", Inc: 2, Since: 90}}, "n2", "n2", "n2", "n2"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := newElect()
@@ -218,3 +220,47 @@
 		t.Errorf("an earlier answer moved the end to %v", got.Sub(at))
 	}
 }
+
+// What the leader writes down as in force: what all members announce, and no longer what
+// one of an earlier version does not.
+func TestSwitchesInForce(t *testing.T) {
+	with, without := []string{"duties"}, []string(nil)
+	for _, c := range []struct {
+		name    string
+		members [][]string // what each announces; the first is the leader
+		inForce []string
+		writes  bool
+		want    []string
+	}{
+		{"all announce it", [][]string{with, with, with}, nil, true, with},
+		{"one does not", [][]string{with, with, without}, nil, false, nil},
+		{"in force already", [][]string{with, with}, with, false, nil},
+		{"an earlier version joins", [][]string{with, without}, with, true, nil},
+		{"the leader does not", [][]string{without, with}, nil, false, nil},
+		{"the leader is of a version with it switched off", [][]string{without, with}, with, true, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newElect()
+			e.s.announced = c.members[0]
+			for i, announced := range c.members {
+				name := fmt.Sprintf("n%d", i)
+				e.s.members[name] = item[MemberRec]{MemberRec{Member: name, Inc: uint64(i + 1), Switches: announced}, uint64(i + 1)}
+			}
+			e.s.inForce = item[SwitchesRec]{SwitchesRec{c.inForce}, 9}
+			e.s.enforce(e.now)
+			if writes := len(e.sent) == 1; writes != c.writes {
+				t.Fatalf("%d calls", len(e.sent))
+			}
+			if !c.writes {
+				return
+			}
+			var rec SwitchesRec
+			if err := json.Unmarshal(e.sent[0].Multi.Writes[0].Value, &rec); err != nil || !slices.Equal(rec.InForce, c.want) {
+				t.Errorf("in force: %v, %v; want %v", rec.InForce, err, c.want)
+			}
+			if !slices.Contains(e.sent[0].Multi.When, store.Is(keySwitches, 9)) || !slices.Contains(e.sent[0].Multi.When, store.Is(keyLeader, e.s.leader.version)) {
+				t.Errorf("conditions: %+v", e.sent[0].Multi.When)
+			}
+		})
+	}
+}
--- a/internal/leader/membership.go
+++ b/internal/leader/membership.go
@@ -61,7 +61,7 @@
 func (s *Slice) join(now time.Time) {
 	key := underMem + s.self
 	lease := s.lease
-	rec := MemberRec{Member: s.self, Inc: lease, Since: s.wall().UnixMilli()}
+	rec := MemberRec{Member: s.self, Inc: lease, Since: s.wall().UnixMilli(), Switches: s.announced}
 	s.retry = now.Add(tuning.StateTimeout + tuning.MemberRetry)
 	s.call(store.Call{Op: store.OpMulti, Multi: wire.Multi{
 		When:   []wire.Cond{store.Is(key, s.mirror.Version(key))},
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -13,11 +13,13 @@
 
 	"juniperchute/internal/admin"
 	"juniperchute/internal/config"
+	"juniperchute/internal/duty"
 	"juniperchute/internal/fleet"
 	"juniperchute/internal/leader"
 	"juniperchute/internal/peer/peerpb"
 	"juniperchute/internal/store"
 	"juniperchute/internal/submission"
+	"juniperchute/internal/switches"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 )
@@ -39,9 +41,17 @@
 // NotSent is the status of a direct command that was too late to be sent.
 const NotSent = -1
 
+// Options are what a controller is started with beside the platform's settings.
+type Options struct {
+	Blocks   int
+	Switches switches.Switches
+	Tracer   duty.Tracer // nil: no spans are made
+}
+
 // Core is all state of one controller.
 type Core struct {
 	cfg    *config.Config
+	opt    Options
 	blocks int
 	env    Env
 	rng    *rand.Rand
@@ -67,6 +77,7 @@
 	told           *submission.CancellationLog
 	passing        map[string]bool // holders that a cancellation is being passed to
 	timers         []timer
+	logs           dutyLogs // as last read for an operator
 }
 
 type timer struct {
@@ -75,12 +86,13 @@
 }
 
 // NewCore makes the state of one controller. wall is the time of day.
-func NewCore(cfg *config.Config, blocks int, env Env, rng *rand.Rand, wall func() time.Time, log *slog.Logger) *Core {
-	c := &Core{cfg: cfg, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
+func NewCore(cfg *config.Config, opt Options, env Env, rng *rand.Rand, wall func() time.Time, log *slog.Logger) *Core {
+	blocks := opt.Blocks
+	c := &Core{cfg: cfg, opt: opt, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
 		tenures: map[int]*tenure{}, machineTypes: map[string]wire.MachineType{}, machineTypeRaw: map[string]string{},
 		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}, blockFor: map[string]int{}, asking: map[int]*asking{},
 		process: rng.Uint64() | 1, told: submission.NewCancellationLog(blocks, config.Seconds(cfg.Facts.Workers.CancelS), cfg.Facts.State.WriteRPS), passing: map[string]bool{}}
-	c.leader = leader.New(cfg.Member, blocks, wall, c.state, log, c.control)
+	c.leader = leader.New(cfg.Member, blocks, opt.Switches.Announced(), wall, c.state, log, c.control)
 	c.open = store.NewMirror(submission.OpenUnder, c.state, func(now time.Time, _ string, it wire.Item, gone bool) {
 		for _, t := range c.tenures {
 			if t.state != tenureOver && t.records.reading == 0 {
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -36,7 +36,7 @@
 			cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10)
 			cfg.Member = "n0"
 			cfg.Known = []config.Known{{Member: "n1"}, {Member: "n2"}}
-			core := NewCore(cfg, 1, nil, rand.New(rand.NewPCG(1, 1)), func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			core := NewCore(cfg, Options{Blocks: 1}, nil, rand.New(rand.NewPCG(1, 1)), func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 			for _, h := range c.heard {
 				core.Pulse(now, &peerpb.PulseMessage{Member: "n1", Holdings: []*peerpb.Holding{h}})
 			}
@@ -67,7 +67,7 @@
 	cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10)
 	cfg.Member, cfg.Known = "n0", []config.Known{{Member: "n1"}}
 	env := &heldCalls{}
-	core := NewCore(cfg, 1, env, rand.New(rand.NewPCG(1, 1)), func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	core := NewCore(cfg, Options{Blocks: 1}, env, rand.New(rand.NewPCG(1, 1)), func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	core.Pulse(now, &peerpb.PulseMessage{Member: "n1", Holdings: []*peerpb.Holding{{Token: 4, Holder: "n1"}}})
 	const questions = 90
 	got := map[int]submission.Progress{}
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -29,9 +29,12 @@
 	return steadySimulationOf(t, 11, machines, jobs)
 }
 
-func steadySimulationOf(t *testing.T, seed uint64, machines, jobs int) *simulation {
+func steadySimulationOf(t *testing.T, seed uint64, machines, jobs int, prepare ...func(sim *simulation)) *simulation {
 	sim := newSimulation(t, seed, facts([]string{"a"}, steadyTeams, 1.5, 10), 1, []wire.MachineType{smallType})
 	sim.cloud.Room[standin.RoomKey(smallType.Name, "a", false)] = machines
+	for _, f := range prepare {
+		f(sim)
+	}
 	for i := range jobs {
 		sim.add(steadyJob(i), 50*time.Second)
 	}
@@ -256,5 +259,10 @@
 			c.play(sim)
 			sim.settle()
 		})
+		t.Run("duties, "+c.name, func(t *testing.T) {
+			sim := steadySimulationOf(t, 11, 6, 8, (*simulation).keepDuties)
+			c.play(sim)
+			sim.settle()
+		})
 	}
 }
--- a/internal/node/fencing.go
+++ b/internal/node/fencing.go
@@ -48,8 +48,10 @@
 }
 
 // unheard tells whether a machine may have tasks of an earlier tenure that are not known.
+// One that is being deleted is heard by what it says under this tenure's token alone: the
+// answer to an older report renews its lease without telling what is on it.
 func (t *tenure) unheard(m *worker.Machine) bool {
-	return m.State == worker.Unheard || m.State == worker.Deleting && m.Answered.IsZero() && m.Used
+	return m.State == worker.Unheard || m.State == worker.Deleting && m.Heard.IsZero() && m.Used && !m.LeaseOver
 }
 
 // account has the whole room of machines whose tasks are not known count against every
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -169,7 +169,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	ch := make(chan submission.Response, 1)
-	came := time.Now()
+	came := r.clock.Now()
 	report := func(now time.Time) {
 		r.core.Waited(now.Sub(came))
 		r.core.Report(now, &rep, func(status int, body any) { ch <- submission.Response{Status: status, Body: body} })
--- a/internal/node/loading.go
+++ b/internal/node/loading.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"juniperchute/internal/duty"
 	"juniperchute/internal/fleet"
 	"juniperchute/internal/store"
 	"juniperchute/internal/submission"
@@ -17,8 +18,8 @@
 
 // records are what a tenure reads of its block before it begins to act.
 type records struct {
-	tallies, used, begun []wire.Item
-	reading              int // reads that are still under way
+	tallies, used, begun, duties []wire.Item
+	reading                      int // reads that are still under way
 }
 
 // load reads all that earlier tenures wrote down.
@@ -28,7 +29,8 @@
 	t.list(now, tallyUnder(t.Block), "", &t.records.tallies)
 	t.list(now, fleet.UsedUnder(t.Block), "", &t.records.used)
 	t.list(now, begunUnder(t.Block), "", &t.records.begun)
-	t.records.reading = 5
+	t.list(now, duty.LogUnder(t.Block), "", &t.records.duties)
+	t.records.reading = 6
 }
 
 func begunUnder(block int) string { return fmt.Sprintf("b/%d/", block) }
@@ -81,6 +83,7 @@
 			t.fleet.Load(now, it)
 		}
 	})
+	t.duties.Load(now, t.records.duties)
 	t.fleet.LoadUsed(now, t.records.used)
 	t.outcomes.tallies.load(t.records.tallies, t.board.Job)
 	t.begun.Load(t.records.begun, func(id string, _ json.RawMessage) {
--- a/internal/node/random_faults_test.go
+++ b/internal/node/random_faults_test.go
@@ -39,13 +39,19 @@
 		seeds        int
 		scale        int
 		upgrade      bool // all controllers get the new version one after the other, then the state service's limits fall
+		duties       bool // the log of duties is kept
 	}{
-		{"one zone, short leases", []string{"a"}, small, one, 1, 1.5, 10, 6, 1, false},
-		{"one zone, long leases", []string{"a"}, small, one, 1, 3, 18, 4, 1, false},
-		{"two zones, two types, wide gangs", []string{"a", "b"}, small, two, 1, 1.5, 10, 6, 1, false},
-		{"three blocks", []string{"a", "b"}, small, two, 3, 1.5, 10, 4, 1, false},
-		{"a fleet: a tenth and more of the machines hit at a time", []string{"a", "b"}, wide, two, 1, 5, 26.5, 2, 20, false},
-		{"an upgrade, and limits that fall", []string{"a"}, wide, one, 1, 1.5, 10, 6, 4, true},
+		{"one zone, short leases", []string{"a"}, small, one, 1, 1.5, 10, 6, 1, false, false},
+		{"one zone, long leases", []string{"a"}, small, one, 1, 3, 18, 4, 1, false, false},
+		{"two zones, two types, wide gangs", []string{"a", "b"}, small, two, 1, 1.5, 10, 6, 1, false, false},
+		{"three blocks", []string{"a", "b"}, small, two, 3, 1.5, 10, 4, 1, false, false},
+		{"a fleet: a tenth and more of the machines hit at a time", []string{"a", "b"}, wide, two, 1, 5, 26.5, 2, 20, false, false},
+		{"an upgrade, and limits that fall", []string{"a"}, wide, one, 1, 1.5, 10, 6, 4, true, false},
+		{"duties, short leases", []string{"a"}, small, one, 1, 1.5, 10, 6, 1, false, true},
+		{"duties, two zones", []string{"a", "b"}, small, two, 1, 3, 18, 4, 1, false, true},
+		{"duties, three blocks", []string{"a", "b"}, small, two, 3, 1.5, 10, 3, 1, false, true},
+		{"duties, a fleet", []string{"a", "b"}, wide, two, 1, 5, 26.5, 1, 20, false, true},
+		{"duties, an upgrade, and limits that fall", []string{"a"}, wide, one, 1, 1.5, 10, 4, 4, true, true},
 	} {
 		for seed := range day.seeds * seedFactor() {
 			t.Run(fmt.Sprintf("%s/%d", day.name, seed), func(t *testing.T) {
@@ -62,7 +68,13 @@
 				if day.upgrade {
 					sim.begins()
 				}
+				if day.duties {
+					sim.keepDuties()
+				}
 				play(sim, day.zones, day.machineTypes)
+				if day.duties {
+					sim.requireActions()
+				}
 				if len(sim.broken()) > 0 {
 					t.Fatalf("seed %d: %s", seed, sim.broken()[0])
 				}
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"juniperchute/internal/clock"
 	"juniperchute/internal/config"
 	"juniperchute/internal/fleet"
 	"juniperchute/internal/peer"
@@ -26,9 +27,10 @@
 // Runtime is the goroutine that owns a Core, and the Env that carries out its
 // effects with real connections.
 type Runtime struct {
-	cfg  *config.Config
-	log  *slog.Logger
-	core *Core
+	cfg   *config.Config
+	log   *slog.Logger
+	clock *clock.Clock // by which leases are judged
+	core  *Core
 	// What waits for the owner, each with a small buffer: results of its effects and
 	// peers' calls first, then workers' reports and users' requests in turn.
 	events  chan func(now time.Time)
@@ -73,14 +75,14 @@
 }
 
 // NewRuntime makes the runtime of a controller.
-func NewRuntime(cfg *config.Config, log *slog.Logger, rng *rand.Rand) *Runtime {
+func NewRuntime(cfg *config.Config, opt Options, steady *clock.Clock, log *slog.Logger, rng *rand.Rand) *Runtime {
 	p := newPools(cfg.Facts.Limits, len(cfg.Known))
 	r := &Runtime{
-		cfg: cfg, log: log, done: make(chan struct{}), pools: p,
+		cfg: cfg, log: log, clock: steady, done: make(chan struct{}), pools: p,
 		events:     make(chan func(time.Time), tuning.EventBuffer),
 		reports:    make(chan func(time.Time), tuning.EventBuffer),
 		users:      make(chan func(time.Time), tuning.EventBuffer),
-		state:      store.NewClient(cfg.External.State, transport(stateConns(), tuning.DialTimeout), time.Now),
+		state:      store.NewClient(cfg.External.State, transport(stateConns(), tuning.DialTimeout), steady.Now),
 		cloud:      fleet.NewClient(cfg.External.Cloud, transport(tuning.CloudCalls, tuning.DialTimeout)),
 		workers:    &http.Client{Transport: transport(tuning.DoIdle, tuning.WorkerDial)},
 		peers:      peer.NewClients(cfg.Known),
@@ -95,7 +97,7 @@
 	for i := range r.writeSlots {
 		r.writeSlots[i] = make(chan struct{}, tuning.StateWrites)
 	}
-	r.core = NewCore(cfg, tuning.Blocks, r, rng, time.Now, log)
+	r.core = NewCore(cfg, opt, r, rng, time.Now, log)
 	return r
 }
 
@@ -114,7 +116,7 @@
 		return fmt.Errorf("peer_bind: %w", err)
 	}
 	failed := make(chan error, 2)
-	clients := newClientListener(api, r.pools.clients, time.Now)
+	clients := newClientListener(api, r.pools.clients, r.clock.Now)
 	srv := r.server()
 	srv.ConnState, srv.ConnContext = clients.state, withClientConn
 	go func() { failed <- srv.Serve(clients) }()
@@ -135,8 +137,9 @@
 func (r *Runtime) own(ctx context.Context, failed <-chan error) error {
 	tick := time.NewTicker(tuning.TickEvery)
 	defer tick.Stop()
-	last := time.Now()
-	turn := func(now time.Time) {
+	last := r.clock.Now()
+	turn := func(time.Time) {
+		now := r.clock.Advance() // leases may have ended while the machine was suspended
 		r.noteLate(now.Sub(last) - tuning.TickEvery)
 		last = now
 		r.core.Tick(now)
@@ -184,9 +187,9 @@
 // carry has the owner do one thing, and tells of one that took long: on a starved
 // machine that is what makes leases and reports late.
 func (r *Runtime) carry(what string, f func(now time.Time)) {
-	start := time.Now()
+	start := r.clock.Now()
 	f(start)
-	if took := time.Since(start); took > tuning.SlowTurn {
+	if took := r.clock.Now().Sub(start); took > tuning.SlowTurn {
 		r.log.Warn("the owner was busy", "with", what, "for", took, "events", len(r.events), "reports", len(r.reports), "requests", len(r.users))
 	}
 }
@@ -247,7 +250,7 @@
 		}
 		for {
 			r.budgetLock.Lock()
-			wait, ok := r.budget.Take(time.Now(), c)
+			wait, ok := r.budget.Take(r.clock.Now(), c)
 			r.budgetLock.Unlock()
 			if ok {
 				break
@@ -257,7 +260,7 @@
 		start := time.Now()
 		res := r.state.Do(r.ctx, c)
 		r.budgetLock.Lock()
-		lowered := r.budget.Note(time.Now(), c, res.Status)
+		lowered := r.budget.Note(r.clock.Now(), c, res.Status)
 		r.budgetLock.Unlock()
 		if lowered {
 			r.log.Warn("the state service has lowered its limits", "status", res.Status)
@@ -274,7 +277,7 @@
 	go func() {
 		defer enter(r.cloudSlots)()
 		start := time.Now()
-		if !c.By.IsZero() && !start.Before(c.By) {
+		if !c.By.IsZero() && !r.clock.Advance().Before(c.By) {
 			r.post(func(now time.Time) { then(now, fleet.Result{}) })
 			return
 		}
@@ -294,7 +297,7 @@
 			slots = r.fenceSlots
 		}
 		defer enter(slots)()
-		if !time.Now().Before(by) {
+		if !r.clock.Advance().Before(by) {
 			r.post(func(now time.Time) { then(now, NotSent, nil) })
 			return
 		}
--- a/internal/node/runtime_test.go
+++ b/internal/node/runtime_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"juniperchute/internal/clock"
 	"juniperchute/internal/config"
 	"juniperchute/internal/store"
 	"juniperchute/internal/tuning"
@@ -25,7 +26,7 @@
 	cfg.External = config.External{Cloud: "127.0.0.1:1", State: state}
 	cfg.Facts.State.WriteRPS = 0.1
 	cfg.Facts.Limits.Sockets = 2179
-	r := NewRuntime(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)), rand.New(rand.NewPCG(1, 1)))
+	r := NewRuntime(cfg, Options{Blocks: tuning.Blocks}, clock.New(nil), slog.New(slog.NewTextHandler(io.Discard, nil)), rand.New(rand.NewPCG(1, 1)))
 	r.ctx = t.Context()
 	t.Cleanup(func() { close(r.done) })
 	return r
--- a/internal/node/simulation_checks_test.go
+++ b/internal/node/simulation_checks_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"juniperchute/internal/duty"
 	"juniperchute/internal/standin"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
@@ -121,6 +122,17 @@
 	return out
 }
 
+// requireActions fails the test if no duty but clean-up was carried out through the log.
+func (sim *simulation) requireActions() {
+	sim.t.Helper()
+	sim.t.Logf("carried out: %v, %d writes of the log", sim.actions.Effects, sim.actions.EntryWrites)
+	for _, d := range []duty.Duty{duty.Renting, duty.Returning} {
+		if sim.actions.Effects[d] == 0 {
+			sim.t.Errorf("nothing was carried out for %s: this tests nothing", d)
+		}
+	}
+}
+
 // requireUnbroken fails the test if a rule was broken.
 func (sim *simulation) requireUnbroken() {
 	sim.t.Helper()
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -35,6 +35,8 @@
 	nodes    []*simulatedNode
 	machines map[string]*machine
 
+	duties      bool // the log of duties is switched on
+	actions     *standin.ActionCheck
 	chaos       bool // random messages are lost, delayed or repeated
 	scale       int  // how many times the usual size jobs and faults have; 0: once
 	rates       faultRates
@@ -95,6 +97,16 @@
 	return sim
 }
 
+// keepDuties switches the log of duties on, and has it checked against what the cloud
+// carries out.
+func (sim *simulation) keepDuties() {
+	sim.duties = true
+	sim.actions = standin.NewActionCheck(sim.cluster, sim.state, sim.cloud)
+	for _, n := range sim.nodes {
+		n.crash(0)
+	}
+}
+
 // booted starts a machine's worker; a few machines are faulty.
 func (sim *simulation) booted(h *standin.CloudHost) {
 	const faultyShare = 0.05
@@ -243,7 +255,7 @@
 		cfg.Facts.State.Next = nil // it knows nothing of limits to come, and fills its pages
 	}
 	rng := rand.New(rand.NewPCG(n.sim.rng.Uint64(), 1))
-	n.core = NewCore(&cfg, n.sim.blocks, &simulatedEnv{node: n, generation: generation}, rng, n.sim.clk.Now, n.sim.logger(n.name))
+	n.core = NewCore(&cfg, n.options(), &simulatedEnv{node: n, generation: generation}, rng, n.sim.clk.Now, n.sim.logger(n.name))
 	var tick func()
 	tick = func() {
 		if n.alive && n.generation == generation {
@@ -256,6 +268,13 @@
 	n.sim.clk.In(time.Duration(n.sim.rng.IntN(100))*time.Millisecond, tick)
 }
 
+// options are what the node's process is started with.
+func (n *simulatedNode) options() Options {
+	o := Options{Blocks: n.sim.blocks}
+	o.Switches.Duties = n.sim.duties && (n.upgraded || !n.sim.startsOld)
+	return o
+}
+
 // crash ends the process; a new one starts after a time.
 func (n *simulatedNode) crash(back time.Duration) {
 	if !n.alive {
--- a/internal/node/tenure.go
+++ b/internal/node/tenure.go
@@ -4,11 +4,13 @@
 	"log/slog"
 	"time"
 
+	"juniperchute/internal/duty"
 	"juniperchute/internal/fleet"
 	"juniperchute/internal/leader"
 	"juniperchute/internal/placement"
 	"juniperchute/internal/quota"
 	"juniperchute/internal/store"
+	"juniperchute/internal/switches"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
@@ -43,6 +45,10 @@
 	book  *quota.Book
 	board *placement.Board
 	fleet *fleet.Slice
+	// duties is the log of what is asked of the cloud; clean is call, with removals of
+	// records looked after by the same.
+	duties *duty.Log
+	clean  store.Caller
 
 	outcomes  *outcomes
 	begun     *store.Pages // jobs that may have tasks on machines
@@ -60,9 +66,12 @@
 	t.book = quota.NewBook(c.cfg.Facts.Teams, l.Block, c.blocks)
 	t.board = placement.NewBoard(c.cfg.Facts, l.Token, t.book, t.reg, c.rng, t.log,
 		func(now time.Time, j *placement.Job) { t.outcomes.taskCompleted(now, j) })
-	t.fleet = fleet.New(now, l.Block, l.Token, t.cond(), c.cfg.Facts, t.cloud, t.call, t.log, t.reg, t.board, t.lost,
-		func(now time.Time, m *worker.Machine) { t.board.Forget(now, m) },
-		func(host string) bool { return c.foreign(l.Block, host) })
+	t.duties = duty.NewLog(duty.Options{Block: l.Block, Token: l.Token, Tenure: t.cond(), ValueKB: c.cfg.Facts.State.Stored().ValueKB,
+		Call: t.call, Wall: c.wall, Log: t.log, Lost: t.lost, Tracer: c.opt.Tracer})
+	t.clean = t.duties.CleanUp(t.call, fleet.Rentals(l.Block), fleet.UsedUnder(l.Block), begunUnder(l.Block), tallyUnder(l.Block))
+	t.fleet = fleet.New(now, fleet.Options{Block: l.Block, Token: l.Token, Tenure: t.cond(), Facts: c.cfg.Facts, Cloud: t.cloud, State: t.clean,
+		Log: t.log, Machines: t.reg, Board: t.board, Duties: t.duties, Lost: t.lost, Gone: t.board.Forget,
+		Foreign: func(host string) bool { return c.foreign(l.Block, host) }})
 	t.outcomes = newOutcomes(t, newTallies(t.pages(tallyUnder(l.Block), tuning.TallyEvery, store.ClassTally), c.cfg.Facts.State.ValueKB))
 	t.begun = t.pages(begunUnder(l.Block), tuning.BegunEvery, store.ClassTenure)
 	t.board.Begin = t.markBegun
@@ -78,7 +87,7 @@
 // pages makes pages under a prefix that only this tenure may write.
 func (t *tenure) pages(under string, every time.Duration, class store.Class) *store.Pages {
 	valueKB := t.c.cfg.Facts.State.Stored().ValueKB
-	return store.NewPages(under, valueKB, every, class, t.cond(), t.call, t.log, t.lost)
+	return store.NewPages(under, valueKB, every, class, t.cond(), t.clean, t.log, t.lost)
 }
 
 // markBegun enters a job as one that may have tasks on machines, and lets them start once
@@ -131,6 +140,15 @@
 	t.fleet.Set = fleet.Settings{MaxMachines: s.MaxMachines, Paused: s.RentalPaused, IdleReturn: s.IdleReturn}
 }
 
+// switchOn has the log of duties kept from now on if that is switched on here and in
+// force. It goes on to the tenure's end, as it does no harm beside members that keep none.
+func (t *tenure) switchOn() {
+	if t.c.opt.Switches.Duties && t.c.leader.InForce(switches.Duties) && !t.duties.Durable() {
+		t.log.Info("duties are entered in the log from now on")
+		t.duties.SwitchOn()
+	}
+}
+
 // Tick starts what is due.
 func (t *tenure) Tick(now time.Time) {
 	if t.state == tenureOver {
@@ -146,6 +164,7 @@
 	if t.state == tenureLoading || !t.c.leader.Entitled(now) {
 		return
 	}
+	t.switchOn()
 	t.fence(now)
 	t.listen(now)
 	t.outcomes.save(now)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -89,6 +89,7 @@
 	HandleProbe(ctx context.Context, m *peerpb.ProbeRequest) (*peerpb.ProbeReply, error)
 	HandleStatus(ctx context.Context) (*peerpb.StatusReply, error)
 	HandleSettings(ctx context.Context) (*peerpb.Settings, error)
+	HandleDuties(ctx context.Context) (*peerpb.DutiesReply, error)
 	HandleSet(ctx context.Context, name, value string) (*peerpb.Settings, error)
 }
 
@@ -134,6 +135,10 @@
 	return wrap(s.h.HandleStatus(ctx))
 }
 
+func (s *service) Duties(ctx context.Context, _ *peerpb.DutiesRequest) (*peerpb.DutiesReply, error) {
+	return wrap(s.h.HandleDuties(ctx))
+}
+
 func (s *service) GetSettings(ctx context.Context, _ *peerpb.GetSettingsRequest) (*peerpb.Settings, error) {
 	return wrap(s.h.HandleSettings(ctx))
 }
--- /dev/null
+++ b/internal/standin/actions.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"juniperchute/internal/duty"
+	"juniperchute/internal/fleet"
+	"juniperchute/internal/store"
+	"juniperchute/internal/tuning"
+)
+
+// The rules of the log of duties that ActionCheck checks.
+const (
+	// NotEntered: the cloud carried out an action that was never entered.
+	NotEntered Rule = "not_entered"
+	// StaleAction: the cloud carried out an action whose entry had been settled.
+	StaleAction Rule = "stale_action"
+	// WorkReturned: a machine was deleted that had work its entry did not allow for.
+	WorkReturned Rule = "work_returned"
+	// WorkGiven: a tenure started work on a machine that an earlier one had entered as
+	// given up.
+	WorkGiven Rule = "work_given"
+)
+
+// ActionCheck compares what the cloud carries out with the log of duties as the state
+// service stores it. It knows what no controller does: what was carried out late.
+type ActionCheck struct {
+	// Effects counts the actions that were carried out, by duty.
+	Effects map[duty.Duty]int
+	// EntryWrites counts the successful writes of pages of the log.
+	EntryWrites int
+	// FirstBy is when each token's first action was entered.
+	FirstBy map[uint64]time.Time
+
+	cluster *Cluster
+	state   *StateService
+	entered map[string]duty.Entry // whatever was ever entered, by target
+	active  bool                  // the log is in force
+}
+
+// inForceKey is the record that tells which switches are in force.
+const inForceKey = "c/switches"
+
+// NewActionCheck makes a checker and has it watch the stand-ins.
+func NewActionCheck(cluster *Cluster, state *StateService, cloud *Cloud) *ActionCheck {
+	c := &ActionCheck{Effects: map[duty.Duty]int{}, FirstBy: map[uint64]time.Time{}, cluster: cluster, state: state, entered: map[string]duty.Entry{}}
+	before := state.OnCall
+	state.OnCall = func(call store.Call, status int) {
+		if before != nil {
+			before(call, status)
+		}
+		c.stored(call, status)
+	}
+	cloud.OnRent, cloud.OnDelete, cluster.Started = c.rented, c.deleted, c.started
+	return c
+}
+
+// stored takes note of entries that have just become durable.
+func (c *ActionCheck) stored(call store.Call, status int) {
+	if status != 200 {
+		return
+	}
+	for _, w := range call.Multi.Writes {
+		switch {
+		case w.Write == inForceKey:
+			c.active = c.active || strings.Contains(string(w.Value), `"duties"`)
+		case strings.HasPrefix(w.Write, duty.Under):
+			c.EntryWrites++
+			c.storedPage(w.Value)
+		case strings.HasPrefix(w.Write, fleet.UnderRentals):
+			name := w.Write[strings.LastIndex(w.Write, "/")+1:]
+			c.entered[name] = duty.Entry{Duty: duty.Renting, Target: name}
+		}
+	}
+}
+
+func (c *ActionCheck) storedPage(value json.RawMessage) {
+	entries, err := duty.ReadPage(value)
+	if err != nil {
+		c.cluster.Break(Expectation, "a page of the log of duties cannot be read: %v", err)
+		return
+	}
+	for _, e := range entries {
+		c.entered[e.Target] = e
+		if c.FirstBy[e.Token].IsZero() {
+			c.FirstBy[e.Token] = c.cluster.Clock.Now()
+		}
+	}
+}
+
+// open tells whether a machine's entry is in the log as it is stored now.
+func (c *ActionCheck) open(target string) bool {
+	for key, it := range c.state.Keys {
+		if !strings.HasPrefix(key, duty.Under) {
+			continue
+		}
+		entries, err := duty.ReadPage(it.Value)
+		if err != nil {
+			continue // told when it was written
+		}
+		for _, e := range entries {
+			if e.Target == target {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// recorded tells whether a rental's record is there.
+func (c *ActionCheck) recorded(name string) bool {
+	for key := range c.state.Keys {
+		if strings.HasPrefix(key, fleet.UnderRentals) && strings.HasSuffix(key, "/"+name) {
+			return true
+		}
+	}
+	return false
+}
+
+// rented is told of a rental that the cloud has just carried out for the first time.
+func (c *ActionCheck) rented(name string) {
+	if !c.active {
+		return
+	}
+	c.Effects[duty.Renting]++
+	if _, ok := c.entered[name]; !ok {
+		c.cluster.Break(NotEntered, "rental %s", name)
+	} else if !c.recorded(name) {
+		c.cluster.Break(StaleAction, "rental %s is carried out after it was settled", name)
+	}
+}
+
+// deleted is told of a machine that the cloud is about to delete.
+func (c *ActionCheck) deleted(host string) {
+	if !c.active {
+		return
+	}
+	e, ok := c.entered[host]
+	if !ok {
+		c.cluster.Break(NotEntered, "deletion of %s", host)
+		return
+	}
+	c.Effects[e.Duty]++
+	if !c.open(host) {
+		c.cluster.Break(StaleAction, "%s is deleted after its entry was settled", host)
+	}
+	w := c.cluster.Workers[host]
+	if w == nil {
+		return // it is still booting
+	}
+	for _, t := range w.Tasks {
+		if t.OnMachine() && (e.Duty == duty.Returning || tokenOf(t) > e.Token) {
+			c.cluster.Break(WorkReturned, "%s is deleted with attempt %d of %s on it, entered for %s under token %d", host, t.Attempt, t.Job.Spec.ID, e.Duty, e.Token)
+		}
+	}
+}
+
+// started is told of a task that a machine starts.
+func (c *ActionCheck) started(w *Worker, t *Task) {
+	e, ok := c.entered[w.Host.ID]
+	if ok && c.active && tokenOf(t) > e.Token {
+		c.cluster.Break(WorkGiven, "%s gets attempt %d, entered for %s under token %d", w.Host.ID, t.Attempt, e.Duty, e.Token)
+	}
+}
+
+// tokenOf is the token of the tenure that started an attempt.
+func tokenOf(t *Task) uint64 { return t.Attempt >> tuning.AttemptBits }
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -23,6 +23,8 @@
 	Address      func(n int) string
 	Booted       func(h *CloudHost)
 	Ended        func(h *CloudHost)
+	OnRent       func(name string) // told of each rental carried out; nil: nobody
+	OnDelete     func(host string) // told of each machine about to be deleted; nil: nobody
 
 	clk     *Clock
 	rng     *rand.Rand
@@ -89,6 +91,9 @@
 		return c.rent(call.Rental)
 	case fleet.OpDelete:
 		for _, id := range call.Hosts {
+			if c.OnDelete != nil && c.Hosts[id] != nil {
+				c.OnDelete(id)
+			}
 			c.Remove(id)
 		}
 		return fleet.Result{Status: 200}
@@ -106,6 +111,9 @@
 	if n <= 0 {
 		return fleet.Result{Status: 503, Error: fleet.NoCapacity}
 	}
+	if c.OnRent != nil {
+		c.OnRent(request.Rental)
+	}
 	c.Room[kind] -= n
 	var names []string
 	for range n {
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -67,6 +67,8 @@
 	Broken  []Violation
 	// CompletedHook is told of each job whose last task has just completed; nil: nobody.
 	CompletedHook func(j *Job)
+	// Started is told of each start of a task; nil: nobody.
+	Started func(w *Worker, t *Task)
 
 	rng     *rand.Rand
 	network Network
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -256,6 +256,9 @@
 		if !w.Images[j.Spec.Bundle] {
 			t.Until = t.Until.Add(w.Fetch)
 		}
+		if w.cluster.Started != nil {
+			w.cluster.Started(w, t)
+		}
 	}
 	// refused starts are listed too until they are reaped
 	w.Tasks = append(w.Tasks, t)
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -67,6 +67,9 @@
 	return r.ver
 }
 
+// Newest is the version of the newest wanted value.
+func (r *Record) Newest() int { return r.ver }
+
 // Settled tells whether the newest wanted value is durable.
 func (r *Record) Settled() bool { return r.kept == r.ver }
 
--- a/internal/tuning/fleet.go
+++ b/internal/tuning/fleet.go
@@ -79,3 +79,18 @@
 	// RentalRest is the waiting work, in tasks, not worth another machine.
 	RentalRest = 0.5
 )
+
+// Duties.
+const (
+	// EntriesEvery is how often a page of the log of duties is written: machines are
+	// returned by tens at a time, and each waits for its entry.
+	EntriesEvery = 250 * time.Millisecond
+	// EntriesMost is how many actions may be entered and not settled. It is four times
+	// the largest fleet measured; further ones wait for room.
+	EntriesMost = 16000
+	// LateCall is how long a call that nobody answered is expected to come late: until
+	// then a rental that was refused meanwhile is asked for again by its name.
+	LateCall = 3 * time.Minute
+	// DutyEntriesShown bounds the entries of one duty in an answer to an operator.
+	DutyEntriesShown = 50
+)
--- a/internal/tuning/process.go
+++ b/internal/tuning/process.go
@@ -102,3 +102,14 @@
 	// program's text and the runtime's own memory take the rest.
 	MemoryShare = 0.6
 )
+
+// Clock and traces.
+const (
+	// SuspendedLeast is from which difference of two clocks on the machine counts as
+	// having been suspended: they are read one after the other.
+	SuspendedLeast = 100 * time.Millisecond
+	// TraceQueue is how many spans may wait to be written, and TraceEvery how often they
+	// are: when there are more, the rest is dropped, as nothing waits for them.
+	TraceQueue = 2048
+	TraceEvery = 1 * time.Second
+)
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -86,6 +86,8 @@
 	Blames   map[string]int // failures by job
 	DoBusy   bool           // a direct command is under way
 	OpenDo   int            // direct commands that nobody answered, in this session
+	// LeaseOver: it is being deleted and its lease is surely over: nothing is on it.
+	LeaseOver bool
 }
 
 // Usable tells whether new work may be drawn to the machine.
@@ -281,6 +283,8 @@
 			}
 			if m.State == Silent {
 				r.Set(now, m, Lapsed, "lease surely over")
+			} else if now.After(unheardUntil) {
+				m.LeaseOver = true
 			}
 			if m.Busy > 0 {
 				over = append(over, m)
