--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -38,6 +38,9 @@
 // Now is the time, as of the last Advance if the machine was suspended since.
 func (c *Clock) Now() time.Time { return time.Now().Add(time.Duration(c.added.Load())) }
 
+// Moved is by how much the clock has been moved forward since the start.
+func (c *Clock) Moved() time.Duration { return time.Duration(c.added.Load()) }
+
 // Advance looks whether the machine was suspended, and tells the time. It is called before
 // whatever a lease that may have ended must not do.
 func (c *Clock) Advance() time.Time {
--- a/internal/integration/benchmark_test.go
+++ b/internal/integration/benchmark_test.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/pprof"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -18,12 +19,14 @@
 	"juniperchute/internal/config"
 	"juniperchute/internal/node"
 	"juniperchute/internal/standin"
+	"juniperchute/internal/switches"
 	"juniperchute/internal/tuning"
 )
 
 // Variables of the environment of benchmarks.
 const (
 	controllerVariable = "INTEGRATION_CONTROLLER" // a settings file: this process is a controller
+	switchesVariable   = "INTEGRATION_SWITCHES"   // a file of switches for that controller
 	profileVariable    = "INTEGRATION_PROFILE"    // a prefix of the names of profiles
 )
 
@@ -44,10 +47,29 @@
 		}
 		defer stop()
 	}
+	options := node.Options{Blocks: tuning.Blocks}
+	if file := os.Getenv(switchesVariable); file != "" {
+		if options.Switches, err = switches.Load(file); err != nil {
+			return err
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("member", cfg.Member)
-	return node.NewRuntime(cfg, node.Options{Blocks: tuning.Blocks}, clock.New(nil), log, rand.New(rand.NewPCG(1, uint64(os.Getpid())))).Run(ctx)
+	return node.NewRuntime(cfg, options, jumpingClock(), log, rand.New(rand.NewPCG(1, uint64(os.Getpid())))).Run(ctx)
+}
+
+// jumpingClock is a clock that a signal moves forward, as if the machine had slept.
+func jumpingClock() *clock.Clock {
+	var jumps atomic.Int64
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	go func() {
+		for range signals {
+			jumps.Add(1)
+		}
+	}()
+	return clock.New(func() (time.Duration, error) { return time.Duration(jumps.Load()) * clockJump, nil })
 }
 
 // profile begins a processor profile; stop ends it and writes the allocations too.
@@ -78,6 +100,13 @@
 	return rec.Holder
 }
 
+// currentToken is the token of the block's newest tenure; the lock is held.
+func (d *deployment) currentToken() uint64 {
+	var rec struct{ Baton uint64 }
+	_ = json.Unmarshal(d.state.Keys["c/b/0"].Value, &rec)
+	return rec.Baton
+}
+
 // holding is the controller that holds the block, nil if there is none; the lock is held.
 func (d *deployment) holding() *process {
 	if i := d.NodeIndex(d.holderName()); i >= 0 {
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -44,6 +44,7 @@
 	nodes   []*process
 	users   *http.Client
 	doPort  int
+	gate    gate
 
 	mu        sync.Mutex // of all that follows, and of the stand-ins
 	clk       *standin.Clock
--- a/internal/integration/http_test.go
+++ b/internal/integration/http_test.go
@@ -52,9 +52,11 @@
 func (d *deployment) serveState(w http.ResponseWriter, req *http.Request) {
 	c := stateCall(req)
 	ch := make(chan store.Result, 1)
+	d.gate.pass(onTheWay, c)
 	d.locked(func() { d.state.Call(c, func(r store.Result) { ch <- r }) })
 	select {
 	case r := <-ch:
+		d.gate.pass(answered, c)
 		if c.Op == store.OpGet && r.Status == http.StatusOK {
 			reply(w, r.Status, r.Item)
 			return
@@ -79,7 +81,9 @@
 		_ = json.Unmarshal(raw, &c.Rental)
 	}
 	var r fleet.Result
+	d.gate.pass(onTheWay, c)
 	d.locked(func() { r = d.cloud.Call(c) })
+	d.gate.pass(answered, c)
 	switch {
 	case r.Status != http.StatusOK:
 		reply(w, r.Status, map[string]string{"error": r.Error})
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -198,6 +198,18 @@
 	}
 }
 
+// ClockMoved is told that the clock was moved forward. This process's own lease may have
+// ended by it, which is safe. That a worker's lease is over must not be concluded from time
+// that may not have passed: all tenures end, and whoever holds the blocks next waits for
+// leases from its own beginning.
+func (c *Core) ClockMoved(now time.Time) {
+	for _, t := range c.tenures {
+		if t.state != tenureOver {
+			t.end(now, "the clock was moved forward")
+		}
+	}
+}
+
 // Tick starts what is due.
 func (c *Core) Tick(now time.Time) {
 	if c.born.IsZero() {
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -31,6 +31,7 @@
 	log   *slog.Logger
 	clock *clock.Clock // by which leases are judged
 	core  *Core
+	moved time.Duration // by which the clock had been moved when the owner last looked
 	// What waits for the owner, each with a small buffer: results of its effects and
 	// peers' calls first, then workers' reports and users' requests in turn.
 	events  chan func(now time.Time)
@@ -188,6 +189,11 @@
 // machine that is what makes leases and reports late.
 func (r *Runtime) carry(what string, f func(now time.Time)) {
 	start := r.clock.Now()
+	if moved := r.clock.Moved(); moved != r.moved {
+		r.log.Warn("the clock was moved forward: this machine was suspended", "by", moved-r.moved)
+		r.moved = moved
+		r.core.ClockMoved(start)
+	}
 	f(start)
 	if took := r.clock.Now().Sub(start); took > tuning.SlowTurn {
 		r.log.Warn("the owner was busy", "with", what, "for", took, "events", len(r.events), "reports", len(r.reports), "requests", len(r.users))
--- a/internal/standin/actions.go
+++ b/internal/standin/actions.go
@@ -34,9 +34,6 @@
 	// Grace is how long after the log came in force calls that were made before may be
 	// carried out.
 	Grace time.Duration
-	// FirstBy is when each token's first action was entered.
-	FirstBy map[uint64]time.Time
-
 	cluster *Cluster
 	state   *StateService
 	entered map[string]duty.Entry // whatever was ever entered, by target
@@ -48,7 +45,7 @@
 
 // NewActionCheck makes a checker and has it watch the stand-ins.
 func NewActionCheck(cluster *Cluster, state *StateService, cloud *Cloud) *ActionCheck {
-	c := &ActionCheck{Effects: map[duty.Duty]int{}, FirstBy: map[uint64]time.Time{}, cluster: cluster, state: state, entered: map[string]duty.Entry{}}
+	c := &ActionCheck{Effects: map[duty.Duty]int{}, cluster: cluster, state: state, entered: map[string]duty.Entry{}}
 	before := state.OnCall
 	state.OnCall = func(call store.Call, status int) {
 		if before != nil {
@@ -89,12 +86,18 @@
 	}
 	for _, e := range entries {
 		c.entered[e.Target] = e
-		if c.FirstBy[e.Token].IsZero() {
-			c.FirstBy[e.Token] = c.cluster.Clock.Now()
-		}
 	}
 }
 
+// CarriedOut is how many actions were carried out.
+func (c *ActionCheck) CarriedOut() int {
+	n := 0
+	for _, count := range c.Effects {
+		n += count
+	}
+	return n
+}
+
 // open tells whether a machine's entry is in the log as it is stored now.
 func (c *ActionCheck) open(target string) bool {
 	for key, it := range c.state.Keys {
