--- a/internal/integration/upgrade_test.go
+++ b/internal/integration/upgrade_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -38,6 +41,7 @@
 type oldVersion struct {
 	name, commit string
 	knowsLimits  bool // it writes nothing beyond the limits to come
+	duties       bool // the new version has the log of duties switched on
 }
 
 // rollout is a deployment whose controllers are given another version.
@@ -46,8 +50,9 @@
 	t         *testing.T
 	old, new  string // programs
 	version   []string
-	large     bool // the old version fills values to the present limit
-	fallen    bool // the limits have fallen
+	switches  string // the new version's file of switches, "" for none
+	large     bool   // the old version fills values to the present limit
+	fallen    bool   // the limits have fallen
 	jobs      int
 	rng       *rand.Rand // of the users; the lock is held
 	endLoad   chan struct{}
@@ -70,6 +75,12 @@
 func newRollout(t *testing.T, from oldVersion) *rollout {
 	r := &rollout{t: t, large: !from.knowsLimits, old: binary(t, from.commit), new: binary(t, ""), rng: rand.New(rand.NewPCG(9, 9)), endLoad: make(chan struct{})}
 	r.deployment = newDeployment(t, upgradeFacts(), upgradeType(), upgradeMachines)
+	if from.duties {
+		r.switches = filepath.Join(t.TempDir(), "switches.toml")
+		if err := os.WriteFile(r.switches, []byte("duties = true\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
 	r.cloud.QuickBoots = true
 	r.state.Limits = standin.StateLimits{ValueBytes: presentValueKB * 1024, TxnOps: presentOps, Writes: presentWrites, Requests: presentRequests}
 	r.state.OnCall = r.checkWrites
@@ -87,7 +98,11 @@
 // run starts a controller in its version.
 func (r *rollout) run(i int) {
 	program := r.version[i]
-	r.nodes[i].start(func(settings string) *exec.Cmd { return exec.Command(program, "--config", settings) })
+	args := []string{"--config"}
+	if program == r.new && r.switches != "" {
+		args = []string{"--switches", r.switches, "--config"}
+	}
+	r.nodes[i].start(func(settings string) *exec.Cmd { return exec.Command(program, append(args, settings)...) })
 }
 
 // checkWrites checks that nothing is written beyond the limits once they have fallen.
@@ -229,6 +244,9 @@
 // finish ends the load and waits until every job has ended.
 func (r *rollout) finish() {
 	close(r.endLoad)
+	if r.switches != "" {
+		r.until("the log of duties in force", func() bool { return strings.Contains(string(r.state.Keys["c/switches"].Value), "duties") })
+	}
 	r.until("every job's end", func() bool {
 		return !slices.ContainsFunc(r.cluster.Order, func(j *standin.Job) bool { return !j.Ended() })
 	})
@@ -317,7 +335,7 @@
 			r.run(2)
 		}},
 	}
-	for _, from := range []oldVersion{{"production", production(t), false}, {"predecessor", predecessor, true}} {
+	for _, from := range []oldVersion{{"production", production(t), false, true}, {"predecessor", predecessor, true, false}} {
 		for _, s := range scenarios {
 			t.Run(from.name+"/"+s.name, func(t *testing.T) {
 				t.Parallel()
--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -1,67 +1,305 @@
 package node
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
-	"juniperchute/internal/config"
+	"juniperchute/internal/duty"
+	"juniperchute/internal/fleet"
+	"juniperchute/internal/peer/peerpb"
 	"juniperchute/internal/standin"
+	"juniperchute/internal/store"
+	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
 )
 
-// leanSimulation is a deployment of the size of a lean one in simulated time, loaded and
-// steady.
-func leanSimulation(load standin.Load) *simulation {
-	cfg := &config.Config{Member: "x", Area: "a", Facts: load.Facts()}
-	sim := newSimulation(nil, 5, cfg, 1, []wire.MachineType{standin.LargeType()})
-	sim.state.Page, sim.state.Kept, sim.cloud.Page = 1000, 10000, 500
-	sim.cloud.Room[standin.RoomKey(standin.LargeType().Name, "a", false)] = load.Machines
-	jobs := 0
-	array := func() { sim.add(load.Array(jobs), load.Run); jobs++ }
-	gang := func() { sim.add(load.Gang(jobs), load.Run); jobs++ }
-	for range load.Machines / 4 {
-		gang()
-		array()
-	}
-	const every = 100 * time.Millisecond
-	owedArrays, owedGangs := 0.0, 0.0
-	var more func()
-	more = func() {
-		owedArrays += load.ArraysPerS * every.Seconds()
-		owedGangs += load.GangsPerS * every.Seconds()
-		for ; owedArrays >= 1; owedArrays-- {
-			array()
+// dutiesSimulation is a deployment that keeps the log of duties, with work under way.
+func dutiesSimulation(t *testing.T) *simulation {
+	return steadySimulationOf(t, 11, 6, 8, (*simulation).keepDuties)
+}
+
+// entries are the targets in a block's log as it is stored.
+func (sim *simulation) entries() (out []string) {
+	for key, it := range sim.state.Keys {
+		if strings.HasPrefix(key, duty.Under) {
+			entries, err := duty.ReadPage(it.Value)
+			if err != nil {
+				sim.fail("%s: %v", key, err)
+			}
+			for _, e := range entries {
+				out = append(out, e.Target)
+			}
 		}
-		for ; owedGangs >= 1; owedGangs-- {
-			gang()
+	}
+	return out
+}
+
+// runUntil plays until something holds.
+func (sim *simulation) runUntil(what string, most time.Duration, holds func() bool) {
+	sim.t.Helper()
+	for end := sim.clk.Now().Add(most); !holds(); sim.runFor(10 * time.Millisecond) {
+		if sim.clk.Now().After(end) {
+			sim.t.Fatalf("after %v still not: %s", most, what)
 		}
-		sim.clk.In(every, more)
+		sim.requireUnbroken()
 	}
-	more()
-	sim.clk.RunUntil(standin.Epoch.Add(45 * time.Second))
-	return sim
 }
 
-// BenchmarkSteady measures a second of a lean deployment's decisions, at all its
-// controllers, without what carries them out. The stand-ins' time is in it.
-func BenchmarkSteady(b *testing.B) {
-	for _, load := range standin.LeanLoads() {
-		b.Run(load.Name, func(b *testing.B) {
-			sim := leanSimulation(load)
-			first := sim.longestTurn
-			sim.longestTurn = 0
-			b.ReportAllocs()
-			b.ResetTimer()
-			for range b.N {
-				sim.clk.RunUntil(sim.clk.Now().Add(time.Second))
+// A holder that loses the state service, the cloud, or its process between the entry of a
+// return and the call: whoever holds the block then completes it.
+func TestLossesBetweenEntryAndCall(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(sim *simulation, holder *simulatedNode)
+	}{
+		{"the state service is out for all", func(sim *simulation, _ *simulatedNode) { sim.stateOutage(20 * time.Second) }},
+		{"the state service refuses the holder", func(sim *simulation, holder *simulatedNode) {
+			holder.stateRefused = true
+			sim.clk.In(20*time.Second, func() { holder.stateRefused = false })
+		}},
+		{"the holder is cut off from the state service, and what it sent comes late", func(sim *simulation, holder *simulatedNode) {
+			holder.stateCut = true
+			sim.clk.In(20*time.Second, holder.restoreState)
+		}},
+		{"the cloud is out", func(sim *simulation, _ *simulatedNode) {
+			sim.cloud.Down = true
+			sim.clk.In(20*time.Second, func() { sim.cloud.Down = false })
+		}},
+		{"the holder's calls of the cloud come late", func(sim *simulation, holder *simulatedNode) {
+			holder.cloudCut = true
+			sim.clk.In(3*time.Second, func() { holder.crash(time.Second) })
+			sim.clk.In(20*time.Second, func() { holder.cloudCut = false })
+		}},
+		{"the holder ends, and its successor within a second", func(sim *simulation, holder *simulatedNode) {
+			holder.crash(500 * time.Millisecond)
+			sim.runUntil("a successor", 20*time.Second, func() bool {
+				for _, n := range sim.nodes {
+					if t := n.core.tenures[0]; n.alive && n != holder && t != nil && t.state != tenureOver {
+						n.crash(300 * time.Millisecond)
+						return true
+					}
+				}
+				return false
+			})
+		}},
+		{"all end", func(sim *simulation, _ *simulatedNode) {
+			for _, n := range sim.nodes {
+				n.crash(time.Second)
 			}
-			b.StopTimer()
-			b.ReportMetric(float64(len(sim.machines)), "machines")
-			b.ReportMetric(float64(sim.longestTurn.Microseconds()), "us/longest-turn")
-			b.ReportMetric(float64(first.Microseconds()), "us/longest-turn-at-first")
-			if sim.holder() == nil {
-				b.Fatal("no holder")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := dutiesSimulation(t)
+			sim.runUntil("an entry", 2*time.Minute, func() bool { return len(sim.entries()) > 0 })
+			holder := sim.holder()
+			if holder == nil {
+				t.Fatal("nobody holds the block")
+			}
+			entered := sim.entries()
+			c.lose(sim, holder)
+			sim.runFor(40 * time.Second)
+			for _, host := range entered {
+				if sim.machines[host] != nil {
+					t.Errorf("%s was entered and is still there", host)
+				}
+			}
+			sim.settle()
+		})
+	}
+}
+
+// A machine that an earlier tenure used, is being deleted, and answers under an older
+// token: what is on it is still not known, so the tenure must not count it as heard.
+func TestDeletingMachineIsHeardByItsTokenOnly(t *testing.T) {
+	sim := steadySimulation(t, 6, 8)
+	sim.cloud.Down = true // nothing is deleted
+	var cut *machine
+	for _, host := range sim.hosts() {
+		if m := sim.machines[host]; len(m.Tasks) > 0 && m.Tasks[0].OnMachine() {
+			cut = m
+		}
+	}
+	cut.partitioned = true
+	sim.holder().crash(time.Hour)
+	var tenure *tenure
+	sim.runUntil("a tenure that deletes the machine", 20*time.Second, func() bool {
+		for _, n := range sim.nodes {
+			if o := n.core.tenures[0]; n.alive && o != nil && o.state == tenureFencing {
+				if m := o.reg.Get(cut.Host.ID); m != nil && m.State == worker.Deleting {
+					tenure = o
+					return true
+				}
+			}
+		}
+		return false
+	})
+	old := cut.Report()
+	tenure.Report(sim.clk.Now(), old, func(int, any) {})
+	if m := tenure.reg.Get(cut.Host.ID); m.Answered.IsZero() {
+		t.Fatal("the older report was not answered: this tests nothing")
+	}
+	sim.runFor(500 * time.Millisecond)
+	if tenure.state != tenureFencing {
+		t.Errorf("%v although it is not known what is on %s", tenure.state, cut.Host.ID)
+	}
+	sim.cloud.Down, cut.partitioned = false, false
+	sim.release(cut)
+	sim.settle()
+}
+
+// Thousands of entries to complete after a takeover: within the rates of cloud and state
+// service, and nothing else waits for the last of them.
+func TestManyEntriesAfterATakeover(t *testing.T) {
+	const (
+		machines, perRental, perPage = largeFleet, 50, 80
+		cloudRPS, writesPerS         = 4, 20
+		most                         = 90 * time.Second
+	)
+	cfg := facts([]string{"a"}, steadyTeams, 4, 18)
+	cfg.Facts.Cloud.RPS = cloudRPS
+	sim := newSimulation(t, 5, cfg, 1, []wire.MachineType{smallType})
+	sim.checkEvery = time.Second
+	sim.state.Page, sim.cloud.Page = tuning.ListPage, tuning.CloudPage
+	sim.keepDuties()
+	put := func(key string, value any) {
+		sim.state.Call(store.Call{Op: store.OpMulti, Multi: wire.Multi{Writes: []wire.Write{store.Put(key, value, 0)}}}, func(store.Result) {})
+	}
+	type entry struct {
+		Duty  duty.Duty
+		Token uint64
+		At    int64
+	}
+	page, names := map[string]entry{}, []string{}
+	for i := range machines {
+		id := fmt.Sprintf("i-%06d", i)
+		host := wire.Host{ID: id, Address: addressPrefix + id, Type: smallType.Name, Zone: "a", Stage: wire.HostRunning}
+		sim.cloud.Hosts[id] = &standin.CloudHost{Born: sim.clk.Now(), Host: host}
+		sim.booted(sim.cloud.Hosts[id])
+		page[id], names = entry{duty.Returning, 0, sim.clk.Now().UnixMilli()}, append(names, id)
+		if len(names) == perRental {
+			put(fmt.Sprintf("%sb0-0-%d", fleet.Rentals(0), i), fleet.RentalRec{Type: smallType.Name, Zone: "a", Number: perRental, Hosts: names})
+			names = nil
+		}
+		if len(page) == perPage {
+			put(fmt.Sprintf("%s%d", duty.LogUnder(0), i/perPage), page)
+			page = map[string]entry{}
+		}
+	}
+	sim.cloud.Created = machines
+	sim.cloud.Room[standin.RoomKey(smallType.Name, "a", false)] = 8
+	sim.state.Limits = standin.StateLimits{ValueBytes: 4 << 10, TxnOps: 8, Writes: writesPerS, Requests: 200}
+	refused := 0
+	check := sim.state.OnCall
+	sim.state.OnCall = func(c store.Call, status int) {
+		check(c, status)
+		if status == 429 {
+			refused++
+		}
+	}
+	j := sim.add(steadyJob(1), 5*time.Second)
+	sim.runFor(40 * time.Second)
+	if !j.Ended() {
+		t.Errorf("a job waits for the entries: it is %q", j.Told)
+	}
+	began := sim.clk.Now()
+	for len(sim.entries()) > 0 && sim.clk.Now().Sub(began) < most {
+		sim.runFor(time.Second)
+	}
+	if left := len(sim.entries()); left > 0 {
+		t.Errorf("%d entries are left after %v", left, sim.clk.Now().Sub(standin.Epoch))
+	}
+	if n := sim.actions.Effects[duty.Returning]; n < machines {
+		t.Errorf("%d deletions", n)
+	}
+	t.Logf("%d entries completed and forgotten after %v; %d calls of the state service were refused", machines, sim.clk.Now().Sub(standin.Epoch), refused)
+	sim.settle()
+}
+
+// What an operator is told of the duties, asked of the holder and of others, and while
+// nobody has the block.
+func TestDutiesTold(t *testing.T) {
+	sim := dutiesSimulation(t)
+	sim.runUntil("an entry", 2*time.Minute, func() bool { return len(sim.entries()) > 0 })
+	holder := sim.holder()
+	host := sim.entries()[0]
+	ask := func(n *simulatedNode) (reply *peerpb.DutiesReply) {
+		n.core.Duties(sim.clk.Now(), func(r *peerpb.DutiesReply, err error) {
+			if err != nil {
+				t.Errorf("%s: %v", n.name, err)
 			}
+			reply = r
 		})
+		sim.runFor(200 * time.Millisecond)
+		if reply == nil {
+			t.Fatalf("%s does not answer", n.name)
+		}
+		return reply
+	}
+	names := func(r *peerpb.DutiesReply) (out []string) {
+		for _, d := range r.Blocks[0].Duties {
+			for _, a := range d.Actions {
+				out = append(out, a.Target)
+			}
+		}
+		return out
+	}
+	sim.cloud.Down = true // so that it stays unsettled
+	token := holder.core.tenures[0].Token
+	for _, n := range sim.nodes {
+		r := ask(n)
+		b := r.Blocks[0]
+		if !r.InForce || b.Holder != holder.name || !b.Live || b.Token != token || b.SinceMs == 0 || (b.State == "open") != (n == holder) {
+			t.Errorf("%s: %+v", n.name, r)
+		}
+		if !strings.Contains(strings.Join(names(r), " "), host) {
+			t.Errorf("%s does not tell of %s: %v", n.name, host, names(r))
+		}
+	}
+	holder.crash(time.Hour)
+	sim.runFor(500 * time.Millisecond)
+	var other *simulatedNode
+	for _, n := range sim.nodes {
+		if n != holder {
+			other = n
+		}
+	}
+	if r := ask(other); r.Blocks[0].Holder != holder.name {
+		t.Errorf("right after the crash: %+v", r.Blocks[0])
+	}
+	sim.runUntil("a record without a live holder", 10*time.Second, func() bool {
+		_, _, live := other.core.leader.Holder(0)
+		return !live
+	})
+	if r := ask(other); r.Blocks[0].Live && r.Blocks[0].Holder == holder.name {
+		t.Errorf("during the takeover: %+v", r.Blocks[0])
+	}
+	sim.runFor(5 * time.Second)
+	sim.stateOutage(20 * time.Second)
+	sim.runFor(5 * time.Second)
+	if r := ask(other); r.EntriesAgeMs < 4000 || r.HoldersAgeMs < 3000 || len(names(r)) == 0 {
+		t.Errorf("in an outage: entries %d ms old, holders %d ms, %v", r.EntriesAgeMs, r.HoldersAgeMs, names(r))
+	}
+	sim.cloud.Down = false
+	sim.runFor(30 * time.Second)
+	sim.settle()
+}
+
+// A process whose clock was moved forward ends its tenures, and concludes nothing from the
+// time that may not have passed.
+func TestClockMoved(t *testing.T) {
+	sim := dutiesSimulation(t)
+	holder := sim.holder()
+	before := holder.core.tenures[0]
+	holder.core.ClockMoved(sim.clk.Now())
+	if before.state != tenureOver {
+		t.Fatalf("the tenure is %v", before.state)
+	}
+	sim.runFor(10 * time.Second)
+	if next := sim.holder(); next == nil || next.core.tenures[0].Token <= before.Token {
+		t.Error("no tenure under a newer token")
 	}
+	sim.settle()
 }
--- a/internal/node/runtime_test.go
+++ b/internal/node/runtime_test.go
@@ -10,11 +10,13 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"juniperchute/internal/clock"
 	"juniperchute/internal/config"
+	"juniperchute/internal/fleet"
 	"juniperchute/internal/store"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
@@ -107,3 +109,74 @@
 	}
 	return n
 }
+
+// What a lease that ended while the machine was suspended must not do is not sent, and
+// the owner is told before it handles anything else.
+func TestSuspendedBeforeAnEffect(t *testing.T) {
+	asked := make(chan string, 10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		asked <- req.URL.Path
+		fmt.Fprint(w, `{"Host":"i-1"}`)
+	}))
+	defer srv.Close()
+	address := srv.Listener.Addr().String()
+	r := effects(t, "127.0.0.1:1")
+	r.cloud = fleet.NewClient(address, http.DefaultTransport)
+	var suspended atomic.Int64
+	r.clock = clock.New(func() (time.Duration, error) { return time.Duration(suspended.Load()), nil })
+	deadline := r.clock.Now().Add(10 * time.Second)
+	answered := map[string]int{}
+	send := func() {
+		r.Cloud(fleet.Call{Op: fleet.OpDelete, Hosts: []string{"i-1"}, By: deadline}, func(_ time.Time, res fleet.Result) { answered["cloud"] = res.Status })
+		r.Do(address, wire.Do{Commands: []wire.Command{{Verb: wire.VerbRun}}}, deadline, func(_ time.Time, status int, _ *wire.Report) { answered["worker"] = status })
+		for range 2 {
+			(<-r.events)(r.clock.Now())
+		}
+	}
+	send()
+	if len(asked) != 2 || answered["cloud"] != http.StatusOK || answered["worker"] != http.StatusOK {
+		t.Fatalf("before: %v, %d calls", answered, len(asked))
+	}
+	suspended.Store(int64(time.Minute))
+	send()
+	if len(asked) != 2 || answered["cloud"] != 0 || answered["worker"] != NotSent {
+		t.Errorf("after: %v, %d calls", answered, len(asked))
+	}
+	told := time.Duration(0)
+	r.carry("event", func(time.Time) { told = r.moved })
+	if told < time.Minute {
+		t.Errorf("the owner was told of %v", told)
+	}
+}
+
+// A machine that is younger than what is known of the rentals may be another block's.
+func TestForeign(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cfg := facts([]string{"a"}, []config.Team{{Name: "red"}}, 1.5, 10)
+	held := &heldState{}
+	core := NewCore(cfg, Options{Blocks: 2}, held, rand.New(rand.NewPCG(1, 1)), func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	core.rentals.Tick(now)
+	held.then(now, store.Result{Status: 200, Sent: now, Revision: 5, Items: []wire.Item{
+		{Path: "h/1/b1-2-1", Value: []byte(`{"Number":1,"Hosts":["i-1"]}`), Version: 4}}})
+	for _, c := range []struct {
+		name, host string
+		there      time.Time
+		want       bool
+	}{
+		{"named by the other block's rental", "i-1", now.Add(-time.Minute), true},
+		{"named by none", "i-2", now.Add(-time.Minute), false},
+		{"there after the rentals were read", "i-2", now.Add(time.Second), true},
+	} {
+		if got := core.foreign(0, c.host, c.there); got != c.want {
+			t.Errorf("%s: foreign %v", c.name, got)
+		}
+	}
+}
+
+// heldState is an Env that keeps the newest call of the state service.
+type heldState struct {
+	Env
+	then func(now time.Time, r store.Result)
+}
+
+func (e *heldState) State(_ store.Call, then func(now time.Time, r store.Result)) { e.then = then }
--- /dev/null
+++ b/internal/node/steady_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"juniperchute/internal/config"
+	"juniperchute/internal/standin"
+	"juniperchute/internal/wire"
+)
+
+// leanSimulation is a deployment of the size of a lean one in simulated time, loaded and
+// steady.
+func leanSimulation(load standin.Load) *simulation {
+	cfg := &config.Config{Member: "x", Area: "a", Facts: load.Facts()}
+	sim := newSimulation(nil, 5, cfg, 1, []wire.MachineType{standin.LargeType()})
+	sim.state.Page, sim.state.Kept, sim.cloud.Page = 1000, 10000, 500
+	sim.cloud.Room[standin.RoomKey(standin.LargeType().Name, "a", false)] = load.Machines
+	jobs := 0
+	array := func() { sim.add(load.Array(jobs), load.Run); jobs++ }
+	gang := func() { sim.add(load.Gang(jobs), load.Run); jobs++ }
+	for range load.Machines / 4 {
+		gang()
+		array()
+	}
+	const every = 100 * time.Millisecond
+	owedArrays, owedGangs := 0.0, 0.0
+	var more func()
+	more = func() {
+		owedArrays += load.ArraysPerS * every.Seconds()
+		owedGangs += load.GangsPerS * every.Seconds()
+		for ; owedArrays >= 1; owedArrays-- {
+			array()
+		}
+		for ; owedGangs >= 1; owedGangs-- {
+			gang()
+		}
+		sim.clk.In(every, more)
+	}
+	more()
+	sim.clk.RunUntil(standin.Epoch.Add(45 * time.Second))
+	return sim
+}
+
+// BenchmarkSteady measures a second of a lean deployment's decisions, at all its
+// controllers, without what carries them out. The stand-ins' time is in it.
+func BenchmarkSteady(b *testing.B) {
+	for _, load := range append(standin.LeanLoads(), standin.LargestLoad()) {
+		b.Run(load.Name, func(b *testing.B) {
+			sim := leanSimulation(load)
+			first := sim.longestTurn
+			sim.longestTurn = 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				sim.clk.RunUntil(sim.clk.Now().Add(time.Second))
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(len(sim.machines)), "machines")
+			b.ReportMetric(float64(sim.longestTurn.Microseconds()), "us/longest-turn")
+			b.ReportMetric(float64(first.Microseconds()), "us/longest-turn-at-first")
+			if sim.holder() == nil {
+				b.Fatal("no holder")
+			}
+		})
+	}
+}
--- a/internal/standin/actions.go
+++ b/internal/standin/actions.go
@@ -33,11 +33,12 @@
 	EntryWrites int
 	// Grace is how long after the log came in force calls that were made before may be
 	// carried out.
-	Grace time.Duration
+	Grace   time.Duration
 	cluster *Cluster
 	state   *StateService
-	entered map[string]duty.Entry // whatever was ever entered, by target
-	inForce time.Time             // since when the log has been; zero: it has not
+	entered map[string]duty.Entry      // whatever was ever entered, by target
+	pages   map[string]map[string]bool // the targets in each page of the log as stored now
+	inForce time.Time                  // since when the log has been; zero: it has not
 }
 
 // inForceKey is the record that tells which switches are in force.
@@ -45,7 +46,7 @@
 
 // NewActionCheck makes a checker and has it watch the stand-ins.
 func NewActionCheck(cluster *Cluster, state *StateService, cloud *Cloud) *ActionCheck {
-	c := &ActionCheck{Effects: map[duty.Duty]int{}, cluster: cluster, state: state, entered: map[string]duty.Entry{}}
+	c := &ActionCheck{Effects: map[duty.Duty]int{}, cluster: cluster, state: state, entered: map[string]duty.Entry{}, pages: map[string]map[string]bool{}}
 	before := state.OnCall
 	state.OnCall = func(call store.Call, status int) {
 		if before != nil {
@@ -70,7 +71,9 @@
 			}
 		case strings.HasPrefix(w.Write, duty.Under):
 			c.EntryWrites++
-			c.storedPage(w.Value)
+			c.storedPage(w.Write, w.Value)
+		case strings.HasPrefix(w.Remove, duty.Under):
+			delete(c.pages, w.Remove)
 		case strings.HasPrefix(w.Write, fleet.UnderRentals):
 			name := w.Write[strings.LastIndex(w.Write, "/")+1:]
 			c.entered[name] = duty.Entry{Duty: duty.Renting, Target: name}
@@ -78,14 +81,16 @@
 	}
 }
 
-func (c *ActionCheck) storedPage(value json.RawMessage) {
+func (c *ActionCheck) storedPage(key string, value json.RawMessage) {
 	entries, err := duty.ReadPage(value)
 	if err != nil {
 		c.cluster.Break(Expectation, "a page of the log of duties cannot be read: %v", err)
 		return
 	}
+	c.pages[key] = map[string]bool{}
 	for _, e := range entries {
 		c.entered[e.Target] = e
+		c.pages[key][e.Target] = true
 	}
 }
 
@@ -100,18 +105,9 @@
 
 // open tells whether a machine's entry is in the log as it is stored now.
 func (c *ActionCheck) open(target string) bool {
-	for key, it := range c.state.Keys {
-		if !strings.HasPrefix(key, duty.Under) {
-			continue
-		}
-		entries, err := duty.ReadPage(it.Value)
-		if err != nil {
-			continue // told when it was written
-		}
-		for _, e := range entries {
-			if e.Target == target {
-				return true
-			}
+	for _, targets := range c.pages {
+		if targets[target] {
+			return true
 		}
 	}
 	return false
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -24,6 +24,17 @@
 	CancelAsked bool
 	CancelledAt time.Time // when its user was told that it is cancelled
 	AnsweredAt  time.Time // when a question about it was last answered
+
+	workers []*Worker // that were given tasks of it, and may have some
+}
+
+// workersWithTasks lists the workers that have tasks of the job, in the order in which
+// they were first given one.
+func (j *Job) workersWithTasks() []*Worker {
+	j.workers = slices.DeleteFunc(j.workers, func(w *Worker) bool {
+		return !slices.ContainsFunc(w.Tasks, func(t *Task) bool { return t.Job == j })
+	})
+	return j.workers
 }
 
 // NewJob makes a job that nobody has submitted yet.
@@ -118,8 +129,7 @@
 // members lists the tasks of a gang's attempt that are on machines.
 func (c *Cluster) members(t *Task) []member {
 	var out []member
-	for _, name := range c.Names() {
-		w := c.Workers[name]
+	for _, w := range t.Job.workersWithTasks() {
 		for _, o := range w.Tasks {
 			if o.Job == t.Job && o.Attempt == t.Attempt && o.OnMachine() {
 				out = append(out, member{w, o})
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// LargestLoad is one of 4,000 machines, the most that one holder was measured with.
+func LargestLoad() Load {
+	return Load{Name: "4,000 machines", Nodes: 3, Machines: 4000, Limits: config.Limits{CPU: 0.432, MemoryMB: 271, Sockets: 2179}, ReportS: 5, LeaseS: 26.5,
+		ArraysPerS: 2.4, GangsPerS: 3.5, Tasks: 150, Run: 60 * time.Second, RequestsPerS: 400, WritesPerS: 40}
+}
+
 // LargeType is the machine type that loads are played on.
 func LargeType() wire.MachineType {
 	return wire.MachineType{Name: "g8", Vcpus: 64, Gpus: 8, MemGb: 384, FetchGbPerS: 1, Price: 5, LowPrice: 2, BootS: 5, Zones: []string{"a"}}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -61,8 +61,7 @@
 func (c *Cluster) checkStart(w *Worker, j *Job, n int) {
 	name := wire.TaskName(j.Spec.ID, n)
 	zones := map[string]int{}
-	for _, host := range c.Names() {
-		other := c.Workers[host]
+	for _, other := range j.workersWithTasks() {
 		for _, t := range other.Tasks {
 			if t.Job != j || !t.OnMachine() {
 				continue
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -262,6 +262,9 @@
 	}
 	// refused starts are listed too until they are reaped
 	w.Tasks = append(w.Tasks, t)
+	if !slices.Contains(j.workers, w) {
+		j.workers = append(j.workers, w)
+	}
 }
 
 func (w *Worker) stop(t *Task, windDown *float64) {
