--- a/internal/duty/log_test.go
+++ b/internal/duty/log_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,6 +91,23 @@
 	}
 }
 
+// No change of stage but the allowed ones is carried out, whoever asks for it.
+func TestFollows(t *testing.T) {
+	allowed := map[Stage][]Stage{Entering: {Entered}, Entered: {Sent, Settled}, Sent: {Entered, Settled}}
+	for from := Entering; from <= Settled; from++ {
+		for to := Entering; to <= Settled; to++ {
+			x := newTestLog(true)
+			x.Enter(now, Returning, "i-1", "idle")
+			a := x.action("i-1")
+			a.stage = from
+			want := slices.Contains(allowed[from], to)
+			if got := x.set(now, a, to, "test"); got != want || want != (a.stage == to && from != to) {
+				t.Errorf("%v to %v: %v, then %v", from, to, got, a.stage)
+			}
+		}
+	}
+}
+
 // What one write enters: several actions share it, and each waits for it.
 func TestEntriesShareWrites(t *testing.T) {
 	x := newTestLog(true)
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"juniperchute/internal/duty"
+	"juniperchute/internal/store"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 	"juniperchute/internal/worker"
@@ -132,6 +133,42 @@
 	}
 }
 
+// An older version of the record, which becomes durable later, names the machine still.
+func TestEntryOutlivesAnOlderVersion(t *testing.T) {
+	y := logged(t)
+	y.taken(`{"Build":"g2","Yard":"a","Number":3,"Hosts":["i-1","i-2","i-3"]}`)
+	end := func(host string) {
+		y.s.giveUp(y.now, y.reg.Get(host), returned("idle"))
+		y.durable() // its entry, and whatever is not durable yet
+		y.pass(tuning.EntriesEvery)
+		y.durable()
+		y.s.delete(y.now)
+		y.take(OpDelete, Result{Status: 200})
+	}
+	end("i-1")
+	y.pass(0) // the record without i-1 is being written
+	older := y.kvs
+	y.kv, y.kvs = nil, nil
+	if len(older) == 0 {
+		t.Fatal("the record is not written")
+	}
+	y.duties.Enter(y.now, duty.Returning, "i-2", "idle")
+	y.s.strike(y.now, "i-2")
+	for _, then := range older {
+		then(y.now, store.Result{Status: 200, Revision: 20})
+	}
+	h := y.s.by["i-3"]
+	if len(h.gone) != 1 || h.gone[0].host != "i-2" {
+		t.Errorf("waiting for the record: %+v", h.gone)
+	}
+	y.durable()
+	y.pass(0)
+	y.durable()
+	if len(h.gone) != 0 {
+		t.Errorf("still waiting: %+v", h.gone)
+	}
+}
+
 // A refused rental's name while its call may be repeated late.
 func TestRefusedRental(t *testing.T) {
 	refused := Result{Status: 503, Error: NoCapacity}
--- a/internal/node/conns_test.go
+++ b/internal/node/conns_test.go
@@ -120,3 +120,22 @@
 		})
 	}
 }
+
+// A worker's connection is kept until nearly as many are open as there may be, and closed
+// with the answer from then on.
+func TestCrowded(t *testing.T) {
+	const limit = 100
+	in := &pile{}
+	l := newClientListener(in, limit, time.Now)
+	for n := 1; n <= limit; n++ {
+		in.conns = []net.Conn{&link{}}
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		req, _ := http.NewRequestWithContext(withClientConn(t.Context(), conn), http.MethodPost, "/checkin", nil)
+		if closes, want := noteWorker(req), n >= limit*98/100; closes != want {
+			t.Errorf("with %d of %d open: closed %v", n, limit, closes)
+		}
+	}
+}
--- a/internal/node/runtime_test.go
+++ b/internal/node/runtime_test.go
@@ -126,19 +126,24 @@
 	r.clock = clock.New(func() (time.Duration, error) { return time.Duration(suspended.Load()), nil })
 	deadline := r.clock.Now().Add(10 * time.Second)
 	answered := map[string]int{}
-	send := func() {
+	call := func() {
 		r.Cloud(fleet.Call{Op: fleet.OpDelete, Hosts: []string{"i-1"}, By: deadline}, func(_ time.Time, res fleet.Result) { answered["cloud"] = res.Status })
+		(<-r.events)(r.clock.Now())
+	}
+	command := func() {
 		r.Do(address, wire.Do{Commands: []wire.Command{{Verb: wire.VerbRun}}}, deadline, func(_ time.Time, status int, _ *wire.Report) { answered["worker"] = status })
-		for range 2 {
-			(<-r.events)(r.clock.Now())
-		}
+		(<-r.events)(r.clock.Now())
 	}
-	send()
+	call()
+	command()
 	if len(asked) != 2 || answered["cloud"] != http.StatusOK || answered["worker"] != http.StatusOK {
 		t.Fatalf("before: %v, %d calls", answered, len(asked))
 	}
 	suspended.Store(int64(time.Minute))
-	send()
+	call()
+	r.clock = clock.New(func() (time.Duration, error) { return time.Duration(suspended.Load()), nil })
+	suspended.Store(int64(2 * time.Minute)) // the command has to look for itself
+	command()
 	if len(asked) != 2 || answered["cloud"] != 0 || answered["worker"] != NotSent {
 		t.Errorf("after: %v, %d calls", answered, len(asked))
 	}
