--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -21,8 +20,6 @@
 	"juniperchute/internal/config"
 	"juniperchute/internal/node"
 	"juniperchute/internal/switches"
-	"juniperchute/internal/tracing"
-	"juniperchute/internal/tuning"
 )
 
 func main() {
@@ -101,9 +98,9 @@
 	for _, why := range cfg.Facts.Limits.Small() {
 		log.Warn("a small machine", "why", why)
 	}
-	options := node.Options{Blocks: tuning.Blocks}
+	var on switches.Switches
 	if switchFile != "" {
-		if options.Switches, err = switches.Load(switchFile); err != nil {
+		if on, err = switches.Load(switchFile); err != nil {
 			return err
 		}
 	}
@@ -114,17 +111,14 @@
 	}
 	rng := rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 	steady := clock.New(nil)
-	if options.Switches.Duties {
+	if on.Duties {
 		steady = clock.New(clock.Suspended)
 	}
-	if t := options.Switches.Trace; t.File != "" {
-		recorder, err := tracing.Open(t.File, int64(t.MostMB*(1<<20)), cfg.Member, time.Now, rng)
-		if err != nil {
-			return err
-		}
-		defer recorder.Close()
-		options.Tracer = recorder
+	options, finish, err := node.NewOptions(on, cfg.Member, rng)
+	if err != nil {
+		return err
 	}
+	defer finish()
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return node.NewRuntime(cfg, options, steady, log.With("member", cfg.Member), rng).Run(ctx)
--- a/internal/integration/benchmark_test.go
+++ b/internal/integration/benchmark_test.go
@@ -20,7 +20,6 @@
 	"juniperchute/internal/node"
 	"juniperchute/internal/standin"
 	"juniperchute/internal/switches"
-	"juniperchute/internal/tuning"
 )
 
 // Variables of the environment of benchmarks.
@@ -47,16 +46,22 @@
 		}
 		defer stop()
 	}
-	options := node.Options{Blocks: tuning.Blocks}
+	rng := rand.New(rand.NewPCG(1, uint64(os.Getpid())))
+	var on switches.Switches
 	if file := os.Getenv(switchesVariable); file != "" {
-		if options.Switches, err = switches.Load(file); err != nil {
+		if on, err = switches.Load(file); err != nil {
 			return err
 		}
 	}
+	options, finish, err := node.NewOptions(on, cfg.Member, rng)
+	if err != nil {
+		return err
+	}
+	defer finish()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("member", cfg.Member)
-	return node.NewRuntime(cfg, options, jumpingClock(), log, rand.New(rand.NewPCG(1, uint64(os.Getpid())))).Run(ctx)
+	return node.NewRuntime(cfg, options, jumpingClock(), log, rng).Run(ctx)
 }
 
 // jumpingClock is a clock that a signal moves forward, as if the machine had slept.
--- a/internal/integration/duties_test.go
+++ b/internal/integration/duties_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -43,6 +44,7 @@
 	actions *standin.ActionCheck
 	jobs    int
 	endLoad chan struct{}
+	traces  []string        // the controllers' files
 	took    []time.Duration // from each stall to the next tenure's first action
 }
 
@@ -56,11 +58,13 @@
 		f.state.Put("c/settings", []byte(`{"fleet.idle_return_s":"5"}`))
 		f.actions = standin.NewActionCheck(f.cluster, f.state, f.cloud)
 	})
-	file := filepath.Join(t.TempDir(), "switches.toml")
-	if err := os.WriteFile(file, []byte("duties = true\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	dir := t.TempDir()
 	for _, n := range f.nodes {
+		file, trace := filepath.Join(dir, n.cfg.Member+".toml"), filepath.Join(dir, n.cfg.Member+".json")
+		f.traces = append(f.traces, trace)
+		if err := os.WriteFile(file, fmt.Appendf(nil, "duties = true\n[trace]\nfile = %q\n", trace), 0o600); err != nil {
+			t.Fatal(err)
+		}
 		n.start(func(settings string) *exec.Cmd {
 			cmd := exec.Command(os.Args[0])
 			cmd.Env = append(os.Environ(), controllerVariable+"="+settings, switchesVariable+"="+file)
@@ -209,6 +213,67 @@
 	})
 }
 
+// span is what the tests read of a span in a trace.
+type span struct {
+	Name        string
+	SpanContext struct{ TraceID string }
+	Attributes  []attribute
+	Resource    []attribute
+}
+
+type attribute struct {
+	Key   string
+	Value struct{ Value any }
+}
+
+func (s span) attribute(key string) string {
+	for _, a := range append(s.Attributes, s.Resource...) {
+		if a.Key == key {
+			return fmt.Sprint(a.Value.Value)
+		}
+	}
+	return ""
+}
+
+// spans reads the traces of all controllers, by trace number.
+func (f *freezes) spans() map[string][]span {
+	f.t.Helper()
+	out := map[string][]span{}
+	for _, file := range f.traces {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for line := range strings.Lines(string(raw)) {
+			var s span
+			if err := json.Unmarshal([]byte(line), &s); err != nil {
+				f.t.Fatalf("%v in %s", err, line)
+			}
+			out[s.SpanContext.TraceID] = append(out[s.SpanContext.TraceID], s)
+		}
+	}
+	return out
+}
+
+// checkJoined checks that the trace of some return shows its whole way through a takeover:
+// one controller decided and entered it, another took it over, called and settled it.
+func (f *freezes) checkJoined() {
+	f.t.Helper()
+	for _, spans := range f.spans() {
+		by := map[string]string{} // the member whose span of a name it is
+		for _, s := range spans {
+			if s.attribute("duty") == string(duty.Returning) && (s.Name != "call" || s.attribute("outcome") == duty.Done.String()) {
+				by[s.Name] = s.attribute("member")
+			}
+		}
+		if by["decision"] != "" && by["decision"] == by["entry"] && by["takeover"] != "" && by["takeover"] != by["decision"] &&
+			by["call"] == by["takeover"] && by["settlement"] == by["takeover"] {
+			return
+		}
+	}
+	f.t.Error("no trace shows a return through a takeover")
+}
+
 // stallRounds is how often each step is hit: once in CI, more often when asked for.
 func stallRounds() int {
 	if n, err := strconv.Atoi(os.Getenv("INTEGRATION_STALLS")); err == nil {
@@ -285,4 +350,8 @@
 	held.release()
 	f.signal(old, syscall.SIGCONT)
 	f.finish()
+	for _, n := range f.nodes {
+		n.end(syscall.SIGTERM) // what is left of the traces is written
+	}
+	f.checkJoined()
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -13,13 +13,11 @@
 
 	"juniperchute/internal/admin"
 	"juniperchute/internal/config"
-	"juniperchute/internal/duty"
 	"juniperchute/internal/fleet"
 	"juniperchute/internal/leader"
 	"juniperchute/internal/peer/peerpb"
 	"juniperchute/internal/store"
 	"juniperchute/internal/submission"
-	"juniperchute/internal/switches"
 	"juniperchute/internal/tuning"
 	"juniperchute/internal/wire"
 )
@@ -41,13 +39,6 @@
 // NotSent is the status of a direct command that was too late to be sent.
 const NotSent = -1
 
-// Options are what a controller is started with beside the platform's settings.
-type Options struct {
-	Blocks   int
-	Switches switches.Switches
-	Tracer   duty.Tracer // nil: no spans are made
-}
-
 // Core is all state of one controller.
 type Core struct {
 	cfg    *config.Config
