--- a/cmd/juniperchute/main.go
+++ b/cmd/juniperchute/main.go
@@ -49,12 +49,13 @@
 	cmd.CompletionOptions.DisableDefaultCmd = true
 	cmd.Flags().StringVar(&file, "config", "", "settings file (TOML)")
 	cmd.Flags().StringVar(&switchFile, "switches", "", "file that switches on what is off by default (TOML)")
-	cmd.AddCommand(checkCmd(), statusCmd(), dutiesCmd(), settingsCmd())
+	cmd.AddCommand(checkCmd(), statusCmd(), dutiesCmd(), traceCmd(), settingsCmd())
 	return cmd
 }
 
 func checkCmd() *cobra.Command {
-	return &cobra.Command{
+	var switchFile string
+	cmd := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file",
 		Args:  cobra.ExactArgs(1),
@@ -63,6 +64,11 @@
 			if err != nil {
 				return err
 			}
+			if switchFile != "" {
+				if _, err := switches.Load(switchFile); err != nil {
+					return err
+				}
+			}
 			for _, why := range cfg.Facts.Limits.Small() {
 				fmt.Fprintf(cmd.OutOrStdout(), "%s: warning: %s\n", args[0], why)
 			}
@@ -70,6 +76,8 @@
 			return nil
 		},
 	}
+	cmd.Flags().StringVar(&switchFile, "switches", "", "check this file of switches too")
+	return cmd
 }
 
 func logger() (*slog.Logger, error) {
--- a/internal/duty/trace.go
+++ b/internal/duty/trace.go
@@ -23,9 +23,9 @@
 
 func (l *Log) attributes(a *Action) []attribute.KeyValue {
 	return []attribute.KeyValue{
-		attribute.String("duty", string(a.Duty)), attribute.String("target", a.Target), attribute.Int("block", l.opt.Block),
-		attribute.String("token", strconv.FormatUint(l.opt.Token, 10)), attribute.String("entered_token", strconv.FormatUint(a.Token, 10)),
-		attribute.Bool("inherited", a.Inherited),
+		attribute.String(attributeDuty, string(a.Duty)), attribute.String(attributeTarget, a.Target), attribute.Int(attributeBlock, l.opt.Block),
+		attribute.String(attributeToken, strconv.FormatUint(l.opt.Token, 10)), attribute.String(attributeEntered, strconv.FormatUint(a.Token, 10)),
+		attribute.Bool(attributeInherited, a.Inherited),
 	}
 }
 
@@ -55,20 +55,20 @@
 	if l.opt.Tracer == nil {
 		return
 	}
-	l.event(a, "decision", attribute.String("why", why))
-	l.begin(a, "entry")
+	l.event(a, spanDecision, attribute.String(attributeWhy, why))
+	l.begin(a, spanEntry)
 }
 
 func (l *Log) traceEntry(a *Action) { a.end() }
 
-func (l *Log) traceInherited(a *Action) { l.event(a, "takeover") }
+func (l *Log) traceInherited(a *Action) { l.event(a, spanTakeover) }
 
-func (l *Log) traceCall(a *Action) { l.begin(a, "call") }
+func (l *Log) traceCall(a *Action) { l.begin(a, spanCall) }
 
 func (l *Log) traceAnswer(a *Action, o Outcome) {
 	if a.span != nil {
-		a.end(attribute.String("outcome", o.String()), attribute.Int("calls", a.calls))
+		a.end(attribute.String(attributeOutcome, o.String()), attribute.Int(attributeCalls, a.calls))
 	}
 }
 
-func (l *Log) traceSettled(a *Action) { l.event(a, "settlement") }
+func (l *Log) traceSettled(a *Action) { l.event(a, spanSettlement) }
--- a/internal/tracing/tracing.go
+++ b/internal/tracing/tracing.go
@@ -19,6 +19,9 @@
 	"juniperchute/internal/tuning"
 )
 
+// memberKey names the attribute that tells whose a trace is.
+const memberKey = "member"
+
 // Recorder makes spans and writes them to a file. It is safe for use by several goroutines.
 type Recorder struct {
 	provider *sdktrace.TracerProvider
@@ -42,7 +45,7 @@
 		sdktrace.WithBatcher(exporter, sdktrace.WithMaxQueueSize(tuning.TraceQueue), sdktrace.WithBatchTimeout(tuning.TraceEvery)),
 		sdktrace.WithIDGenerator(&idGenerator{rng: rng}),
 		sdktrace.WithSampler(sdktrace.AlwaysSample()),
-		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", "juniperchute"), attribute.String("member", member))),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", "juniperchute"), attribute.String(memberKey, member))),
 	)
 	return &Recorder{provider: provider, tracer: provider.Tracer("juniperchute"), file: out, wall: wall}, nil
 }
