--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -153,7 +153,7 @@
 	s.used.Load(items, func(host string, raw json.RawMessage) {
 		m := s.reg.Get(host)
 		if m == nil && s.unread > 0 {
-			m = s.meetUnrecorded(now, host)
+			m = s.addUnrecorded(now, host)
 		}
 		if m == nil || !m.Recorded && s.unread == 0 {
 			s.used.Drop(host)
@@ -181,18 +181,18 @@
 	}
 }
 
-// meetUnrecorded makes a machine known that was used and whose rental cannot be read. Its
+// addUnrecorded makes a machine known that was used and whose rental cannot be read. Its
 // type is not known, so it counts as the largest.
-func (s *Slice) meetUnrecorded(now time.Time, host string) *worker.Machine {
-	m := s.meet(now, host, worker.Booting, "", "", false)
+func (s *Slice) addUnrecorded(now time.Time, host string) *worker.Machine {
+	m := s.addMachine(now, host, worker.Booting, "", "", false)
 	for _, f := range s.machineTypes {
 		m.Cap = m.Cap.Max(quota.Room{CPUs: f.Vcpus, GPUs: f.Gpus, MemGB: f.MemGb})
 	}
 	return m
 }
 
-// meet makes a machine known to the registry.
-func (s *Slice) meet(now time.Time, host string, st worker.State, build, zone string, spot bool) *worker.Machine {
+// addMachine makes a machine known to the registry.
+func (s *Slice) addMachine(now time.Time, host string, st worker.State, build, zone string, spot bool) *worker.Machine {
 	m := s.reg.Get(host)
 	if m == nil {
 		m = s.reg.Add(now, host, st)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -316,9 +316,9 @@
 func TestFound(t *testing.T) {
 	y := newZone(t)
 	list := Result{Status: 200, Page: wire.HostPage{Hosts: []wire.Host{{ID: "i-9", Type: "g2", Zone: "a", Stage: wire.HostRunning}}}}
-	for i := range tuning.StrangerLists + 1 {
+	for i := range tuning.UnexpectedLists + 1 {
 		y.pass(tuning.ListEvery + time.Second)
-		if known := y.reg.Get("i-9") != nil; known != (i >= tuning.StrangerLists) {
+		if known := y.reg.Get("i-9") != nil; known != (i >= tuning.UnexpectedLists) {
 			t.Fatalf("after %d lists: known %t", i, known)
 		}
 		y.take(OpList, list)
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -85,10 +85,10 @@
 		if m == nil {
 			// deleted machines stay listed for a while: only one that is
 			// still there well after the lag was rented by nobody we know
-			if s.block != 0 || s.unsettled() || s.foreign(h.ID, now.Add(-config.Seconds(h.AgeS))) || s.strangers(h.ID) {
+			if s.block != 0 || s.unsettled() || s.foreign(h.ID, now.Add(-config.Seconds(h.AgeS))) || s.seenTooRarely(h.ID) {
 				continue
 			}
-			m = s.meet(now, h.ID, worker.Booting, h.Type, h.Zone, h.Spot)
+			m = s.addMachine(now, h.ID, worker.Booting, h.Type, h.Zone, h.Spot)
 			m.Born = now.Add(-config.Seconds(h.AgeS))
 			s.adopt(now, m)
 		}
@@ -116,9 +116,9 @@
 	}
 }
 
-// strangers tells whether a listed machine that is not known may still be
+// seenTooRarely tells whether a listed machine that is not known may still be
 // one that was just deleted, as lists lag.
-func (s *Slice) strangers(host string) bool {
+func (s *Slice) seenTooRarely(host string) bool {
 	s.missing["?"+host]++
-	return s.missing["?"+host] < tuning.StrangerLists
+	return s.missing["?"+host] < tuning.UnexpectedLists
 }
--- a/internal/fleet/rental.go
+++ b/internal/fleet/rental.go
@@ -187,7 +187,7 @@
 	h.kept = true
 	for _, host := range rec.Hosts {
 		s.by[host] = h
-		s.meet(now, host, worker.Booting, rec.Type, rec.Zone, rec.Spot).Recorded = true
+		s.addMachine(now, host, worker.Booting, rec.Type, rec.Zone, rec.Spot).Recorded = true
 	}
 }
 
@@ -309,7 +309,7 @@
 	h.file.Set(h.rec)
 	for _, host := range hosts {
 		s.by[host] = h
-		s.meet(now, host, worker.Booting, h.rec.Type, h.rec.Zone, h.rec.Spot).Recorded = true
+		s.addMachine(now, host, worker.Booting, h.rec.Type, h.rec.Zone, h.rec.Spot).Recorded = true
 	}
 	h.file.Tick(now)
 }
--- a/internal/fleet/returns.go
+++ b/internal/fleet/returns.go
@@ -221,7 +221,7 @@
 				s.gone(now, m)
 				s.reg.Set(now, m, worker.Gone, "deletion answered")
 			} else {
-				s.reg.Bury(host)
+				s.reg.RememberGone(host)
 			}
 			s.strike(now, host)
 		}
--- a/internal/node/cancellations.go
+++ b/internal/node/cancellations.go
@@ -25,7 +25,7 @@
 		peers = append(peers, k.Member)
 	}
 	return &cancellations{horizon: leader.NewHorizon(peers), known: map[string]time.Time{},
-		keep: config.Seconds(cfg.Facts.Workers.CancelS) * tuning.ToldCancels}
+		keep: config.Seconds(cfg.Facts.Workers.CancelS) * tuning.CancellationKeep}
 }
 
 // note enters a cancellation and tells whether it is news.
@@ -33,7 +33,7 @@
 	if c.has(id) {
 		return false
 	}
-	if len(c.known) >= tuning.ToldKept {
+	if len(c.known) >= tuning.CancellationsKept {
 		maps.DeleteFunc(c.known, func(_ string, at time.Time) bool { return now.Sub(at) > c.keep })
 	}
 	c.known[id] = now
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -49,26 +49,26 @@
 	wall   func() time.Time
 	log    *slog.Logger
 
-	leader         *leader.Slice
-	users          *submission.Slice
-	open           *store.Mirror  // open jobs of all blocks
-	rentals        *store.Mirror  // rentals of all blocks
-	blockFor       map[string]int // machines by the rentals that name them
-	tenures        map[int]*tenure
-	machineTypes   map[string]wire.MachineType
-	machineTypeRaw map[string]string
-	machineTypesOf int // how many machine types there are
-	settings       admin.Settings
-	peers          map[string]*peerView
-	claims         map[int]*peerpb.Holding // the highest token that peers know of each block
-	asking         map[int]*asking
-	pulseDue       time.Time
-	process        uint64    // drawn at the start: tells this process from others of its name
-	born           time.Time // of its first tick
-	told           *submission.CancellationLog
-	passing        map[string]bool // holders that a cancellation is being passed to
-	timers         []timer
-	logs           dutyLogs // as last read for an operator
+	leader          *leader.Slice
+	users           *submission.Slice
+	open            *store.Mirror  // open jobs of all blocks
+	rentals         *store.Mirror  // rentals of all blocks
+	blockFor        map[string]int // machines by the rentals that name them
+	tenures         map[int]*tenure
+	machineTypes    map[string]wire.MachineType
+	machineTypeRaw  map[string]string
+	machineTypesOf  int // how many machine types there are
+	settings        admin.Settings
+	peers           map[string]*peerView
+	claims          map[int]*peerpb.Holding // the highest token that peers know of each block
+	asking          map[int]*asking
+	pulseDue        time.Time
+	process         uint64    // drawn at the start: tells this process from others of its name
+	born            time.Time // of its first tick
+	cancellationLog *submission.CancellationLog
+	passing         map[string]bool // holders that a cancellation is being passed to
+	timers          []timer
+	logs            dutyLogs // as last read for an operator
 }
 
 type timer struct {
@@ -82,7 +82,7 @@
 	c := &Core{cfg: cfg, opt: opt, blocks: blocks, env: env, rng: rng, wall: wall, log: log,
 		tenures: map[int]*tenure{}, machineTypes: map[string]wire.MachineType{}, machineTypeRaw: map[string]string{},
 		settings: admin.Defaults(), peers: map[string]*peerView{}, claims: map[int]*peerpb.Holding{}, blockFor: map[string]int{}, asking: map[int]*asking{},
-		process: rng.Uint64() | 1, told: submission.NewCancellationLog(blocks, config.Seconds(cfg.Facts.Workers.CancelS), cfg.Facts.State.WriteRPS), passing: map[string]bool{}}
+		process: rng.Uint64() | 1, cancellationLog: submission.NewCancellationLog(blocks, config.Seconds(cfg.Facts.Workers.CancelS), cfg.Facts.State.WriteRPS), passing: map[string]bool{}}
 	c.leader = leader.New(cfg.Member, blocks, opt.Switches.Announced(), wall, c.state, log, c.control)
 	c.open = store.NewMirror(submission.OpenUnder, c.state, func(now time.Time, _ string, it wire.Item, gone bool) {
 		for _, t := range c.tenures {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -53,7 +53,7 @@
 		m.UpMs, m.MarkNs = up.Milliseconds(), int64(up)
 	}
 	m.Holdings = c.holdings()
-	m.Withdrawn, m.Vouches = c.told.Pending(now, c.tokens())
+	m.Withdrawn, m.Vouches = c.cancellationLog.Pending(now, c.tokens())
 	if p := c.peers[to]; p != nil {
 		m.EchoProcess, m.EchoNs, m.Have = p.process, p.mark, p.owed
 		p.owed = nil
@@ -84,11 +84,11 @@
 // to the block's holder at once: one that cannot read it in the state service would go
 // on renewing the leases of its tasks' machines. The user's answer does not wait.
 func (c *Core) tell(now time.Time, id string) {
-	c.told.Add(now, id)
+	c.cancellationLog.Add(now, id)
 	for b := range c.blocks {
 		if t := c.tenures[b]; t != nil && t.state != tenureOver {
 			t.jobCancelled(now, id)
-			c.told.Had([]string{id}, b, t.Token)
+			c.cancellationLog.Had([]string{id}, b, t.Token)
 		}
 		if holder, _, live := c.holder(b); live {
 			c.pass(now, holder)
@@ -102,14 +102,14 @@
 	if c.peers[holder] == nil || c.passing[holder] {
 		return
 	}
-	before, _ := c.told.Pending(now, c.tokens())
+	before, _ := c.cancellationLog.Pending(now, c.tokens())
 	if len(before) == 0 {
 		return
 	}
 	c.passing[holder] = true
 	c.exchange(now, holder, func(now time.Time) {
 		c.passing[holder] = false
-		if left, _ := c.told.Pending(now, c.tokens()); len(left) > 0 && left[len(left)-1] != before[len(before)-1] {
+		if left, _ := c.cancellationLog.Pending(now, c.tokens()); len(left) > 0 && left[len(left)-1] != before[len(before)-1] {
 			c.pass(now, holder)
 		}
 	})
@@ -124,7 +124,7 @@
 			p.process, p.mark = m.Process, m.MarkNs
 		}
 		p.owed = append(p.owed, m.Withdrawn...)
-		p.owed = p.owed[max(0, len(p.owed)-tuning.ToldAtOnce):]
+		p.owed = p.owed[max(0, len(p.owed)-tuning.CancellationsAtOnce):]
 	}
 	for _, t := range c.tenures {
 		for _, id := range m.Withdrawn {
@@ -135,7 +135,7 @@
 	}
 	for _, h := range m.Holdings {
 		if h.Holder == m.Member {
-			c.told.Had(m.Have, int(h.Block), h.Token)
+			c.cancellationLog.Had(m.Have, int(h.Block), h.Token)
 		}
 		if old := c.claims[int(h.Block)]; old == nil || h.Token > old.Token {
 			c.claims[int(h.Block)] = h
--- a/internal/submission/cancellation_log.go
+++ b/internal/submission/cancellation_log.go
@@ -12,14 +12,14 @@
 // leases: it has to hear of them from whoever told.
 type CancellationLog struct {
 	blocks int
-	keep   time.Duration // past it the job's tasks are gone, whoever holds its block
-	most   int           // how many are noted
-	items  []*telling    // in the order of telling
-	byID   map[string]*telling
+	keep   time.Duration        // past it the job's tasks are gone, whoever holds its block
+	most   int                  // how many are noted
+	items  []*notedCancellation // in the order in which they were noted
+	byID   map[string]*notedCancellation
 	lost   time.Time // when the last one was left out for want of room; zero: never
 }
 
-type telling struct {
+type notedCancellation struct {
 	id  string
 	at  time.Time
 	had []uint64 // for each block, the highest token under which its holder said it has it
@@ -29,9 +29,9 @@
 // gone within cancel and the state service takes so many changes a second: it has room for
 // as many cancellations as can be written in the time for which they are kept.
 func NewCancellationLog(blocks int, cancel time.Duration, writesPerS float64) *CancellationLog {
-	keep := cancel * tuning.ToldCancels
+	keep := cancel * tuning.CancellationKeep
 	written := int(keep.Seconds() * writesPerS / tuning.CancelWrites)
-	return &CancellationLog{blocks: blocks, keep: keep, most: max(tuning.ToldKept, written), byID: map[string]*telling{}}
+	return &CancellationLog{blocks: blocks, keep: keep, most: max(tuning.CancellationsKept, written), byID: map[string]*notedCancellation{}}
 }
 
 // Add enters a cancellation, before its user is told.
@@ -44,7 +44,7 @@
 		t.lost = now
 		return
 	}
-	e := &telling{id: id, at: now, had: make([]uint64, t.blocks)}
+	e := &notedCancellation{id: id, at: now, had: make([]uint64, t.blocks)}
 	t.items = append(t.items, e)
 	t.byID[id] = e
 }
@@ -70,8 +70,8 @@
 				break
 			}
 		}
-		if len(ids) > tuning.ToldAtOnce {
-			return ids[:tuning.ToldAtOnce], false
+		if len(ids) > tuning.CancellationsAtOnce {
+			return ids[:tuning.CancellationsAtOnce], false
 		}
 	}
 	return ids, t.lost.IsZero()
--- a/internal/submission/cancellation_log_test.go
+++ b/internal/submission/cancellation_log_test.go
@@ -55,15 +55,15 @@
 		{"within the time its tasks have, still kept", func(l *CancellationLog) { l.Add(now, "job-1") }, 69, []uint64{4}, []string{"job-1"}, true},
 		{"long told", func(l *CancellationLog) { l.Add(now, "job-1"); l.Add(at(20), "job-2") }, 71, []uint64{4}, []string{"job-2"}, true},
 		{"no room for one: no vouching until its tasks are gone", func(l *CancellationLog) {
-			for i := range tuning.ToldKept + 1 {
+			for i := range tuning.CancellationsKept + 1 {
 				l.Add(now, fmt.Sprintf("job-%d", i))
 			}
-			for i := range tuning.ToldKept {
+			for i := range tuning.CancellationsKept {
 				l.Had([]string{fmt.Sprintf("job-%d", i)}, 0, 4)
 			}
 		}, 60, []uint64{4}, nil, false},
 		{"and after that again", func(l *CancellationLog) {
-			for i := range tuning.ToldKept + 1 {
+			for i := range tuning.CancellationsKept + 1 {
 				l.Add(now, fmt.Sprintf("job-%d", i))
 			}
 		}, 71, []uint64{4}, nil, true},
@@ -78,10 +78,10 @@
 		})
 	}
 	l := NewCancellationLog(1, cancel, 0)
-	for i := range tuning.ToldAtOnce + 1 {
+	for i := range tuning.CancellationsAtOnce + 1 {
 		l.Add(now, fmt.Sprintf("job-%d", i))
 	}
-	if got, whole := l.Pending(now, []uint64{1}); len(got) != tuning.ToldAtOnce || whole {
+	if got, whole := l.Pending(now, []uint64{1}); len(got) != tuning.CancellationsAtOnce || whole {
 		t.Errorf("more than fit one message: %d passed on, all %v", len(got), whole)
 	}
 }
--- a/internal/tuning/fleet.go
+++ b/internal/tuning/fleet.go
@@ -59,9 +59,9 @@
 	// makes sure of what everything else waits to know. Two, as one that has
 	// just come up may not be listed yet.
 	UnheardLists = 2
-	// StrangerLists is in how many lists a machine nobody knows must be
+	// UnexpectedLists is in how many lists a machine nobody knows must be
 	// before it is adopted: deleted machines stay listed for a while.
-	StrangerLists = 4
+	UnexpectedLists = 4
 	// RecallOver is how long after a recall the machine surely is gone.
 	RecallOver = 2 * time.Second
 	// LapsedReturn is how long a machine whose lease is over may stay silent
--- a/internal/tuning/users.go
+++ b/internal/tuning/users.go
@@ -14,15 +14,15 @@
 	ReadsInHand = 128
 	// CancelTries is how often a cancellation looks again after a conflict.
 	CancelTries = 3
-	// ToldCancels is for how many times the time that a cancelled job's tasks have a
+	// CancellationKeep is for how many times the time that a cancelled job's tasks have a
 	// node keeps note of having told of it: after once they are gone, whoever holds
-	// their block. ToldKept is how many it notes at least, or as many as can be written
-	// in that time, at CancelWrites changes of the state service each. ToldAtOnce is how
+	// their block. CancellationsKept is how many it notes at least, or as many as can be written
+	// in that time, at CancelWrites changes of the state service each. CancellationsAtOnce is how
 	// many it passes on with one message, far below what one may hold.
-	ToldCancels  = 2
-	ToldKept     = 4096
-	CancelWrites = 2
-	ToldAtOnce   = 512
+	CancellationKeep    = 2
+	CancellationsKept   = 4096
+	CancelWrites        = 2
+	CancellationsAtOnce = 512
 	// BodyBytes is the largest request body, by the protocol.
 	BodyBytes = 64 << 10
 	// BodyAtOnce is the size up to which a body gets all its memory before it has
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -156,7 +156,7 @@
 	m.State, m.Since = s, now
 	if s == Gone {
 		delete(r.hosts, m.Host)
-		r.Bury(m.Host)
+		r.RememberGone(m.Host)
 		for i, o := range r.order {
 			if o == m {
 				r.order = append(r.order[:i:i], r.order[i+1:]...)
@@ -166,10 +166,10 @@
 	}
 }
 
-// Bury remembers a machine that is gone: a late copy of one of its reports must
+// RememberGone remembers a machine that is gone: a late copy of one of its reports must
 // not bring it back. Names come in the order of creation, so the smallest are
 // the oldest.
-func (r *Registry) Bury(host string) {
+func (r *Registry) RememberGone(host string) {
 	r.gone[host] = true
 	if len(r.gone) > tuning.GoneKept {
 		for _, h := range slices.Sorted(maps.Keys(r.gone))[:tuning.GoneKept/2] {
