--- a/internal/admin/version.go
+++ b/internal/admin/version.go
@@ -7,7 +7,7 @@
 
 // release is the service's own version. It changes with each landing that operators are
 // to tell apart.
-const release = "0.2.0"
+const release = "0.3.0"
 
 // Version names this program: its release, and the commit it was built from if the
 // build knows.
