Print the state of a deployment when an integration test waits in vain

A test of internal/integration that timed out reported only what it had waited for, and kept no logs unless INTEGRATION_LOG was set.

A timeout now prints the control records, live leases, provisioning requests and pages of the intent log; jobs and machines; the held call; and of each controller whether its process runs or is stopped, its status, and the end of its log. Logs are always written, to a temporary directory by default. INTEGRATION_LOG keeps one file for each test and member, since parallel tests wrote to the same file before.

The clean-up also resumes a frozen process before it waits for its exit. A test that failed during a freeze did not end before the package's timeout.

--- a/internal/fakes/state_leases.go
+++ b/internal/fakes/state_leases.go
@@ -1,6 +1,8 @@
 package fakes
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -41,6 +43,9 @@
 	return expired
 }
 
+// LiveLeases returns the sorted IDs of the leases that have not expired.
+func (s *StateService) LiveLeases() []uint64 { return slices.Sorted(maps.Keys(s.leases)) }
+
 // expireLease revokes a lease and deletes its keys, each in its own revision.
 func (s *StateService) expireLease(id uint64) {
 	delete(s.leases, id)
--- a/internal/integration/call_gate_test.go
+++ b/internal/integration/call_gate_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -23,6 +24,7 @@
 
 // heldCall is a call that a gate blocks.
 type heldCall struct {
+	call     any           // nil before the call arrives at the gate
 	reached  chan struct{} // closed when the call arrives at the gate
 	released chan struct{} // closed to unblock the call
 }
@@ -44,12 +46,26 @@
 		return
 	}
 	held := g.call
+	held.call = call
 	g.want = nil
 	g.mutex.Unlock()
 	close(held.reached)
 	<-held.released
 }
 
+// describe returns the state of the latest hold.
+func (g *callGate) describe() string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.call == nil {
+		return "unused"
+	}
+	if g.call.call == nil {
+		return "waits for a call"
+	}
+	return fmt.Sprintf("blocks or has released %+v", g.call.call)
+}
+
 // wait blocks until the call arrives at the gate, and reports whether it arrived before the timeout.
 func (h *heldCall) wait(timeout time.Duration) bool {
 	select {
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -128,6 +128,7 @@
 		d.controllers = append(d.controllers, &controllerProcess{
 			tb:           d.tb,
 			settingsFile: filepath.Join(dir, member.Member+".toml"),
+			logFile:      logFilePath(d.tb.Name(), member.Member, dir),
 			config: config.Config{
 				Member:   member.Member,
 				Zone:     member.Zone,
@@ -206,6 +207,7 @@
 			return
 		}
 		if time.Now().After(end) {
+			d.logDiagnostics()
 			d.tb.Fatalf("timed out after %v waiting for: %s", waitTimeout, what)
 		}
 	}
--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +20,7 @@
 	tb           testing.TB
 	config       config.Config
 	settingsFile string    // holds config
+	logFile      string    // holds the output of all processes of the controller
 	command      *exec.Cmd // nil while no process runs
 }
 
@@ -32,10 +35,12 @@
 		p.tb.Fatal(err)
 	}
 	p.command = command(p.settingsFile)
-	if file := logFile(p.config.Member); file != nil {
-		p.command.Stderr = file
-		defer file.Close()
+	file, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		p.tb.Fatal(err)
 	}
+	defer file.Close()
+	p.command.Stderr = file
 	if err := p.command.Start(); err != nil {
 		p.tb.Fatal(err)
 	}
@@ -48,6 +53,7 @@
 		return
 	}
 	_ = p.command.Process.Signal(sig)
+	_ = p.command.Process.Signal(syscall.SIGCONT) // a frozen process handles no other signal
 	_ = p.command.Wait()
 	if status := p.command.ProcessState.ExitCode(); status > 0 {
 		p.tb.Errorf("%s exited with status %d (set INTEGRATION_LOG to keep its log)", p.config.Member, status)
@@ -93,16 +99,12 @@
 	return now, peak
 }
 
-// logFile opens a controller's log file under the path prefix INTEGRATION_LOG. It returns nil if the
-// variable is unset or the file cannot be opened.
-func logFile(member string) *os.File {
+// logFilePath returns the path of a controller's log: one below the path prefix INTEGRATION_LOG, which
+// the test keeps, or one in dir if the variable is unset.
+func logFilePath(test, member, dir string) string {
 	prefix := os.Getenv("INTEGRATION_LOG")
 	if prefix == "" {
-		return nil
-	}
-	file, err := os.OpenFile(prefix+"-"+member+".log", os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
-	if err != nil {
-		return nil
+		return filepath.Join(dir, member+".log")
 	}
-	return file
+	return prefix + "-" + strings.ReplaceAll(test, "/", "-") + "-" + member + ".log"
 }
--- a/internal/integration/stall_test.go
+++ b/internal/integration/stall_test.go
@@ -106,6 +106,7 @@
 	s.t.Helper()
 	held := s.gate.hold(step.phase, step.matcher(operation))
 	if !held.wait(waitTimeout) {
+		s.logDiagnostics()
 		s.t.Fatalf("no call for step %q of %s", step.name, operation)
 	}
 	oldHolder := s.requireLeaseHolder()
