Keep controllers of a killed integration test out of later deployments

Cause, as far as it can be shown: a test process that is killed leaves its controllers running. They call the address of their state service for ever. The kernel gives that port to a later deployment sooner or later. The stray controllers then join it under the same member names, and may be assigned the shard. They cannot reach that deployment's cloud, so their term executes no operation, and they keep the lease. The run of the failure left no logs, so that this happened in it is suspected, not proven.

Why this works: the kernel now kills the controllers when their test process ends, however it ends. A deployment's state service and cloud listen on the loopback address that the deployment reserves, which stays taken while any of its controllers listens, so that a stray controller's address is not used again.

Both new tests failed before: "the controller still runs 5s after its test was killed", and "a server of the deployment at 127.2.0.1 listens on 127.0.0.1". They pass three times in a row with the race detector.

--- a/internal/integration/addresses_test.go
+++ b/internal/integration/addresses_test.go
@@ -10,7 +10,9 @@
 
 // A controller must find its ports free at its first start and after each restart. The kernel may
 // assign a port without a listener to another process, such as a controller of a deployment that
-// runs in parallel. Each deployment therefore reserves its own loopback address.
+// runs in parallel. Each deployment therefore reserves its own loopback address. Its state service and
+// its cloud use that address too: a controller that survives its test keeps the address reserved, and
+// finds no server of a later deployment there.
 const (
 	// controllerHosts is the format of the loopback addresses; the first free one is reserved.
 	controllerHosts    = "127.2.0.%d"
@@ -18,6 +20,8 @@
 	// reservationPort has a listener while a deployment uses the address. This port and the
 	// controllers' ports above it are below the kernel's ephemeral port range.
 	reservationPort = 20000
+	statePort       = 20100
+	cloudPort       = 20101
 )
 
 // controllerAddresses are the listen addresses of one controller.
@@ -25,6 +29,12 @@
 	peer, api string
 }
 
+// host returns the loopback address that the deployment has reserved.
+func (a controllerAddresses) host() string {
+	host, _, _ := net.SplitHostPort(a.peer)
+	return host
+}
+
 // reserveAddresses reserves addresses for controllers until the end of the test.
 func reserveAddresses(tb testing.TB, controllers int) []controllerAddresses {
 	tb.Helper()
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -94,10 +94,7 @@
 	d.cluster = fakes.NewCluster(d.clock, rng, settings, d)
 	_, port, _ := net.SplitHostPort(d.serve("0.0.0.0:0", d.serveWorker))
 	d.workerPort, _ = strconv.Atoi(port)
-	d.addControllers(config.External{
-		State: d.serve("127.0.0.1:0", d.serveStore),
-		Cloud: d.serve("127.0.0.1:0", d.serveCloud),
-	})
+	d.addControllers()
 	d.goroutines.Add(1)
 	go d.runClock()
 	tb.Cleanup(func() {
@@ -116,10 +113,16 @@
 	return &http.Client{Timeout: replyTimeout, Transport: transport}
 }
 
-// addControllers configures the controllers as peers of each other, without starting them.
-func (d *deployment) addControllers(external config.External) {
+// addControllers starts the state service and the cloud, and configures the controllers as peers of each
+// other, without starting them.
+func (d *deployment) addControllers() {
 	dir := d.tb.TempDir()
 	addresses := reserveAddresses(d.tb, d.config.Nodes)
+	host := addresses[0].host()
+	external := config.External{
+		State: d.serve(hostPort(host, statePort), d.serveStore),
+		Cloud: d.serve(hostPort(host, cloudPort), d.serveCloud),
+	}
 	var members []config.Peer
 	for i, address := range addresses {
 		members = append(members, config.Peer{Member: fmt.Sprintf("node-%d", i), Zone: "a", Address: address.peer})
--- a/internal/integration/main_test.go
+++ b/internal/integration/main_test.go
@@ -37,11 +37,12 @@
 
 // TestMain runs the tests, or a controller for one of them, and removes the built binaries.
 func TestMain(m *testing.M) {
+	if file := os.Getenv(leakEnv); file != "" {
+		exitOnError(runLeakingTest(file))
+		return
+	}
 	if file := os.Getenv(controllerEnv); file != "" {
-		if err := runController(file); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
+		exitOnError(runController(file))
 		return
 	}
 	status := m.Run()
@@ -51,6 +52,14 @@
 	os.Exit(status)
 }
 
+// exitOnError prints an error, if there is one, and ends the process.
+func exitOnError(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
 // controllerCommand returns a command that runs the test binary as a controller.
 func controllerCommand(settingsFile string, environment ...string) *exec.Cmd {
 	command := exec.Command(os.Args[0])
--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -27,21 +27,27 @@
 // start writes the settings file and starts the process that command returns for it.
 func (p *controllerProcess) start(command func(settingsFile string) *exec.Cmd) {
 	p.tb.Helper()
-	raw, err := toml.Marshal(p.config)
+	p.writeSettings()
+	p.command = command(p.settingsFile)
+	file, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		p.tb.Fatal(err)
 	}
-	if err := os.WriteFile(p.settingsFile, raw, 0o600); err != nil {
+	defer file.Close()
+	p.command.Stderr = file
+	if err := startProcess(p.command); err != nil {
 		p.tb.Fatal(err)
 	}
-	p.command = command(p.settingsFile)
-	file, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
+// writeSettings writes the controller's settings file.
+func (p *controllerProcess) writeSettings() {
+	p.tb.Helper()
+	raw, err := toml.Marshal(p.config)
 	if err != nil {
 		p.tb.Fatal(err)
 	}
-	defer file.Close()
-	p.command.Stderr = file
-	if err := p.command.Start(); err != nil {
+	if err := os.WriteFile(p.settingsFile, raw, 0o600); err != nil {
 		p.tb.Fatal(err)
 	}
 }
