Show in status and log why a term does not act, and since when

Neither the log nor "juniperchute status" of a lease holder said what a term that does nothing waits for.

Status now has the age of the term's state and its waits with their ages: the reads in flight while loading, the machines without an answer while fencing, the renewal of the member's lease, failing cloud calls with the last error, missing machine types, provisioning requests without an outcome; and the controller's own membership: state and age, validity of the lease, last contact with the state service. Failing cloud calls are logged at most every 10 s with operation, error, number and duration, and so is the end of the failures.

Nothing that a controller sends, stores or decides changes.

--- a/cmd/juniperchute/status.go
+++ b/cmd/juniperchute/status.go
@@ -41,6 +41,7 @@
 	} else {
 		fmt.Fprintf(out, "The leader is %s.\n", reply.Leader)
 	}
+	printMembership(out, reply.Membership)
 	printMembers(out, reply)
 	printLeaseHolders(out, reply)
 	for _, shard := range reply.Shards {
@@ -52,7 +53,11 @@
 }
 
 func printShardStatus(out io.Writer, member string, shard *peerpb.ShardStatus) {
-	fmt.Fprintf(out, "\nShard %d: %s holds the lease and %s.\n", shard.Shard, member, describeTerm(shard.State))
+	fmt.Fprintf(out, "\nShard %d: %s holds the lease and %s%s.\n", shard.Shard, member, describeTerm(shard.State),
+		formatElapsed(shard.StateAgeMs))
+	for _, wait := range shard.Waits {
+		fmt.Fprintf(out, "It waits for %s%s.\n", wait.Reason, formatElapsed(wait.AgeMs))
+	}
 	printMachines(out, shard.Machines)
 	printTeams(out, shard.Teams)
 	services, jobs := splitJobs(shard.Jobs)
@@ -64,6 +69,32 @@
 	printCounters(out, shard.Counters)
 }
 
+// printMembership prints the membership of the controller that replies. Releases before this message report none.
+func printMembership(out io.Writer, membership *peerpb.MembershipStatus) {
+	if membership == nil {
+		return
+	}
+	lease := "its lease is valid"
+	if !membership.LeaseValid {
+		lease = "it has no valid lease, and neither leads nor serves a shard"
+	}
+	contact := "the state service has not responded yet"
+	if membership.StateContactAgeMs >= 0 {
+		contact = fmt.Sprintf("the state service responded %s ago", formatAge(membership.StateContactAgeMs))
+	}
+	fmt.Fprintf(out, "Its membership is in the state %q%s; %s; %s.\n", membership.State,
+		formatElapsed(membership.StateAgeMs), lease, contact)
+}
+
+// formatElapsed returns the end of a sentence that says for how long something has been the case. It is empty
+// for an unknown age.
+func formatElapsed(ageMs int64) string {
+	if ageMs <= 0 {
+		return ""
+	}
+	return fmt.Sprintf(", for %s now", formatAge(ageMs))
+}
+
 func printMembers(out io.Writer, reply *peerpb.StatusReply) {
 	table := newTable(out)
 	defer table.Flush()
--- a/cmd/juniperchute/status_test.go
+++ b/cmd/juniperchute/status_test.go
@@ -83,3 +83,27 @@
 		}
 	}
 }
+
+// Guards against a term that does not act and whose status does not say why and since when.
+func TestPrintStatusOfWaitingTerm(t *testing.T) {
+	var out strings.Builder
+	printStatus(&out, &peerpb.StatusReply{
+		Member:     "node-0",
+		Membership: &peerpb.MembershipStatus{State: "granting", StateAgeMs: 12500, StateContactAgeMs: -1},
+		Shards: []*peerpb.ShardStatus{{
+			State:      "loading",
+			StateAgeMs: 61000,
+			Waits:      []*peerpb.Wait{{Reason: "3 reads of the shard's records", AgeMs: 61000}},
+		}},
+	})
+	for _, sentence := range []string{
+		`Its membership is in the state "granting", for 12.5s now; it has no valid lease, and neither leads nor ` +
+			"serves a shard; the state service has not responded yet.",
+		"it loads the records of the shard, for 1m1s now.",
+		"It waits for 3 reads of the shard's records, for 1m1s now.",
+	} {
+		if !strings.Contains(out.String(), sentence) {
+			t.Errorf("no sentence %q in\n%s", sentence, out.String())
+		}
+	}
+}
--- a/internal/cloud/call.go
+++ b/internal/cloud/call.go
@@ -28,6 +28,11 @@
 	ListMachines
 )
 
+// String returns the operation's name in logs.
+func (o Operation) String() string {
+	return [...]string{"list machine types", "create machines", "delete machines", "list machines"}[o]
+}
+
 // Call is one request to the cloud. Operation determines which of the other fields apply.
 type Call struct {
 	Operation Operation
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -18,6 +18,8 @@
 		Members:  members,
 		Claims:   c.claims(),
 		Versions: map[string]string{c.config.Member: admin.Version()},
+
+		Membership: c.membershipStatus(now),
 	}
 	for name, peer := range c.peers.byName {
 		if peer.live(now) {
@@ -26,10 +28,26 @@
 	}
 	for shard := range c.options.Shards {
 		if t := c.terms[shard]; t != nil {
-			status := t.Status()
+			status := t.Status(now)
 			maps.Copy(status.Counters, latencies)
 			out.Shards = append(out.Shards, status)
 		}
 	}
 	return out
 }
+
+func (c *Controller) membershipStatus(now time.Time) *peerpb.MembershipStatus {
+	state, since := c.membership.State()
+	status := &peerpb.MembershipStatus{
+		State:             state,
+		LeaseValid:        c.membership.LeaseValid(now),
+		StateContactAgeMs: -1,
+	}
+	if !since.IsZero() {
+		status.StateAgeMs = now.Sub(since).Milliseconds()
+	}
+	if contact := c.membership.LastContact(); !contact.IsZero() {
+		status.StateContactAgeMs = now.Sub(contact).Milliseconds()
+	}
+	return status
+}
--- a/internal/fleet/autoscaler.go
+++ b/internal/fleet/autoscaler.go
@@ -65,6 +65,7 @@
 	provisioner   *provisioner
 	demand        *scaleOutPlanner
 	lists         *listHistory
+	health        *cloudHealth
 	deprovisioner *deprovisioner
 	inventory     *inventory
 }
@@ -76,8 +77,9 @@
 		registry: options.Registry,
 		intents:  options.Intents,
 		lists:    newListHistory(),
+		health:   &cloudHealth{log: options.Log},
 	}
-	limited := newRateLimitedCloud(options.Cloud, options.Config.Cloud.RPS)
+	limited := newRateLimitedCloud(options.Cloud, options.Config.Cloud.RPS, a.health)
 	records := &termStore{termCompare: options.TermCompare, call: options.Store, onTermLost: options.OnTermLost}
 	a.types = &machineTypes{cloud: limited, store: records, registry: options.Registry, scheduler: options.Scheduler,
 		recordsTypes: options.Shard == 0, byName: map[string]wire.MachineType{}, recorded: map[string]string{}}
--- a/internal/fleet/provisioner.go
+++ b/internal/fleet/provisioner.go
@@ -55,6 +55,20 @@
 	return slices.ContainsFunc(p.sorted(), (*provisioningRequest).pending)
 }
 
+// unanswered returns the number of requests whose outcome is unknown, and since when the oldest has been.
+func (p *provisioner) unanswered() (count int, oldest time.Time) {
+	for _, request := range p.requests {
+		if !request.pending() {
+			continue
+		}
+		count++
+		if oldest.IsZero() || request.openedAt.Before(oldest) {
+			oldest = request.openedAt
+		}
+	}
+	return count, oldest
+}
+
 // hasCapacity reports whether a request for a kind may be sent. It returns false for a while after
 // the cloud has reported no capacity.
 func (p *provisioner) hasCapacity(now time.Time, kind machineKind) bool {
@@ -87,7 +101,7 @@
 // newRequest creates and records a request. The cloud is called once the record is durable.
 func (p *provisioner) newRequest(now time.Time, record ProvisioningRecord) *provisioningRequest {
 	p.sequence++
-	request := &provisioningRequest{name: requestName(p.shard, p.token, p.sequence), record: record}
+	request := &provisioningRequest{name: requestName(p.shard, p.token, p.sequence), record: record, openedAt: now}
 	request.intent = p.intents.RecordExternal(intentlog.Provision, request.name, "demand")
 	p.openWriter(request, 0)
 	p.requests[request.name] = request
--- a/internal/fleet/provisioner_records.go
+++ b/internal/fleet/provisioner_records.go
@@ -20,7 +20,7 @@
 		p.unreadableRecords++
 		return
 	}
-	request := &provisioningRequest{name: name, record: record}
+	request := &provisioningRequest{name: name, record: record, openedAt: now}
 	p.openWriter(request, item.Version)
 	p.requests[name] = request
 	if len(record.Hosts) == 0 {
--- a/internal/fleet/rate_limited_cloud.go
+++ b/internal/fleet/rate_limited_cloud.go
@@ -18,9 +18,10 @@
 	caller  cloud.Caller
 	limiter *rate.Limiter
 	backoff *backoff.ExponentialBackOff
+	health  *cloudHealth
 }
 
-func newRateLimitedCloud(caller cloud.Caller, requestsPerSecond float64) *rateLimitedCloud {
+func newRateLimitedCloud(caller cloud.Caller, requestsPerSecond float64, health *cloudHealth) *rateLimitedCloud {
 	retryBackoff := backoff.NewExponentialBackOff()
 	retryBackoff.InitialInterval, retryBackoff.MaxInterval = tuning.CloudBackoffInitial, tuning.CloudBackoffMax
 	// Each shard has a single caller, so retries need no jitter, and tests stay deterministic.
@@ -28,7 +29,7 @@
 	retryBackoff.Reset()
 	share := requestsPerSecond * tuning.CloudRateShare
 	limiter := rate.NewLimiter(rate.Limit(share), max(1, int(share)))
-	return &rateLimitedCloud{caller: caller, limiter: limiter, backoff: retryBackoff}
+	return &rateLimitedCloud{caller: caller, limiter: limiter, backoff: retryBackoff, health: health}
 }
 
 // allow reports whether the rate limit permits a call now. If so, it consumes a token of the bucket.
@@ -41,6 +42,7 @@
 		if err := result.Err(); err == nil || errors.Is(err, cloud.ErrNoCapacity) {
 			c.backoff.Reset()
 		}
+		c.health.observe(now, call, result.Err())
 		done(now, result)
 	})
 }
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -37,6 +37,7 @@
 	// intent is nil for a request granted in an earlier term, adopted or split off another one.
 	intent     *intentlog.Intent
 	inFlight   bool
+	openedAt   time.Time // when this term created or recovered the request
 	retryAt    time.Time
 	finishedAt time.Time // when the last call returned or timed out
 }
--- a/internal/leader/lease.go
+++ b/internal/leader/lease.go
@@ -39,19 +39,19 @@
 	}
 }
 
-func (m *Membership) requestLease() {
-	m.setState(memberGranting, "no lease")
+func (m *Membership) requestLease(now time.Time) {
+	m.setState(now, memberGranting, "no lease")
 	m.options.StateCall(store.Call{Op: store.OpGrantLease, LeaseTTL: tuning.MemberLease}, m.handleGrant)
 }
 
 func (m *Membership) handleGrant(now time.Time, r store.Result) {
 	if !r.OK() || r.Lease == 0 {
-		m.setState(memberWithoutLease, "lease refused")
+		m.setState(now, memberWithoutLease, "lease refused")
 		m.retryAt = now.Add(tuning.MemberBackoff)
 		return
 	}
 	m.lease.granted(r.Lease, r.SentAt)
-	m.setState(memberJoining, "lease granted")
+	m.setState(now, memberJoining, "lease granted")
 	m.Tick(now)
 }
 
@@ -78,7 +78,7 @@
 	case r.OK():
 		m.lease.renewed(now, r.SentAt)
 	case errors.Is(r.Err, store.ErrNotFound):
-		m.dropLease("lease expired")
+		m.dropLease(now, "lease expired")
 	default:
 		m.lease.renewAt = now.Add(tuning.MemberBackoff)
 	}
@@ -110,21 +110,21 @@
 func (m *Membership) handleJoin(now time.Time, r store.Result) {
 	switch {
 	case r.OK():
-		m.setState(memberJoined, "record written")
+		m.setState(now, memberJoined, "record written")
 		m.retryAt = now
 		m.Tick(now)
 	case errors.Is(r.Err, store.ErrInvalid):
-		m.dropLease("lease expired while joining")
+		m.dropLease(now, "lease expired while joining")
 	case errors.Is(r.Err, store.ErrNoResponse) || errors.Is(r.Err, store.ErrConflict):
 		// The record may have been written nevertheless; the watch cache then contains it.
 		if m.records.isLive(m.options.Member, m.lease.id) {
-			m.setState(memberJoined, "record found")
+			m.setState(now, memberJoined, "record found")
 		}
 	}
 }
 
 // dropLease discards an expired lease. Tick then requests a new one.
-func (m *Membership) dropLease(reason string) {
-	m.setState(memberWithoutLease, reason)
+func (m *Membership) dropLease(now time.Time, reason string) {
+	m.setState(now, memberWithoutLease, reason)
 	m.lease.id, m.lease.deadline = 0, time.Time{}
 }
--- a/internal/leader/membership.go
+++ b/internal/leader/membership.go
@@ -72,7 +72,9 @@
 	records controlRecords
 	state   memberState
 	lease   processLease
-	retryAt time.Time // earliest time of the next grant, join or transaction of sendTransaction
+	// stateSince is the time of the latest change of state, zero before the first.
+	stateSince time.Time
+	retryAt    time.Time // earliest time of the next grant, join or transaction of sendTransaction
 	// transacting reports whether a transaction of sendTransaction is in flight.
 	transacting bool
 }
@@ -101,7 +103,7 @@
 	switch m.state {
 	case memberWithoutLease:
 		if !now.Before(m.retryAt) {
-			m.requestLease()
+			m.requestLease(now)
 		}
 	case memberJoining:
 		m.renewLease(now)
@@ -133,13 +135,18 @@
 	})
 }
 
-func (m *Membership) setState(state memberState, reason string) {
+func (m *Membership) setState(now time.Time, state memberState, reason string) {
 	if state != m.state {
 		m.options.Log.Debug("membership state changed", "from", m.state, "to", state, "reason", reason)
+		m.stateSince = now
 	}
 	m.state = state
 }
 
+// State returns the name of this process's state in joining the cluster and the time since which it is in
+// that state, which is zero before the first change.
+func (m *Membership) State() (name string, since time.Time) { return m.state.String(), m.stateSince }
+
 // ReleaseShard releases a shard whose term has ended on this process while its record still names this
 // process as lease holder. The leader then assigns the shard again. unreachable means that the workers
 // cannot reach this member, which makes it the least preferred candidate for the shard. ReleaseShard
--- a/internal/term/status.go
+++ b/internal/term/status.go
@@ -1,6 +1,9 @@
 package term
 
 import (
+	"fmt"
+	"time"
+
 	"juniperchute/internal/intentlog"
 	"juniperchute/internal/peer/peerpb"
 	"juniperchute/internal/submission"
@@ -27,8 +30,14 @@
 
 // Status returns the shard's status for the administration API, with at most tuning.MaxStatusJobs jobs. The
 // names of the counters are part of that API.
-func (t *Term) Status() *peerpb.ShardStatus {
-	out := &peerpb.ShardStatus{Shard: int32(t.Shard), State: t.state.String(), Counters: t.counters()}
+func (t *Term) Status(now time.Time) *peerpb.ShardStatus {
+	out := &peerpb.ShardStatus{
+		Shard:      int32(t.Shard),
+		State:      t.state.String(),
+		StateAgeMs: now.Sub(t.stateSince).Milliseconds(),
+		Waits:      t.waits(now),
+		Counters:   t.counters(),
+	}
 	for _, machine := range t.workers.All() {
 		out.Machines = append(out.Machines, &peerpb.Machine{
 			Host: machine.Host, Type: machine.Type, Zone: machine.Zone, Spot: machine.Spot,
@@ -57,6 +66,40 @@
 	return out
 }
 
+// waits returns what keeps the term from acting.
+func (t *Term) waits(now time.Time) (waits []*peerpb.Wait) {
+	add := func(since time.Time, format string, args ...any) {
+		waits = append(waits, &peerpb.Wait{
+			Reason: fmt.Sprintf(format, args...),
+			AgeMs:  now.Sub(since).Milliseconds(),
+		})
+	}
+	if deadline := t.options.Membership.LeaseDeadline(); !t.options.Membership.LeaseValid(now) {
+		add(deadline, "a renewal of this member's lease")
+	}
+	switch t.state {
+	case Loading:
+		add(t.stateSince, "%d reads of the shard's records", t.recovery.readsInFlight)
+	case Fencing:
+		add(t.stateSince, "%d machines that have not answered this term", t.unreconciledMachines())
+	case Ended:
+		add(t.stateSince, "the release of the shard")
+	}
+	for _, wait := range t.autoscaler.Waits() {
+		add(wait.Since, "%s", wait.Reason)
+	}
+	return waits
+}
+
+func (t *Term) unreconciledMachines() (count int) {
+	for _, machine := range t.workers.All() {
+		if t.unreconciled(machine) {
+			count++
+		}
+	}
+	return count
+}
+
 func (t *Term) counters() map[string]int64 {
 	n := t.scheduler.Counters
 	return map[string]int64{
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -52,7 +52,9 @@
 	options   Options
 	state     State
 	startedAt time.Time
-	log       *slog.Logger
+	// stateSince is the time at which the term entered its state.
+	stateSince time.Time
+	log        *slog.Logger
 
 	workers    *worker.Registry
 	ledger     *quota.Ledger
@@ -74,7 +76,7 @@
 // New returns a term in state Loading. It is inactive before Start.
 func New(now time.Time, options Options) *Term {
 	t := &Term{
-		Assignment: options.Assignment, options: options, startedAt: now,
+		Assignment: options.Assignment, options: options, startedAt: now, stateSince: now,
 		log:           options.Log.With("shard", options.Assignment.Shard, "term", options.Assignment.Token),
 		fencing:       newFencing(),
 		cancellations: newCancellations(options.Peers, options.Platform.Workers),
@@ -203,7 +205,7 @@
 		return
 	}
 	t.log.Info("term state changed", "from", t.state, "to", state, "reason", reason, "duration", now.Sub(t.startedAt))
-	t.state = state
+	t.state, t.stateSince = state, now
 }
 
 // End makes the term inactive. reason is logged.
--- a/internal/tuning/fleet.go
+++ b/internal/tuning/fleet.go
@@ -17,6 +17,8 @@
 	CloudBackoffInitial = 1 * time.Second
 	// CloudBackoffMax bounds the backoff, so that the end of an outage is detected soon.
 	CloudBackoffMax = 3 * time.Second
+	// CloudFailureLogInterval is the minimum time between two log lines about failing calls.
+	CloudFailureLogInterval = 10 * time.Second
 	// MaxCloudCallsInFlight bounds the concurrent calls of one controller.
 	MaxCloudCallsInFlight = 4
 	// MachineTypesInterval is the polling interval of machine types and their prices.
