Keep a shard from deleting machines that belong to another shard

What users saw, with several shards: tasks that were lost because a shard other than theirs deleted their machine. One shard, the default, is not affected.

Cause: a machine that reports before the response to its provisioning request is named by no record, so its heartbeats go to shard 0, which adds it to its registry. Adoption checks whether a machine may belong to another shard; termination did not. Shard 0 deleted the machine as idle after 6 s, or later, when its heartbeats had moved to its own shard, as one whose lease has expired.

Change: terminations skip an unrecorded machine that may belong to another shard, and a shard drops such a machine, without deleting it, once another shard's record names it. A machine gets tasks only when its own shard has recorded and registered it, so that nothing of the shard that drops it runs there. Intents that are already recorded are completed as before.

--- a/internal/controller/routing.go
+++ b/internal/controller/routing.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// BelongsToOtherShard reports whether a provisioning request of a shard other than the given one names a
+// machine.
+func (c *Controller) BelongsToOtherShard(shard int, machine string) bool {
+	recorded, ok := c.shardOfMachine[machine]
+	return ok && recorded != shard
+}
+
 // MayBelongToOtherShard reports whether a machine that existed at existedAt belongs, or may
 // belong, to a shard other than the given one. It returns true while the provisioning requests
 // have not been read after existedAt, or while another shard has a request that names no machines
--- a/internal/fleet/autoscaler.go
+++ b/internal/fleet/autoscaler.go
@@ -47,6 +47,8 @@
 	// MayBelongToOtherShard reports whether a machine that existed at existedAt belongs, or may belong,
 	// to another shard.
 	MayBelongToOtherShard func(host string, existedAt time.Time) bool
+	// BelongsToOtherShard reports whether the provisioning record of another shard names a machine.
+	BelongsToOtherShard func(host string) bool
 }
 
 // Autoscaler scales the machines of one shard during one term. It is not safe for concurrent use:
@@ -58,6 +60,7 @@
 	WorkersUnreachable bool
 
 	registry      *worker.Registry
+	scheduler     *placement.Scheduler
 	intents       *intentlog.Log
 	types         *machineTypes
 	machines      *machineAdder
@@ -68,16 +71,21 @@
 	health        *cloudHealth
 	deprovisioner *deprovisioner
 	inventory     *inventory
+
+	belongsToOtherShard func(host string) bool // Options.BelongsToOtherShard
 }
 
 // New returns the autoscaler of a term that starts at now.
 func New(now time.Time, options Options) *Autoscaler {
 	a := &Autoscaler{
-		Settings: Settings{IdleTimeout: tuning.MachineIdleTimeout},
-		registry: options.Registry,
-		intents:  options.Intents,
-		lists:    newListHistory(),
-		health:   &cloudHealth{log: options.Log},
+		Settings:  Settings{IdleTimeout: tuning.MachineIdleTimeout},
+		registry:  options.Registry,
+		scheduler: options.Scheduler,
+		intents:   options.Intents,
+		lists:     newListHistory(),
+		health:    &cloudHealth{log: options.Log},
+
+		belongsToOtherShard: options.BelongsToOtherShard,
 	}
 	limited := newRateLimitedCloud(options.Cloud, options.Config.Cloud.RPS, a.health)
 	records := &termStore{termCompare: options.TermCompare, call: options.Store, onTermLost: options.OnTermLost}
@@ -92,7 +100,8 @@
 	a.deprovisioner = &deprovisioner{token: options.Token, workerLease: config.Seconds(options.Config.Workers.LeaseS),
 		cloud: limited, intents: options.Intents, registry: options.Registry, scheduler: options.Scheduler,
 		types: a.types, provisioner: a.provisioner, lists: a.lists,
-		onDeleted: options.OnDeleted, forget: a.forgetMachine, termStartedAt: now}
+		mayBelongToOtherShard: options.MayBelongToOtherShard,
+		onDeleted:             options.OnDeleted, forget: a.forgetMachine, termStartedAt: now}
 	a.inventory = &inventory{cloudLimits: options.Config.Cloud, cloud: limited, machines: a.machines,
 		provisioner: a.provisioner, deprovisioner: a.deprovisioner, lists: a.lists,
 		adoptsOrphans: options.Shard == 0, mayBelongToOtherShard: options.MayBelongToOtherShard}
@@ -168,6 +177,7 @@
 	a.registrations.pages.Tick(now)
 	a.provisioner.tick(now)
 	a.intents.Tick(now)
+	a.releaseToOtherShards(now)
 	a.scaleIn(now)
 	a.deprovisioner.deleteMachines(now)
 	a.types.refresh(now)
@@ -175,6 +185,21 @@
 	a.demand.scaleOutIfDue(now, a.Settings)
 }
 
+// releaseToOtherShards removes the machines from the registry that the records of other shards name. A
+// shard accepts the heartbeats of a machine that no record names yet, and gives it no tasks.
+func (a *Autoscaler) releaseToOtherShards(now time.Time) {
+	for _, machine := range a.registry.All() {
+		if machine.Recorded || machine.Registered || machine.State == worker.Deleting {
+			continue
+		}
+		if a.belongsToOtherShard(machine.Host) {
+			a.scheduler.RemoveMachine(now, machine)
+			a.lists.forget(machine.Host)
+			a.registry.Release(machine, "a record of another shard names it")
+		}
+	}
+}
+
 func (a *Autoscaler) scaleIn(now time.Time) {
 	if !a.WorkersUnreachable {
 		a.deprovisioner.scaleIn(now, a.Settings.IdleTimeout)
--- a/internal/fleet/deprovisioner.go
+++ b/internal/fleet/deprovisioner.go
@@ -23,6 +23,8 @@
 	types       *machineTypes
 	provisioner *provisioner
 	lists       *listHistory
+	// mayBelongToOtherShard is Options.MayBelongToOtherShard.
+	mayBelongToOtherShard func(host string, existedAt time.Time) bool
 	// onDeleted is called for each machine of the registry whose deletion is confirmed.
 	onDeleted func(now time.Time, machine *worker.Machine)
 	// forget is called for each deleted machine, also for one that is not in the registry.
@@ -64,8 +66,11 @@
 }
 
 // terminate logs the intent to terminate a machine, which from then on gets no tasks. If the log is
-// full the machine is unchanged and the next pass retries.
+// full, or the machine may belong to another shard, it is unchanged and the next pass retries.
 func (d *deprovisioner) terminate(now time.Time, machine *worker.Machine, decision termination) {
+	if !machine.Recorded && d.mayBelongToOtherShard(machine.Host, machine.CreatedAt) {
+		return
+	}
 	if d.intents.Record(now, decision.operation, machine.Host, decision.reason) {
 		d.registry.SetState(now, machine, worker.Deleting, decision.reason)
 	}
--- a/internal/fleet/fixture_test.go
+++ b/internal/fleet/fixture_test.go
@@ -53,7 +53,8 @@
 		Registry: f.registry, Scheduler: f.scheduler, Intents: f.intents,
 		OnTermLost:            func(time.Time) {},
 		OnDeleted:             func(time.Time, *worker.Machine) {},
-		MayBelongToOtherShard: func(string, time.Time) bool { return false }})
+		MayBelongToOtherShard: func(string, time.Time) bool { return false },
+		BelongsToOtherShard:   func(string) bool { return false }})
 	f.autoscaler.ApplyMachineType(wire.MachineType{Name: "g2", Vcpus: 12, Gpus: 2, MemGB: 96,
 		Price: 5, SpotPrice: 2, BootTimeS: 25, Zones: []string{"a"}}, "")
 	return f
--- a/internal/term/options.go
+++ b/internal/term/options.go
@@ -66,6 +66,8 @@
 	// MayBelongToOtherShard reports whether a machine that existed at existedAt belongs to a shard
 	// other than the given one, or may do so according to a record that has not been read yet.
 	MayBelongToOtherShard(shard int, machine string, existedAt time.Time) bool
+	// BelongsToOtherShard reports whether a record of a shard other than the given one names a machine.
+	BelongsToOtherShard(shard int, machine string) bool
 }
 
 // Options configures a term.
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -137,6 +137,9 @@
 		MayBelongToOtherShard: func(machine string, existedAt time.Time) bool {
 			return t.options.Controller.MayBelongToOtherShard(t.Shard, machine, existedAt)
 		},
+		BelongsToOtherShard: func(machine string) bool {
+			return t.options.Controller.BelongsToOtherShard(t.Shard, machine)
+		},
 	})
 }
 
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -77,14 +77,25 @@
 }
 
 func (r *Registry) remove(machine *Machine) {
-	delete(r.byHost, machine.Host)
+	r.drop(machine)
 	r.MarkDeleted(machine.Host)
+}
+
+// drop removes a machine from the index and the list.
+func (r *Registry) drop(machine *Machine) {
+	delete(r.byHost, machine.Host)
 	if i := slices.Index(r.ordered, machine); i >= 0 {
 		// Allocate a new array because callers may be iterating over the slice that All returned.
 		r.ordered = append(r.ordered[:i:i], r.ordered[i+1:]...)
 	}
 }
 
+// Release removes a machine that belongs to another shard. Unlike a deleted one, it may be added again.
+func (r *Registry) Release(machine *Machine, reason string) {
+	r.log.Info("worker released to its shard", "worker", machine.Host, "from", machine.State.String(), "reason", reason)
+	r.drop(machine)
+}
+
 // MarkDeleted records the deletion of a machine, so that a delayed heartbeat does not add it again. It
 // evicts the hosts with the smallest names first, because host names increase in the order of creation.
 func (r *Registry) MarkDeleted(host string) {
