Route heartbeats of a machine that two shards know by its record

In a deployment, a controller that holds two shards answered the heartbeats of a new machine now for one, now for the other, and its own shard could take its boot as timed out.

Cause: shardOf took the first term that knows the machine, in the iteration order of a map. Open jobs, cancellations, settings and machine types went to the terms in that order too.

Change: the provisioning record that names the machine decides, else the first shard whose term knows it; terms are visited by shard.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -152,7 +152,7 @@
 
 // applyOpenJob passes a change of an open job's record to all terms.
 func (c *Controller) applyOpenJob(now time.Time, _ string, kv wire.KeyValue, deleted bool) {
-	for _, t := range c.terms {
+	for t := range c.termsInOrder() {
 		t.ApplyOpenJob(now, kv, deleted)
 	}
 }
@@ -173,7 +173,7 @@
 	if !deleted {
 		c.settings = admin.Decode(kv.Value, c.environment.Log)
 	}
-	for _, t := range c.terms {
+	for t := range c.termsInOrder() {
 		t.ApplySettings(c.settings)
 	}
 }
@@ -192,7 +192,7 @@
 	c.machineTypes.byName[name] = record.MachineType
 	c.machineTypes.records[name] = string(kv.Value)
 	c.machineTypes.total = record.Total
-	for _, t := range c.terms {
+	for t := range c.termsInOrder() {
 		t.ApplyMachineType(record.MachineType, string(kv.Value))
 	}
 }
@@ -221,10 +221,8 @@
 	}
 	c.openJobs.Tick(now)
 	c.provisionRequests.Tick(now)
-	for shard := range c.options.Shards {
-		if t := c.terms[shard]; t != nil {
-			t.Tick(now)
-		}
+	for t := range c.termsInOrder() {
+		t.Tick(now)
 	}
 	if !now.Before(c.peers.nextHeartbeatAt) {
 		c.peers.nextHeartbeatAt = now.Add(tuning.PeerHeartbeatInterval)
@@ -269,7 +267,7 @@
 
 // ObserveQueueDelay records the time for which the next heartbeat has been queued.
 func (c *Controller) ObserveQueueDelay(delay time.Duration) {
-	for _, t := range c.terms {
+	for t := range c.termsInOrder() {
 		t.ObserveQueueDelay(delay)
 	}
 }
--- a/internal/controller/peer_heartbeat.go
+++ b/internal/controller/peer_heartbeat.go
@@ -139,7 +139,7 @@
 	if peer := c.peers.byName[member]; peer != nil {
 		peer.apply(now, heartbeat)
 	}
-	for _, t := range c.terms {
+	for t := range c.termsInOrder() {
 		for _, id := range heartbeat.Cancelled {
 			t.CancelJob(now, id)
 		}
--- a/internal/controller/routing.go
+++ b/internal/controller/routing.go
@@ -8,18 +8,22 @@
 	"juniperchute/internal/wire"
 )
 
-// shardOf returns the shard of a machine: the shard of a term that has registered it, or else
-// the shard whose provisioning request names it. An unknown machine belongs to shard 0.
+// shardOf returns the shard of a machine: the shard whose provisioning request names it, or else the
+// first shard whose term knows it. An unknown machine belongs to shard 0. Two terms of this process may
+// know a machine: shard 0 accepts its heartbeats until the response to the request of its own shard.
 func (c *Controller) shardOf(machine string) int {
 	if c.options.Shards == 1 {
 		return 0
 	}
-	for shard, t := range c.terms {
+	if shard, recorded := c.shardOfMachine[machine]; recorded {
+		return shard
+	}
+	for t := range c.termsInOrder() {
 		if t.Live() && t.Workers().Get(machine) != nil {
-			return shard
+			return t.Shard
 		}
 	}
-	return c.shardOfMachine[machine]
+	return 0
 }
 
 // applyProvisionRequest updates the map from machines to shards after a change of a provisioning
--- a/internal/controller/routing_test.go
+++ b/internal/controller/routing_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"juniperchute/internal/fleet"
+	"juniperchute/internal/worker"
 )
 
 // newTwoTermsSimulation returns a deployment of two shards, and the one controller that runs and holds
@@ -24,6 +25,28 @@
 	return sim, holder
 }
 
+// Guards against heartbeats of a machine that reach one or the other of two terms at random. Both terms
+// know the machine if it reported before its provisioning request got a response.
+func TestHeartbeatsReachShardOfRecord(t *testing.T) {
+	const host, samples = "i-000001", 100
+	sim, holder := newTwoTermsSimulation(t)
+	for shard := range sim.shards {
+		holder.controller.liveTerm(shard).Workers().Add(sim.clock.Now(), host, worker.Up)
+	}
+	for range samples {
+		if shard := holder.controller.shardOf(host); shard != 0 {
+			t.Fatalf("shard %d without a record, want the first whose term knows the machine", shard)
+		}
+	}
+	sim.putState(fleet.ShardProvisioningPrefix(1)+"b1-1-1", fleet.ProvisioningRecord{Number: 1, Hosts: []string{host}})
+	sim.runFor(time.Second)
+	for range samples {
+		if shard := holder.controller.shardOf(host); shard != 1 {
+			t.Fatalf("shard %d, want shard 1, whose record names the machine", shard)
+		}
+	}
+}
+
 // Guards against a shard that deletes a machine of another shard. Shard 0 accepts the heartbeats of a
 // machine whose request has no response yet, gives it no tasks, and must not deprovision it as idle.
 func TestMachineOfOtherShardIsNotDeleted(t *testing.T) {
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -26,12 +26,10 @@
 			out.Versions[name] = peer.version
 		}
 	}
-	for shard := range c.options.Shards {
-		if t := c.terms[shard]; t != nil {
-			status := t.Status(now)
-			maps.Copy(status.Counters, latencies)
-			out.Shards = append(out.Shards, status)
-		}
+	for t := range c.termsInOrder() {
+		status := t.Status(now)
+		maps.Copy(status.Counters, latencies)
+		out.Shards = append(out.Shards, status)
 	}
 	return out
 }
--- a/internal/controller/terms.go
+++ b/internal/controller/terms.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -8,6 +10,18 @@
 	"juniperchute/internal/term"
 )
 
+// termsInOrder iterates over this process's terms by shard. The order of the effects of an event must not
+// depend on the iteration order of a map.
+func (c *Controller) termsInOrder() iter.Seq[*term.Term] {
+	return func(yield func(*term.Term) bool) {
+		for shard := range c.options.Shards {
+			if t := c.terms[shard]; t != nil && !yield(t) {
+				return
+			}
+		}
+	}
+}
+
 // liveTerm returns this process's live term of a shard, or nil if there is none.
 func (c *Controller) liveTerm(shard int) *term.Term {
 	if t := c.terms[shard]; t != nil && t.Live() {
@@ -19,10 +33,8 @@
 // ReconcileTerms starts and ends terms to match the shard assignments in the control records.
 func (c *Controller) ReconcileTerms(now time.Time) {
 	assigned := c.membership.Assignments()
-	for shard := range c.options.Shards {
-		if t := c.terms[shard]; t != nil {
-			c.reconcileTerm(now, t, assigned)
-		}
+	for t := range c.termsInOrder() {
+		c.reconcileTerm(now, t, assigned)
 	}
 	for _, assignment := range assigned {
 		if c.terms[assignment.Shard] == nil && c.membership.LeaseValid(now) {
@@ -81,8 +93,8 @@
 		WallClock:         c.environment.WallClock,
 		Log:               c.environment.Log,
 	})
-	for name, machineType := range c.machineTypes.byName {
-		t.ApplyMachineType(machineType, c.machineTypes.records[name])
+	for _, name := range slices.Sorted(maps.Keys(c.machineTypes.byName)) {
+		t.ApplyMachineType(c.machineTypes.byName[name], c.machineTypes.records[name])
 	}
 	t.ApplySettings(c.settings)
 	t.Start(now)
@@ -94,7 +106,7 @@
 // lease is safe, early expiry of a worker's lease is not. The next lease holder of each shard
 // waits for the workers' leases from the start of its own term.
 func (c *Controller) EndTermsAfterSuspension(now time.Time) {
-	for _, t := range c.terms {
+	for t := range c.termsInOrder() {
 		t.End(now, "the clock was moved forward")
 	}
 }
