Report failures of every round in knownfailures, and the lines of entries

With -count above 1 the check kept the last outcome of a test only: a test that failed in an earlier round and passed in the last was not reported, listed or not. A problem of a listed test did not name its entry.

Results are now kept by round. A failure in any round that is not listed fails the check; a test listed as failing always must fail in every round; a parent must have failed only by its subtests in each round; the rounds of a listed test that failed are printed. A problem of a listed test begins with file and line of its entry.

--- a/internal/tools/knownfailures/evaluate.go
+++ b/internal/tools/knownfailures/evaluate.go
@@ -14,17 +14,24 @@
 // evaluate returns the reasons to fail the check: failures that are not listed, and listed tests
 // whose outcome is not the one listed. It returns none if only listed tests failed.
 func (r *testRun) evaluate(known []knownFailure) []string {
-	listed := map[string]map[string]bool{} // tests by import path
 	var problems []string
+	for _, failure := range known {
+		if problem := r.unexpectedOutcome(failure); problem != "" {
+			problems = append(problems, problem)
+		}
+	}
+	return append(problems, r.unlistedProblems(known)...)
+}
+
+// unlistedProblems returns the reasons to fail the check that concern no listed test.
+func (r *testRun) unlistedProblems(known []knownFailure) (problems []string) {
+	listed := map[string]map[string]bool{} // tests by import path
 	for _, failure := range known {
 		name := r.importPath(failure)
 		if listed[name] == nil {
 			listed[name] = map[string]bool{}
 		}
 		listed[name][failure.test] = true
-		if problem := r.unexpectedOutcome(failure); problem != "" {
-			problems = append(problems, problem)
-		}
 	}
 	packageFailed := false
 	for _, name := range slices.Sorted(maps.Keys(r.packages)) {
@@ -46,27 +53,47 @@
 // unexpectedOutcome describes how the outcome of a listed test differs from the one listed. It
 // returns "" for an expected outcome. No entry expects a test to be skipped or unfinished.
 func (r *testRun) unexpectedOutcome(failure knownFailure) string {
-	outcome := r.outcome(failure)
-	switch {
-	case outcome == "":
+	results := r.rounds(failure)
+	if len(results) == 0 {
 		return failure.name() + " is listed, but did not run"
-	case outcome == actionFail, outcome == actionPass && failure.frequency == intermittent:
+	}
+	for _, result := range results {
+		if result.outcome != actionPass && result.outcome != actionFail {
+			return fmt.Sprintf("%s is listed, but its last action was %q", failure.name(), result.outcome)
+		}
+	}
+	passed := results.count(actionPass)
+	switch {
+	case passed == 0 || failure.frequency == intermittent:
 		return ""
-	case outcome == actionPass:
+	case passed == len(results):
 		return failure.name() + " is listed with frequency always, but passed: remove its entry"
 	}
-	return fmt.Sprintf("%s is listed, but its last action was %q", failure.name(), outcome)
+	return fmt.Sprintf("%s is listed with frequency always, but passed in %d of %d rounds: change its entry",
+		failure.name(), passed, len(results))
 }
 
-// outcome returns the last action of a listed test, or "" if the test did not run.
-func (r *testRun) outcome(failure knownFailure) string {
-	p := r.packages[r.importPath(failure)]
-	if p == nil || p.tests[failure.test] == nil {
-		return ""
+// rounds returns the results of a listed test, none if it did not run.
+func (r *testRun) rounds(failure knownFailure) rounds {
+	if p := r.packages[r.importPath(failure)]; p != nil {
+		return p.tests[failure.test]
+	}
+	return nil
+}
+
+// count returns the number of rounds with an outcome.
+func (r rounds) count(outcome string) (n int) {
+	for _, result := range r {
+		if result.outcome == outcome {
+			n++
+		}
 	}
-	return p.tests[failure.test].outcome
+	return n
 }
 
+// failed reports whether the test failed in any round.
+func (r rounds) failed() bool { return r.count(actionFail) > 0 }
+
 // importPath returns the import path of the package of a listed test.
 func (r *testRun) importPath(failure knownFailure) string {
 	return path.Join(r.module, failure.folder)
@@ -79,10 +106,10 @@
 		problems = append(problems, name+" did not finish")
 	}
 	for _, name := range slices.Sorted(maps.Keys(p.tests)) {
-		t := p.tests[name]
+		results := p.tests[name]
 		switch {
-		case t.outcome != actionFail:
-		case t.hasDataRace():
+		case !results.failed():
+		case results.haveDataRace():
 			problems = append(problems, name+" has a data race, which the list cannot exempt")
 		case !listed[name] && !p.failedBySubtests(name):
 			problems = append(problems, name+" failed")
@@ -98,23 +125,33 @@
 func (p *packageResult) unfinished() []string {
 	var names []string
 	for _, name := range slices.Sorted(maps.Keys(p.tests)) {
-		if p.tests[name].outcome == actionRun {
+		if p.tests[name].count(actionRun) > 0 {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
-// failedBySubtests reports whether a failed test failed only because subtests failed. A test with
-// output of its own counts as failed by itself, as events do not distinguish errors from logs.
+// failedBySubtests reports whether a failed test failed in each such round only because subtests failed. A
+// test with output of its own counts as failed by itself, as events do not distinguish errors from logs.
 func (p *packageResult) failedBySubtests(name string) bool {
-	for _, line := range p.tests[name].output {
-		if !isProgress(line) && !strings.HasPrefix(strings.TrimSpace(line), "--- FAIL: "+name+" ") {
-			return false
-		}
-	}
-	for other, t := range p.tests {
-		if strings.HasPrefix(other, name+"/") && t.outcome == actionFail {
+	return !slices.ContainsFunc(p.tests[name], func(failed *result) bool {
+		return failed.outcome == actionFail && (failed.hasOwnOutput(name) || !p.subtestFailed(name, failed.round))
+	})
+}
+
+// hasOwnOutput reports whether a test has printed anything but its result.
+func (r *result) hasOwnOutput(name string) bool {
+	return slices.ContainsFunc(r.output, func(line string) bool {
+		return !isProgress(line) && !strings.HasPrefix(strings.TrimSpace(line), "--- FAIL: "+name+" ")
+	})
+}
+
+// subtestFailed reports whether a subtest of a test failed in a round.
+func (p *packageResult) subtestFailed(name string, round int) bool {
+	for other, results := range p.tests {
+		failed := func(r *result) bool { return r.round == round && r.outcome == actionFail }
+		if strings.HasPrefix(other, name+"/") && slices.ContainsFunc(results, failed) {
 			return true
 		}
 	}
@@ -136,7 +173,9 @@
 	return printedFail
 }
 
-// hasDataRace reports whether the race detector found a data race in a test.
-func (r *result) hasDataRace() bool {
-	return slices.ContainsFunc(r.output, func(line string) bool { return strings.Contains(line, raceReport) })
+// haveDataRace reports whether the race detector found a data race in any round of a test.
+func (r rounds) haveDataRace() bool {
+	return slices.ContainsFunc(r, func(result *result) bool {
+		return slices.ContainsFunc(result.output, func(line string) bool { return strings.Contains(line, raceReport) })
+	})
 }
--- a/internal/tools/knownfailures/events.go
+++ b/internal/tools/knownfailures/events.go
@@ -38,13 +38,17 @@
 // packageResult holds the results of a package and its tests.
 type packageResult struct {
 	result
-	tests map[string]*result
+	tests map[string]rounds
 }
 
-// result is the outcome and output of a test, or of a package without those of its tests.
+// rounds holds the results of one test. With the flag -count a test runs more than once.
+type rounds []*result
+
+// result is the outcome and output of one run of a test, or of a package without those of its tests.
 type result struct {
 	outcome string   // last action: pass, fail or skip; run if unfinished; "" if the package did not finish
 	output  []string // lines
+	round   int      // of the top-level test, from 1
 }
 
 // runTests runs "go test" with the arguments and writes to out what it would print without -json.
@@ -98,9 +102,12 @@
 func (r *testRun) record(e event, out io.Writer) {
 	p := r.packages[e.Package]
 	if p == nil {
-		p = &packageResult{tests: map[string]*result{}}
+		p = &packageResult{tests: map[string]rounds{}}
 		r.packages[e.Package] = p
 	}
+	if e.Action == actionRun {
+		p.startRound(e.Test)
+	}
 	current := p.resultOf(e.Test)
 	switch e.Action {
 	case actionOutput:
@@ -117,15 +124,26 @@
 	}
 }
 
-// resultOf returns the result of a test, or of the package itself if the name is empty.
+// startRound adds a result for a run of a test. A subtest has the round of its top-level test.
+func (p *packageResult) startRound(test string) {
+	topLevel, _, isSubtest := strings.Cut(test, "/")
+	round := len(p.tests[topLevel])
+	if !isSubtest {
+		round++
+	}
+	p.tests[test] = append(p.tests[test], &result{round: round})
+}
+
+// resultOf returns the result of the current run of a test, or that of the package itself if the name is
+// empty.
 func (p *packageResult) resultOf(test string) *result {
 	if test == "" {
 		return &p.result
 	}
-	if p.tests[test] == nil {
-		p.tests[test] = &result{}
+	if len(p.tests[test]) == 0 {
+		p.startRound(test)
 	}
-	return p.tests[test]
+	return p.tests[test][len(p.tests[test])-1]
 }
 
 // print writes the summary line of a package that passed. For one that failed, it writes the
@@ -133,7 +151,7 @@
 func (p *packageResult) print(out io.Writer) {
 	if p.outcome == actionFail {
 		for _, name := range p.unfinished() {
-			p.tests[name].print(out)
+			p.resultOf(name).print(out)
 		}
 		p.result.print(out)
 		return
--- a/internal/tools/knownfailures/list.go
+++ b/internal/tools/knownfailures/list.go
@@ -82,6 +82,27 @@
 	return known, nil
 }
 
+// readEntryLines returns the line of each entry's test in a list that readList accepts, by the name of the
+// known failure.
+func readEntryLines(file string) (map[string]int, error) {
+	content, err := os.ReadFile(file)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read known failures: %w", err)
+	}
+	entries, err := splitEntries(string(content))
+	if err != nil {
+		return nil, fmt.Errorf("parse known failures: %s:%w", file, err)
+	}
+	lines := map[string]int{}
+	for _, entry := range entries {
+		lines[entry.values[keyTest]] = entry.lines[keyTest]
+	}
+	return lines, nil
+}
+
 // parseList parses the entries of a list. Its errors begin with the number of the line.
 func parseList(content string) ([]knownFailure, error) {
 	entries, err := splitEntries(content)
--- a/internal/tools/knownfailures/main.go
+++ b/internal/tools/knownfailures/main.go
@@ -16,7 +16,8 @@
 // underscores for spaces. An entry does not cover the subtests of its test, which need entries of
 // their own. A parent that fails only because of listed subtests needs no entry.
 //
-// A test with "frequency: always" must fail. One with "frequency: intermittent" may pass as well.
+// A test with "frequency: always" must fail. One with "frequency: intermittent" may pass as well. With the
+// flag -count every round counts, and the rounds of listed tests in which they failed are printed.
 // The command fails if a listed test is skipped, does not finish or does not exist. Whatever is
 // listed, it also fails on a data race, on a build failure, and if a panic or a timeout ends a
 // package.
@@ -49,19 +50,48 @@
 	if err != nil {
 		return err
 	}
-	problems := tests.evaluate(known)
-	for _, problem := range problems {
-		fmt.Fprintln(out, "error:", problem)
+	problems, err := printProblems(out, tests, known)
+	if err != nil {
+		return err
 	}
-	if len(problems) > 0 {
-		return fmt.Errorf("%d test failures or outcomes not covered by %s", len(problems), listFile)
+	if problems > 0 {
+		return fmt.Errorf("%d test failures or outcomes not covered by %s", problems, listFile)
 	}
 	for _, failure := range known {
-		if tests.outcome(failure) == actionPass {
-			fmt.Fprintln(out, "listed test passed, see "+listFile+":", failure)
-		} else {
-			fmt.Fprintln(out, "known failure, see "+listFile+":", failure)
-		}
+		printOutcome(out, failure, tests.rounds(failure))
 	}
 	return nil
 }
+
+// printProblems prints the reasons to fail the check, those of listed tests with the lines of their
+// entries, and returns their number.
+func printProblems(out io.Writer, tests *testRun, known []knownFailure) (problems int, err error) {
+	lines, err := readEntryLines(listFile)
+	if err != nil {
+		return 0, err
+	}
+	for _, failure := range known {
+		if problem := tests.unexpectedOutcome(failure); problem != "" {
+			fmt.Fprintf(out, "error: %s:%d: %s\n", listFile, lines[failure.name()], problem)
+			problems++
+		}
+	}
+	for _, problem := range tests.unlistedProblems(known) {
+		fmt.Fprintln(out, "error:", problem)
+		problems++
+	}
+	return problems, nil
+}
+
+// printOutcome prints a listed test and, if it ran more than once, how often it failed.
+func printOutcome(out io.Writer, failure knownFailure, results rounds) {
+	outcome := "listed test passed"
+	if results.failed() {
+		outcome = "known failure"
+	}
+	fmt.Fprintf(out, "%s, see %s: %s", outcome, listFile, failure)
+	if len(results) > 1 {
+		fmt.Fprintf(out, ": failed in %d of %d rounds", results.count(actionFail), len(results))
+	}
+	fmt.Fprintln(out)
+}
--- a/internal/tools/knownfailures/sample_test.go
+++ b/internal/tools/knownfailures/sample_test.go
@@ -45,6 +45,28 @@
 
 func TestHang(t *testing.T) { select {} }
 
+var rounds int
+
+func TestFirstRound(t *testing.T) {
+	if rounds++; rounds == 1 {
+		t.Error("a fault of the first round")
+	}
+}
+
+var parentRounds int
+
+func TestMixedRounds(t *testing.T) {
+	parentRounds++
+	t.Run("bad", func(t *testing.T) {
+		if parentRounds == 1 {
+			t.Error("a fault of the first round")
+		}
+	})
+	if parentRounds == 2 {
+		t.Error("a fault of the parent itself")
+	}
+}
+
 func TestRace(t *testing.T) {
 	n, done := 0, make(chan bool)
 	go func() { n++; done <- true }()
