Count an entry that returns to a page once in the page's size

What callers could see: after the state service lowers its limits, an entry of store.Pages is never durable. A machine without a durable registration gets no tasks, and a job without a durable start marker does not start.

Cause: an entry that moved back to a page that still held its stale copy was added to the page's size on top of the stale copy. A page that counts more than the limit is split before a write; as its entries do fit, nothing moved, and the page was split at each tick and never written.

Test, failing before: "page 0 counts 820 bytes, its entries have 420", "an entry within the lowered limit is not durable after 30s". The size now leaves out the copy that is replaced. The tests of store pass.

--- a/internal/store/page.go
+++ b/internal/store/page.go
@@ -45,7 +45,8 @@
 	p.changed = true
 }
 
-// add sets an entry that the page does not hold yet.
+// add sets an entry whose newest copy was not on the page. The page may hold a stale copy, which is
+// replaced.
 func (p *page) add(key string, value json.RawMessage) {
 	p.load(key, value)
 	p.changed = true
@@ -53,6 +54,9 @@
 
 // load adds an entry from the stored value of the page, without marking the page as changed.
 func (p *page) load(key string, value json.RawMessage) {
+	if stale, ok := p.entries[key]; ok {
+		p.size -= entrySize(key, stale)
+	}
 	p.size += entrySize(key, value)
 	p.entries[key] = value
 }
