Share the parsing of known failures and the running of its cases

readList and the lines of its entries read a file alike, and two tests ran their cases by the same lines. Both have one function now. Two functions that add to a queue without blocking had different names; Runtime.Controller had no caller; a method was named like the builtin recover.

--- a/internal/controller/runtime.go
+++ b/internal/controller/runtime.go
@@ -30,8 +30,8 @@
 // eventQueue is a bounded queue of functions that the event loop runs. Each handles one event.
 type eventQueue chan func(now time.Time)
 
-// tryPost adds an event without blocking. It returns false if the queue is full.
-func (q eventQueue) tryPost(event func(now time.Time)) bool {
+// tryEnqueue adds an event without blocking. It returns false if the queue is full.
+func (q eventQueue) tryEnqueue(event func(now time.Time)) bool {
 	select {
 	case q <- event:
 		return true
@@ -206,7 +206,7 @@
 // f may still run, unless the queue was full.
 func (r *Runtime) RunOnLoop(ctx context.Context, f func(now time.Time)) error {
 	finished := make(chan struct{})
-	if !r.events.tryPost(func(now time.Time) { f(now); close(finished) }) {
+	if !r.events.tryEnqueue(func(now time.Time) { f(now); close(finished) }) {
 		return errQueueFull
 	}
 	select {
@@ -218,6 +218,3 @@
 		return net.ErrClosed
 	}
 }
-
-// Controller returns the controller, which only functions passed to RunOnLoop may use.
-func (r *Runtime) Controller() *Controller { return r.controller }
--- a/internal/fleet/cloud_health.go
+++ b/internal/fleet/cloud_health.go
@@ -22,7 +22,7 @@
 // that the cloud can be reached.
 func (h *cloudHealth) observe(now time.Time, call cloud.Call, err error) {
 	if err == nil || errors.Is(err, cloud.ErrNoCapacity) || errors.Is(err, cloud.ErrInvalid) {
-		h.recover(now)
+		h.markReachable(now)
 		return
 	}
 	if h.failingSince.IsZero() {
@@ -37,7 +37,8 @@
 	}
 }
 
-func (h *cloudHealth) recover(now time.Time) {
+// markReachable ends the period of failures, if there is one, and logs its end.
+func (h *cloudHealth) markReachable(now time.Time) {
 	if !h.failingSince.IsZero() {
 		h.log.Info("cloud calls succeed again", "count", h.failures, "duration", now.Sub(h.failingSince))
 	}
--- a/internal/tools/knownfailures/evaluate_test.go
+++ b/internal/tools/knownfailures/evaluate_test.go
@@ -240,15 +240,18 @@
 func TestEvaluate(t *testing.T) {
 	writeSampleModule(t)
 	for _, c := range slices.Concat(alwaysCases, intermittentCases) {
-		t.Run(c.name, func(t *testing.T) {
-			var printed strings.Builder
-			tests, err := runTests(c.arguments, &printed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if got := tests.evaluate(c.listed); !slices.Equal(got, c.problems) {
-				t.Errorf("got problems %q, want %q; go test printed:\n%s", got, c.problems, printed.String())
-			}
-		})
+		t.Run(c.name, c.run)
+	}
+}
+
+// run runs "go test" and checks the problems that the list leaves.
+func (c evaluateCase) run(t *testing.T) {
+	var printed strings.Builder
+	tests, err := runTests(c.arguments, &printed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := tests.evaluate(c.listed); !slices.Equal(got, c.problems) {
+		t.Errorf("got problems %q, want %q; go test printed:\n%s", got, c.problems, printed.String())
 	}
 }
--- a/internal/tools/knownfailures/list.go
+++ b/internal/tools/knownfailures/list.go
@@ -68,33 +68,35 @@
 
 // readList reads a list from a file. It returns no entries if the file does not exist.
 func readList(file string) ([]knownFailure, error) {
-	content, err := os.ReadFile(file)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, fmt.Errorf("read known failures: %w", err)
-	}
-	known, err := parseList(string(content))
-	if err != nil {
-		return nil, fmt.Errorf("parse known failures: %s:%w", file, err)
-	}
-	return known, nil
+	return readWith(file, parseList)
 }
 
 // readEntryLines returns the line of each entry's test in a list that readList accepts, by the name of the
 // known failure.
 func readEntryLines(file string) (map[string]int, error) {
+	return readWith(file, parseEntryLines)
+}
+
+// readWith reads and parses a file. It returns the zero value if the file does not exist.
+func readWith[T any](file string, parse func(content string) (T, error)) (parsed T, err error) {
 	content, err := os.ReadFile(file)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
+		return parsed, nil
 	}
 	if err != nil {
-		return nil, fmt.Errorf("read known failures: %w", err)
+		return parsed, fmt.Errorf("read known failures: %w", err)
 	}
-	entries, err := splitEntries(string(content))
+	if parsed, err = parse(string(content)); err != nil {
+		return parsed, fmt.Errorf("parse known failures: %s:%w", file, err)
+	}
+	return parsed, nil
+}
+
+// parseEntryLines returns the line of each entry's test by the name of the known failure.
+func parseEntryLines(content string) (map[string]int, error) {
+	entries, err := splitEntries(content)
 	if err != nil {
-		return nil, fmt.Errorf("parse known failures: %s:%w", file, err)
+		return nil, err
 	}
 	lines := map[string]int{}
 	for _, entry := range entries {
--- a/internal/tools/knownfailures/rounds_test.go
+++ b/internal/tools/knownfailures/rounds_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"slices"
 	"strings"
 	"testing"
 )
@@ -46,16 +45,7 @@
 		},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			var printed strings.Builder
-			tests, err := runTests(c.arguments, &printed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if got := tests.evaluate(c.listed); !slices.Equal(got, c.problems) {
-				t.Errorf("got problems %q, want %q; go test printed:\n%s", got, c.problems, printed.String())
-			}
-		})
+		t.Run(c.name, c.run)
 	}
 }
 
