Check stored pages of the intent log and every reported intent

TestStoredFormats lacked the pages of the intent log, which controllers of different versions read during an upgrade. TestIntentsReported checked one target, the first of a map, so that which one varied. It checks all now, each as a whole name where it looked for a part of the joined names before.

intentlog.ReadPage returned entries in the iteration order of a map, which operators saw in listings; it orders them by target.

--- a/internal/controller/formats_test.go
+++ b/internal/controller/formats_test.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"reflect"
 	"testing"
+	"time"
 
 	"juniperchute/internal/fleet"
+	"juniperchute/internal/intentlog"
 	"juniperchute/internal/leader"
 	"juniperchute/internal/submission"
 	"juniperchute/internal/wire"
@@ -137,6 +139,16 @@
 			Total: 2,
 		},
 	},
+	{
+		name: "page of the intent log",
+		encoded: `{"i-000001":{"Duty":"return","Token":7,"At":1700000000000},` +
+			`"i-000002":{"Duty":"reclaim","Token":7,"At":1700000000000}}`,
+		decodeInto: &intentPage{},
+		want: &intentPage{entries: []intentlog.Entry{
+			{Operation: intentlog.Deprovision, Target: "i-000001", Token: 7, DecidedAt: time.UnixMilli(1700000000000)},
+			{Operation: intentlog.Reclaim, Target: "i-000002", Token: 7, DecidedAt: time.UnixMilli(1700000000000)},
+		}},
+	},
 }
 
 // Guards against incompatible changes of stored records: during a rolling upgrade both versions read
--- a/internal/controller/intents_status_test.go
+++ b/internal/controller/intents_status_test.go
@@ -1,7 +1,7 @@
 package controller
 
 import (
-	"strings"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,9 +42,9 @@
 	sim := intentLogSimulation(t)
 	sim.runUntilIntentLogged()
 	holder := sim.leaseHolder()
-	target := sim.loggedTargets()[0]
-	sim.cloud.Unavailable = true // keeps the intent open
-	sim.checkIntentsOfAll(holder, target)
+	targets := sim.loggedTargets()
+	sim.cloud.Unavailable = true // keeps the intents open
+	sim.checkIntentsOfAll(holder, targets)
 
 	holder.crash(time.Hour)
 	sim.runFor(500 * time.Millisecond)
@@ -74,8 +74,8 @@
 }
 
 // checkIntentsOfAll checks that every controller reports the lease holder, its fencing token and an
-// intent for the target.
-func (sim *simulation) checkIntentsOfAll(holder *simulatedNode, target string) {
+// intent for each target.
+func (sim *simulation) checkIntentsOfAll(holder *simulatedNode, targets []string) {
 	sim.t.Helper()
 	token := holder.controller.terms[0].Token
 	for _, n := range sim.nodes {
@@ -85,8 +85,10 @@
 		if !known || shard.AssignedAtMs == 0 || (shard.State == "open") != (n == holder) {
 			sim.t.Errorf("%s replies %+v, want live lease holder %s with token %d", n.name, r, holder.name, token)
 		}
-		if !strings.Contains(strings.Join(intentTargets(r), " "), target) {
-			sim.t.Errorf("%s does not report an intent for %s: %v", n.name, target, intentTargets(r))
+		for _, target := range targets {
+			if !slices.Contains(intentTargets(r), target) {
+				sim.t.Errorf("%s does not report an intent for %s: %v", n.name, target, intentTargets(r))
+			}
 		}
 	}
 }
--- a/internal/intentlog/record.go
+++ b/internal/intentlog/record.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -52,15 +54,16 @@
 	DecidedAt time.Time
 }
 
-// ReadPage decodes the entries of a log page, in no particular order. It does not reject operations
-// of other versions.
+// ReadPage decodes the entries of a log page, ordered by target. It does not reject operations of other
+// versions.
 func ReadPage(value json.RawMessage) ([]Entry, error) {
 	records := map[string]entryRecord{}
 	if err := json.Unmarshal(value, &records); err != nil {
 		return nil, fmt.Errorf("decode intent log page: %w", err)
 	}
 	var entries []Entry
-	for target, record := range records {
+	for _, target := range slices.Sorted(maps.Keys(records)) {
+		record := records[target]
 		entries = append(entries, Entry{
 			Operation: record.Operation,
 			Target:    target,
