Upgrade with intents open at failovers between versions

No upgrade scenario had an intent open at a failover, so that nothing showed that one version completes what another has recorded and not executed.

The new scenario holds a call of the lease holder at the cloud, kills the holder, and executes the call after the failover: once from an old holder to new ones, once from a new holder to old ones, starting from each of the three old versions. The successor must call the cloud for each intent that was open, under its own name, or have completed it.

--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -57,6 +57,7 @@
 	cluster    *fakes.Cluster
 	byAddress  map[string]*fakes.Worker
 	clients    map[string]*http.Client // HTTP clients of the workers, by machine
+	cloudCalls map[string]int          // calls that the cloud has received, by request name or machine
 	checkedAt  time.Time
 	heartbeats heartbeatStats
 }
@@ -80,6 +81,8 @@
 		clock:     fakes.NewClock(time.Now()),
 		byAddress: map[string]*fakes.Worker{},
 		clients:   map[string]*http.Client{},
+
+		cloudCalls: map[string]int{},
 	}
 	rng := rand.New(rand.NewPCG(3, 3))
 	d.store = fakes.NewStateService(d.clock)
--- a/internal/integration/fake_servers_test.go
+++ b/internal/integration/fake_servers_test.go
@@ -125,10 +125,21 @@
 	return call
 }
 
+// countCloudCall counts a call for each machine or request that it names; the lock must be held.
+func (d *deployment) countCloudCall(call cloud.Call) {
+	for _, host := range call.Hosts {
+		d.cloudCalls[host]++
+	}
+	if call.Operation == cloud.CreateMachines {
+		d.cloudCalls[call.Request.Name]++
+	}
+}
+
 // serveCloud handles HTTP requests to the cloud.
 func (d *deployment) serveCloud(w http.ResponseWriter, request *http.Request) {
 	call := parseCloudCall(request)
 	var result cloud.Result
+	d.withLock(func() { d.countCloudCall(call) })
 	d.gate.pass(beforeCall, call)
 	d.withLock(func() { result = d.cloud.Call(call) })
 	d.gate.pass(afterCall, call)
--- a/internal/integration/upgrade_test.go
+++ b/internal/integration/upgrade_test.go
@@ -119,6 +119,22 @@
 			u.start(2)
 		},
 	},
+	{
+		name: "open intents at the failovers from old to new and from new to old",
+		run: func(u *upgradeTest) {
+			u.restart(0, u.newProgram)
+			u.restartAndWait(1, u.newProgram)
+			u.forceLeaseHolder(2)
+			u.failOverWithOpenIntents()
+			u.start(2)
+			u.restartAndWait(1, u.oldProgram)
+			u.forceLeaseHolder(0)
+			u.failOverWithOpenIntents()
+			u.start(0)
+			u.sleep(stepInterval)
+			u.rollOut(u.newProgram)
+		},
+	},
 }
 
 // TestUpgrade guards against violations of the protocol while three controllers of an earlier version
