Release the shard if only its lease holder cannot reach the cloud

What callers saw: no job started that needs a machine, for as long as the lease holder alone could not reach the cloud. The other controllers reached it, but the holder's lease lasted, and a shard is assigned anew only when its holder is gone or releases it.

Cause: a process was checked for isolation from the workers, not from the cloud.

Change: after 15 s without a successful call the holder asks its peers, every 5 s, to make one, by the RPC Probe with a new field; if one succeeds, the term ends and the shard is released with this member as the least preferred holder. In an outage of the cloud no peer succeeds. Failures while the member's lease is not valid do not count, as calls are then refused before they are sent.

In an outage of the cloud the holder keeps the shard; the probe is tested against a server.

--- a/internal/controller/process_effects.go
+++ b/internal/controller/process_effects.go
@@ -238,3 +238,15 @@
 	}
 	return responded
 }
+
+// probeCloud makes a call to the cloud and returns the number of its responses within tuning.ProbeTimeout,
+// which is 0 or 1.
+func (e *processEffects) probeCloud(ctx context.Context) (responded int) {
+	defer e.cloudSemaphore.acquire()()
+	ctx, cancel := context.WithTimeout(ctx, tuning.ProbeTimeout)
+	defer cancel()
+	if result := e.cloud.Do(ctx, cloud.Call{Operation: cloud.ListMachineTypes}); result.Err() != nil {
+		return 0
+	}
+	return 1
+}
--- a/internal/controller/rpc_handlers.go
+++ b/internal/controller/rpc_handlers.go
@@ -26,6 +26,9 @@
 // HandleProbe implements peer.Handler. It bypasses the event loop because it uses no state of
 // the controller.
 func (r *Runtime) HandleProbe(ctx context.Context, request *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	if request.Cloud {
+		return &peerpb.ProbeReply{Answered: int32(r.effects.probeCloud(ctx))}, nil
+	}
 	addresses := request.Addresses[:min(len(request.Addresses), tuning.ProbeWorkers)]
 	return &peerpb.ProbeReply{Answered: int32(r.effects.probe(ctx, addresses))}, nil
 }
--- a/internal/controller/simulation_peers_test.go
+++ b/internal/controller/simulation_peers_test.go
@@ -75,6 +75,9 @@
 	e.node.sim.recordPeerCall(e.node.name, member, "probe", m)
 	callPeer(e, member, func(o *simulatedNode) *peerpb.ProbeReply {
 		r := &peerpb.ProbeReply{}
+		if m.Cloud && !o.cloudPartitioned && !e.node.sim.cloud.Unavailable {
+			r.Answered++
+		}
 		for _, address := range m.Addresses {
 			target := e.node.sim.machines[strings.TrimPrefix(address, machineAddressPrefix)]
 			if target != nil && !target.partitioned && !target.Hung && !o.workersPartitioned {
--- a/internal/controller/terms.go
+++ b/internal/controller/terms.go
@@ -57,7 +57,7 @@
 	})
 	if stillAssigned {
 		// Without the release the shard would never get another lease holder.
-		c.membership.ReleaseShard(now, t.Assignment, t.WorkersUnreachable())
+		c.membership.ReleaseShard(now, t.Assignment, t.Unreachable())
 		return
 	}
 	delete(c.terms, t.Shard)
--- a/internal/fleet/cloud_health.go
+++ b/internal/fleet/cloud_health.go
@@ -14,6 +14,7 @@
 	log          *slog.Logger
 	failingSince time.Time // zero while calls succeed
 	failures     int       // number of failed calls since then
+	lastFailure  time.Time
 	lastError    error
 	nextLogAt    time.Time // earliest time of the next log of a failure
 }
@@ -29,7 +30,7 @@
 		h.failingSince, h.nextLogAt = now, now
 	}
 	h.failures++
-	h.lastError = err
+	h.lastFailure, h.lastError = now, err
 	if !now.Before(h.nextLogAt) {
 		h.nextLogAt = now.Add(tuning.CloudFailureLogInterval)
 		h.log.Warn("cloud calls fail", "operation", call.Operation.String(), "error", err,
@@ -42,5 +43,13 @@
 	if !h.failingSince.IsZero() {
 		h.log.Info("cloud calls succeed again", "count", h.failures, "duration", now.Sub(h.failingSince))
 	}
-	h.failingSince, h.failures, h.lastError = time.Time{}, 0, nil
+	h.forget()
 }
+
+// forget discards the failures so far.
+func (h *cloudHealth) forget() {
+	h.failingSince, h.failures, h.lastFailure, h.lastError = time.Time{}, 0, time.Time{}, nil
+}
+
+// failingFor returns the time between the first and the latest failure since the last success.
+func (h *cloudHealth) failingFor() time.Duration { return h.lastFailure.Sub(h.failingSince) }
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -11,6 +11,14 @@
 	Since  time.Time
 }
 
+// CloudFailingFor returns the time between the first and the latest failed call to the cloud since the last
+// successful one. It is 0 after a success.
+func (a *Autoscaler) CloudFailingFor() time.Duration { return a.health.failingFor() }
+
+// ForgetCloudFailures discards the failures so far. It must be called while no calls may be made, which
+// counts as a failure of calls that were already on their way.
+func (a *Autoscaler) ForgetCloudFailures() { a.health.forget() }
+
 // Waits returns what the autoscaler waits for. It is empty if nothing keeps it from acting.
 func (a *Autoscaler) Waits() (waits []Wait) {
 	if health := a.health; !health.failingSince.IsZero() {
--- a/internal/term/isolation.go
+++ b/internal/term/isolation.go
@@ -16,9 +16,6 @@
 	probeAt     time.Time // earliest time of the next probe through peers
 }
 
-// WorkersUnreachable reports whether the shard's workers have all stopped sending heartbeats to this process.
-func (t *Term) WorkersUnreachable() bool { return t.isolation.unreachable }
-
 // detectIsolation checks whether all workers have stopped sending heartbeats, and if so has peers probe
 // them. If a peer reaches a worker, this process is isolated and releases the shard, so that a reachable
 // lease holder renews the worker leases in time. Otherwise every task would be lost and every machine
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -69,6 +69,7 @@
 	recovery       recovery
 	fencing        fencing
 	isolation      isolation
+	cloudIsolation cloudIsolation
 	cancellations  *cancellations
 	nextCounterLog time.Time // earliest time of the next log of the scheduler's counters
 }
@@ -254,12 +255,17 @@
 	for _, machine := range t.workers.ExpireLeases(now, t.unreconciledLeaseExpiry()) {
 		t.scheduler.ReleaseMachine(now, machine, "lease surely over")
 	}
-	if t.state == Loading || !t.options.Membership.LeaseValid(now) {
+	if !t.options.Membership.LeaseValid(now) {
+		t.autoscaler.ForgetCloudFailures()
+		return
+	}
+	if t.state == Loading {
 		return
 	}
 	t.enableIntentLog()
 	t.fenceWorkers(now)
 	t.detectIsolation(now)
+	t.detectCloudIsolation(now)
 	t.completions.flush(now)
 	t.startMarkers.Tick(now)
 	t.autoscaler.WorkersUnreachable = t.isolation.unreachable
--- a/internal/tuning/peers.go
+++ b/internal/tuning/peers.go
@@ -25,6 +25,6 @@
 	// ProbeWorkers is the number of workers that a lease holder asks a peer to probe when it
 	// suspects that it is isolated from its workers.
 	ProbeWorkers = 3
-	// ProbeTimeout bounds the peer's probe of a worker.
+	// ProbeTimeout bounds the peer's probe of a worker or of the cloud.
 	ProbeTimeout = 700 * time.Millisecond
 )
--- a/internal/tuning/term.go
+++ b/internal/tuning/term.go
@@ -42,6 +42,11 @@
 	// IsolationHeartbeats is the time, in heartbeat intervals, without any heartbeat after which a
 	// lease holder suspects its own isolation. It exceeds the jitter of heartbeats.
 	IsolationHeartbeats = 1.25
+	// CloudIsolationTimeout is the time without a successful cloud call after which a lease holder
+	// suspects its own isolation from the cloud. It allows for several timeouts and retries.
+	CloudIsolationTimeout = 15 * time.Second
+	// CloudProbeInterval is the time between two probes of the cloud through peers.
+	CloudProbeInterval = 5 * time.Second
 	// ReconcileInterval is the time between two queries of an unreconciled machine.
 	ReconcileInterval = 1 * time.Second
 )
