Give a sensible age to the wait for a member's lease in status

While the member had no lease at all, the age was counted from the zero time. It is 0 then: the term ends at the next event. A new test has the status of a term in an outage of the state service.

--- a/internal/controller/status_test.go
+++ b/internal/controller/status_test.go
@@ -35,6 +35,26 @@
 	requireWait(t, status.Shards[0], "open", "no response from the cloud", 10*time.Second)
 }
 
+// Guards against a term that waits for its member's lease in an outage of the state service, and whose
+// status does not say so or gives no sensible age.
+func TestStatusOfTermWithoutLease(t *testing.T) {
+	const outage = 20 * time.Second
+	sim := steadySimulation(t, 4, 1)
+	holder := sim.leaseHolder()
+	sim.injectStateOutage(outage)
+	sim.runFor(outage / 2)
+	status := holder.controller.Status(sim.clock.Now(), nil)
+	requireWait(t, status.Shards[0], "open", "a renewal of this member's lease", time.Second)
+	for _, wait := range status.Shards[0].Waits {
+		if wait.AgeMs > outage.Milliseconds() {
+			t.Errorf("wait %v is older than the outage", wait)
+		}
+	}
+	if status.Membership.LeaseValid || status.Membership.StateContactAgeMs < 5000 {
+		t.Errorf("membership %v, want no valid lease and no contact for 5s", status.Membership)
+	}
+}
+
 // requireWait checks the state of a term and that it has waited for the wanted reason for at least minAge.
 func requireWait(t *testing.T, shard *peerpb.ShardStatus, state, reason string, minAge time.Duration) {
 	t.Helper()
--- a/internal/term/status.go
+++ b/internal/term/status.go
@@ -74,8 +74,12 @@
 			AgeMs:  now.Sub(since).Milliseconds(),
 		})
 	}
-	if deadline := t.options.Membership.LeaseDeadline(); !t.options.Membership.LeaseValid(now) {
-		add(deadline, "a renewal of this member's lease")
+	if !t.options.Membership.LeaseValid(now) {
+		since := t.options.Membership.LeaseDeadline()
+		if since.IsZero() {
+			since = now // the lease has expired, and the term ends at the next event
+		}
+		add(since, "a renewal of this member's lease")
 	}
 	switch t.state {
 	case Loading:
