--- a/review/stand/state.go
+++ b/review/stand/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -30,7 +31,10 @@
 	down     bool
 	requests bucket
 	writes   bucket
-	Refused  map[string]int // answers 429 and 503, by kind
+	// LateShare of the transactions get no answer and are carried out 2 to 12 s later; LostShare are carried
+	// out at once and only the answer is lost.
+	LateShare, LostShare float64
+	Refused              map[string]int // answers 429 and 503, by kind
 }
 
 type stateItem struct {
@@ -171,8 +175,24 @@
 		return
 	}
 	s.mu.Lock()
+	late := req.URL.Path == "/multi" && rand.Float64() < s.LateShare
+	lost := req.URL.Path == "/multi" && rand.Float64() < s.LostShare
+	if late {
+		time.AfterFunc(time.Duration(2000+rand.IntN(10000))*time.Millisecond, func() {
+			s.mu.Lock()
+			s.execute(req, raw)
+			s.mu.Unlock()
+		})
+		s.mu.Unlock()
+		<-req.Context().Done()
+		return
+	}
 	status, body := s.execute(req, raw)
 	s.mu.Unlock()
+	if lost {
+		<-req.Context().Done()
+		return
+	}
 	time.Sleep(s.Latency / 2)
 	reply(w, status, body)
 }
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -43,6 +43,8 @@
 	OnToken func(host *Host, baton uint64, node int)
 	// OnStart is called when a task starts: the machine has its image.
 	OnStart func(w *Worker, task *Task)
+	// LateCommands of the direct commands are held up for 2 to 16 s; LateReports of the reports arrive again.
+	LateCommands, LateReports float64
 	// LogTasks is off when there are too many tasks for a line each.
 	LogTasks bool
 
@@ -88,6 +90,7 @@
 	lastReport          time.Time
 	changed             bool
 	dead                bool
+	hungUntil           time.Time
 }
 
 // NewFleet returns a fleet without workers.
@@ -180,13 +183,31 @@
 		if now.Sub(w.leaseFrom).Seconds() > w.fleet.LeaseS {
 			w.lapse(now)
 		}
-		for _, task := range w.tasks {
-			w.advance(now, task)
+		if now.After(w.hungUntil) {
+			for _, task := range w.tasks {
+				w.advance(now, task)
+			}
 		}
 		w.fleet.mu.Unlock()
 	}
 }
 
+// Hang hangs a machine for a time; the lock must be held.
+func (w *Worker) Hang(t time.Duration) { w.hungUntil = time.Now().Add(t) }
+
+// awake waits until the machine does not hang.
+func (w *Worker) awake() {
+	for {
+		w.fleet.mu.Lock()
+		left := time.Until(w.hungUntil)
+		w.fleet.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(min(left, 50*time.Millisecond))
+	}
+}
+
 func (w *Worker) lapse(now time.Time) {
 	lost := 0
 	for _, task := range w.tasks {
@@ -297,6 +318,7 @@
 }
 
 func (w *Worker) sendReport() {
+	w.awake()
 	w.fleet.mu.Lock()
 	raw, stint, node, sent := w.status(), w.stint, w.node, time.Now()
 	w.lastReport, w.changed = sent, false
@@ -312,7 +334,20 @@
 	if tooLarge {
 		return
 	}
+	if rand.Float64() < w.fleet.LateReports {
+		time.AfterFunc(time.Duration(1000+rand.IntN(20000))*time.Millisecond, func() {
+			for n := range w.fleet.Nodes {
+				if w.fleet.Reaches == nil || w.fleet.Reaches(w.Host, n) {
+					_, _ = newClient().Post("http://"+w.fleet.Nodes[n].API+"/checkin", "application/json", bytes.NewReader(raw))
+				}
+			}
+		})
+	}
 	status, body := w.post(node, raw)
+	w.awake()
+	if time.Since(sent) > 4*time.Second {
+		status = 0
+	}
 	w.fleet.mu.Lock()
 	switched := w.handleAnswer(node, stint, sent, status, body)
 	w.fleet.mu.Unlock()
@@ -413,6 +448,10 @@
 		<-req.Context().Done() // held back, and dropped when the sender gives up
 		return
 	}
+	if req.URL.Path == "/do" && rand.Float64() < w.fleet.LateCommands {
+		time.Sleep(time.Duration(2000+rand.IntN(14000)) * time.Millisecond)
+	}
+	w.awake()
 	var body orders
 	if req.URL.Path == "/do" && (json.Unmarshal(raw, &body) != nil || body.Baton == 0 || body.Stint == 0) {
 		answer.WriteHeader(http.StatusBadRequest)
@@ -517,3 +556,16 @@
 		}
 	}
 }
+
+// Present returns the tasks that are on the machine; the lock must be held.
+func (w *Worker) Present() (present []*Task) {
+	for _, task := range w.tasks {
+		if task.Stage != "exited" && task.Stage != "fetching" {
+			present = append(present, task)
+		}
+	}
+	return present
+}
+
+// JobOf returns the task's job.
+func (t *Task) JobOf() *Job { return t.job }
