--- a/review/stand/cloud.go
+++ b/review/stand/cloud.go
@@ -34,7 +34,6 @@
 
 	mu      sync.Mutex
 	hosts   map[string]*Host
-	removed map[string]time.Time
 	hires   map[string][]string
 	created int
 	down    bool
@@ -43,11 +42,12 @@
 
 // Host is a machine of the cloud.
 type Host struct {
-	Id, Address, Build, Yard string
-	Loaners                  bool
-	Stage                    string
-	AgeS                     float64
-	hired, gone              time.Time
+	ID                   string `json:"Id"`
+	Address, Build, Yard string
+	Loaners              bool
+	Stage                string
+	AgeS                 float64
+	hired, gone          time.Time
 }
 
 // NewCloud returns a cloud without machines.
@@ -117,10 +117,10 @@
 	var names []string
 	for range count {
 		c.created++
-		host := &Host{Id: fmt.Sprintf("i-%06d", c.created), Build: body.Build, Yard: body.Yard,
-			Address: fmt.Sprintf("127.0.0.1:%d", FreePort()), Stage: "booting", hired: time.Now()}
-		c.hosts[host.Id] = host
-		names = append(names, host.Id)
+		host := &Host{ID: fmt.Sprintf("i-%06d", c.created), Build: body.Build, Yard: body.Yard,
+			Address: address(FreePort()), Stage: "booting", hired: time.Now()}
+		c.hosts[host.ID] = host
+		names = append(names, host.ID)
 		time.AfterFunc(c.Boot, func() {
 			c.mu.Lock()
 			up := host.gone.IsZero()
@@ -175,13 +175,13 @@
 	at := time.Now().Add(-c.ListLag)
 	hosts := []Host{}
 	for _, host := range c.hosts {
-		if host.Id > after && host.hired.Before(at) && (host.gone.IsZero() || host.gone.After(at)) {
+		if host.ID > after && host.hired.Before(at) && (host.gone.IsZero() || host.gone.After(at)) {
 			listed := *host
 			listed.AgeS = at.Sub(host.hired).Seconds()
 			hosts = append(hosts, listed)
 		}
 	}
-	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Id < hosts[j].Id })
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
 	more := len(hosts) > page
 	if more {
 		hosts = slices.Clone(hosts[:page])
--- a/review/stand/network.go
+++ b/review/stand/network.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,9 +22,19 @@
 
 var (
 	portLock sync.Mutex
-	lastUsed = firstPort + os.Getpid()*211%(lastPort-firstPort)
+	lastUsed = firstPort
 )
 
+// ownHost is the loopback address of this process's deployment. Deployments side by side have different ones.
+var ownHost = func() string {
+	const low, high = 250, 200
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 20+pid/low%high, 1+pid%low)
+}()
+
+// address returns an address of the deployment.
+func address(port int) string { return fmt.Sprintf("%s:%d", ownHost, port) }
+
 // FreePort returns a free port, which it returns only once.
 func FreePort() int {
 	portLock.Lock()
@@ -33,7 +44,7 @@
 		if lastUsed > lastPort {
 			lastUsed = firstPort
 		}
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lastUsed))
+		listener, err := net.Listen("tcp", address(lastUsed))
 		if err == nil {
 			listener.Close()
 			return lastUsed
@@ -44,13 +55,12 @@
 // Serve starts a server on a free port and returns its address.
 func Serve(handler http.Handler) string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", FreePort())
-		listener, err := net.Listen("tcp", address)
+		listener, err := net.Listen("tcp", address(FreePort()))
 		if err != nil {
 			continue
 		}
 		go func() { _ = (&http.Server{Handler: handler}).Serve(listener) }()
-		return address
+		return listener.Addr().String()
 	}
 }
 
@@ -65,7 +75,7 @@
 // NewLink returns a link to an address.
 func NewLink(target string) *Link {
 	for {
-		l := &Link{Address: fmt.Sprintf("127.0.0.1:%d", FreePort()), target: target}
+		l := &Link{Address: address(FreePort()), target: target}
 		listener, err := net.Listen("tcp", l.Address)
 		if err != nil {
 			continue
@@ -137,15 +147,13 @@
 
 // withPeer notes which process has opened a connection: its socket's inode.
 func withPeer(ctx context.Context, conn net.Conn) context.Context {
-	port := conn.RemoteAddr().(*net.TCPAddr).Port
-	return context.WithValue(ctx, peerKey{}, inodeOf(port, conn.LocalAddr().(*net.TCPAddr).Port))
+	return context.WithValue(ctx, peerKey{}, inodeOf(conn.RemoteAddr(), conn.LocalAddr()))
 }
 
-// inodeOf returns the inode of the socket with a local and a remote port on 127.0.0.1, "" if there is none.
-func inodeOf(local, remote int) string {
+// inodeOf returns the inode of the socket with a local and a remote address, "" if there is none.
+func inodeOf(local, remote net.Addr) string {
 	raw, _ := os.ReadFile("/proc/net/tcp")
-	address := strings.ToUpper(hex.EncodeToString([]byte{1, 0, 0, 127}))
-	want := fmt.Sprintf("%s:%04X %s:%04X", address, local, address, remote)
+	want := procAddress(local) + " " + procAddress(remote)
 	for _, line := range strings.Split(string(raw), "\n") {
 		if strings.Contains(line, want) {
 			if fields := strings.Fields(line); len(fields) > 9 {
@@ -156,6 +164,14 @@
 	return ""
 }
 
+// procAddress returns an address as /proc/net/tcp shows it.
+func procAddress(address net.Addr) string {
+	tcp := address.(*net.TCPAddr)
+	ip := slices.Clone(tcp.IP.To4())
+	slices.Reverse(ip)
+	return fmt.Sprintf("%s:%04X", strings.ToUpper(hex.EncodeToString(ip)), tcp.Port)
+}
+
 // sender returns the index of the controller that has sent a request, -1 if it is none.
 func (f *Fleet) sender(req *http.Request) int {
 	inode, _ := req.Context().Value(peerKey{}).(string)
--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -64,7 +64,7 @@
 	for i, zone := range zones {
 		name := fmt.Sprintf("node-%d", i)
 		nodes = append(nodes, &Node{Name: name, Zone: zone, run: run, record: record,
-			API: fmt.Sprintf("127.0.0.1:%d", FreePort()), Peer: fmt.Sprintf("127.0.0.1:%d", FreePort()),
+			API: address(FreePort()), Peer: address(FreePort()),
 			State: NewLink(state), Cloud: NewLink(cloud), Peers: map[string]*Link{},
 			settings: filepath.Join(site.Folder, name+".toml"), log: filepath.Join(site.Folder, name+".log"),
 			inodes: map[string]bool{}})
--- a/review/stand/state.go
+++ b/review/stand/state.go
@@ -20,7 +20,11 @@
 	ValueKB  float64
 	TxnOps   int
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// lateShare of the transactions get no answer and are carried out 2 to 12 s later; lostShare are carried
+	// out at once and only the answer is lost.
+	lateShare, lostShare float64
+
 	changed  chan struct{} // closed at each change
 	keys     map[string]stateItem
 	epoch    uint64
@@ -31,10 +35,7 @@
 	down     bool
 	requests bucket
 	writes   bucket
-	// LateShare of the transactions get no answer and are carried out 2 to 12 s later; LostShare are carried
-	// out at once and only the answer is lost.
-	LateShare, LostShare float64
-	Refused              map[string]int // answers 429 and 503, by kind
+	Refused  map[string]int // answers 429 and 503, by kind
 }
 
 type stateItem struct {
@@ -105,6 +106,13 @@
 	s.down = down
 }
 
+// SetLate sets the shares of the transactions that are carried out late, and of those whose answer is lost.
+func (s *State) SetLate(late, lost float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateShare, s.lostShare = late, lost
+}
+
 func (s *State) expire() {
 	for {
 		time.Sleep(10 * time.Millisecond)
@@ -175,8 +183,8 @@
 		return
 	}
 	s.mu.Lock()
-	late := req.URL.Path == "/multi" && rand.Float64() < s.LateShare
-	lost := req.URL.Path == "/multi" && rand.Float64() < s.LostShare
+	late := req.URL.Path == "/multi" && rand.Float64() < s.lateShare
+	lost := req.URL.Path == "/multi" && rand.Float64() < s.lostShare
 	if late {
 		time.AfterFunc(time.Duration(2000+rand.IntN(10000))*time.Millisecond, func() {
 			s.mu.Lock()
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -17,16 +17,17 @@
 
 // Job is a job as its user submits it and as the workers run it.
 type Job struct {
-	Id, Lane, Crew, Shape, Rank string
-	Pieces                      int
-	Vcpus, Gpus, MemGb          float64
-	Bundle                      string
-	ImageGb                     float64
-	Builds                      []string
-	Yard                        *string
-	Together, Apart, Loaners    bool
-	GuessS, BookmarkS, StowS    float64
-	DueS                        *float64
+	ID                       string `json:"Id"`
+	Lane, Crew, Shape, Rank  string
+	Pieces                   int
+	Vcpus, Gpus, MemGb       float64
+	Bundle                   string
+	ImageGb                  float64
+	Builds                   []string
+	Yard                     *string
+	Together, Apart, Loaners bool
+	GuessS, BookmarkS, StowS float64
+	DueS                     *float64
 
 	RunTime time.Duration `json:"-"` // of each task
 }
@@ -43,18 +44,18 @@
 	OnToken func(host *Host, baton uint64, node int)
 	// OnStart is called when a task starts: the machine has its image.
 	OnStart func(w *Worker, task *Task)
-	// LateCommands of the direct commands are held up for 2 to 16 s; LateReports of the reports arrive again.
-	LateCommands, LateReports float64
 	// LogTasks is off when there are too many tasks for a line each.
 	LogTasks bool
 
-	mu      sync.Mutex
-	jobs    map[string]*Job
-	done    map[string]bool // by task name
-	gangs   map[gangKey]*gang
-	Workers map[string]*Worker
-	Doubles []string // starts of a task on a machine while it is on another
-	Refused map[int]int
+	mu    sync.Mutex
+	jobs  map[string]*Job
+	done  map[string]bool // by task name
+	gangs map[gangKey]*gang
+	// lateCommands of the direct commands are held up for 2 to 16 s; lateReports of the reports arrive again.
+	lateCommands, lateReports float64
+	Workers                   map[string]*Worker
+	Doubles                   []string // starts of a task on a machine while it is on another
+	Refused                   map[int]int
 	// Oversize counts the reports that could not be sent, as they are larger than a body may be.
 	Oversize int
 	Lapsed   int // leases of workers with tasks that ended
@@ -104,7 +105,14 @@
 func (f *Fleet) Upload(job *Job) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.jobs[job.Id] = job
+	f.jobs[job.ID] = job
+}
+
+// SetLate sets the shares of the direct commands that are held up and of the reports that arrive again.
+func (f *Fleet) SetLate(commands, reports float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lateCommands, f.lateReports = commands, reports
 }
 
 // Locked calls a function while nothing changes on any machine.
@@ -119,7 +127,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for n := range job.Pieces {
-		if f.done[fmt.Sprintf("%s/%d", job.Id, n)] {
+		if f.done[fmt.Sprintf("%s/%d", job.ID, n)] {
 			done++
 		}
 	}
@@ -140,16 +148,16 @@
 func (f *Fleet) Add(host *Host, flavor Flavor) {
 	listener, err := net.Listen("tcp", host.Address)
 	if err != nil {
-		f.Record.Printf("worker %s: %v", host.Id, err)
+		f.Record.Printf("worker %s: %v", host.ID, err)
 		return
 	}
 	w := &Worker{Host: host, fleet: f, flavor: flavor, stint: 1, images: map[string]time.Time{},
 		leaseFrom: time.Now(), node: rand.IntN(len(f.Nodes)), changed: true, client: newClient()}
 	w.server = &http.Server{Handler: w, ConnContext: withPeer}
 	f.mu.Lock()
-	f.Workers[host.Id] = w
+	f.Workers[host.ID] = w
 	f.mu.Unlock()
-	f.Record.Printf("worker %s: up in zone %s", host.Id, host.Yard)
+	f.Record.Printf("worker %s: up in zone %s", host.ID, host.Yard)
 	go func() { _ = w.server.Serve(listener) }()
 	go w.live()
 	go w.report()
@@ -219,7 +227,7 @@
 			lost++
 		}
 	}
-	w.fleet.Record.Printf("worker %s: lease of session %d over, %d tasks killed", w.Host.Id, w.stint, lost)
+	w.fleet.Record.Printf("worker %s: lease of session %d over, %d tasks killed", w.Host.ID, w.stint, lost)
 	if lost > 0 {
 		w.fleet.Lapsed++
 		w.fleet.Killed += lost
@@ -253,7 +261,7 @@
 	w.fleet.setStage(task, "exited")
 	task.Cause, task.Stored, w.changed = cause, stored, true
 	if w.fleet.LogTasks {
-		w.fleet.Record.Printf("worker %s: %s try %d exited: %s", w.Host.Id, task.Piece, task.Try, cause)
+		w.fleet.Record.Printf("worker %s: %s try %d exited: %s", w.Host.ID, task.Piece, task.Try, cause)
 	}
 }
 
@@ -264,7 +272,7 @@
 		for _, there := range other.tasks {
 			if other != w && there.Piece == task.Piece && there.Stage != "exited" && there.Stage != "fetching" {
 				line := fmt.Sprintf("%s starts on %s (try %d) while it is on %s (try %d) since %.3f", task.Piece,
-					w.Host.Id, task.Try, other.Host.Id, there.Try, w.fleet.Record.Since(there.Started))
+					w.Host.ID, task.Try, other.Host.ID, there.Try, w.fleet.Record.Since(there.Started))
 				w.fleet.Doubles = append(w.fleet.Doubles, line)
 				w.fleet.Record.Printf("ran_twice: %s", line)
 			}
@@ -284,7 +292,7 @@
 		task.Stage = "running"
 	}
 	if w.fleet.LogTasks {
-		w.fleet.Record.Printf("worker %s: %s try %d starts", w.Host.Id, task.Piece, task.Try)
+		w.fleet.Record.Printf("worker %s: %s try %d starts", w.Host.ID, task.Piece, task.Try)
 	}
 }
 
@@ -300,7 +308,7 @@
 		left := max(0, time.Until(w.recallAt).Seconds())
 		recall = &left
 	}
-	raw, _ := json.Marshal(map[string]any{"Host": w.Host.Id, "Address": w.Host.Address, "Build": w.Host.Build,
+	raw, _ := json.Marshal(map[string]any{"Host": w.Host.ID, "Address": w.Host.Address, "Build": w.Host.Build,
 		"Yard": w.Host.Yard, "Loaners": w.Host.Loaners, "Stint": w.stint, "Tally": w.tally, "Baton": w.baton,
 		"RecallS": recall, "Pieces": tasks})
 	return raw
@@ -331,26 +339,21 @@
 	w.fleet.mu.Lock()
 	raw, stint, node, sent := w.status(), w.stint, w.node, time.Now()
 	w.lastReport, w.changed = sent, false
+	again := rand.Float64() < w.fleet.lateReports
 	tooLarge := len(raw) > maxBody
 	if tooLarge {
 		w.fleet.Oversize++
 		if w.fleet.Oversize <= 5 {
 			w.fleet.Record.Printf("worker %s: its report has %d bytes with %d tasks, and a body may have %d: not sent",
-				w.Host.Id, len(raw), len(w.tasks), maxBody)
+				w.Host.ID, len(raw), len(w.tasks), maxBody)
 		}
 	}
 	w.fleet.mu.Unlock()
 	if tooLarge {
 		return
 	}
-	if rand.Float64() < w.fleet.LateReports {
-		time.AfterFunc(time.Duration(1000+rand.IntN(20000))*time.Millisecond, func() {
-			for n := range w.fleet.Nodes {
-				if w.fleet.Reaches == nil || w.fleet.Reaches(w.Host, n) {
-					_, _ = newClient().Post("http://"+w.fleet.Nodes[n].API+"/checkin", "application/json", bytes.NewReader(raw))
-				}
-			}
-		})
+	if again {
+		time.AfterFunc(time.Duration(1000+rand.IntN(20000))*time.Millisecond, func() { w.repeat(raw) })
 	}
 	status, body := w.post(node, raw)
 	w.awake()
@@ -366,6 +369,13 @@
 	}
 }
 
+// repeat sends a late copy of a report to every controller.
+func (w *Worker) repeat(raw []byte) {
+	for node := range w.fleet.Nodes {
+		w.post(node, raw)
+	}
+}
+
 func (w *Worker) post(node int, raw []byte) (int, []byte) {
 	if w.fleet.Reaches != nil && !w.fleet.Reaches(w.Host, node) {
 		time.Sleep(4 * time.Second)
@@ -420,7 +430,7 @@
 func (w *Worker) see(baton uint64, node int) {
 	if baton > w.baton {
 		w.baton, w.changed = baton, true
-		w.fleet.Record.Printf("worker %s: token %d from %s", w.Host.Id, baton, w.fleet.nodeName(node))
+		w.fleet.Record.Printf("worker %s: token %d from %s", w.Host.ID, baton, w.fleet.nodeName(node))
 		if w.fleet.OnToken != nil {
 			w.fleet.OnToken(w.Host, baton, node)
 		}
@@ -457,7 +467,10 @@
 		<-req.Context().Done() // held back, and dropped when the sender gives up
 		return
 	}
-	if req.URL.Path == "/do" && rand.Float64() < w.fleet.LateCommands {
+	w.fleet.mu.Lock()
+	late := req.URL.Path == "/do" && rand.Float64() < w.fleet.lateCommands
+	w.fleet.mu.Unlock()
+	if late {
 		time.Sleep(time.Duration(2000+rand.IntN(14000)) * time.Millisecond)
 	}
 	w.awake()
@@ -472,7 +485,7 @@
 	case req.URL.Path == "/show":
 	case body.Baton < w.baton || body.Stint != w.stint:
 		status = http.StatusConflict
-		w.fleet.Record.Printf("worker %s: refuses a command of %s under token %d", w.Host.Id,
+		w.fleet.Record.Printf("worker %s: refuses a command of %s under token %d", w.Host.ID,
 			w.fleet.nodeName(node), body.Baton)
 	default:
 		w.see(body.Baton, node)
