--- a/review/1/main.go
+++ b/review/1/main.go
@@ -74,17 +74,17 @@
 	if !d.WaitHealthy(15 * time.Second) {
 		d.Fatal("the controllers are not healthy")
 	}
-	other := &stand.Job{Id: "job-000001", Lane: "repasotrafico", Crew: "modeladores", Shape: "batch", Rank: "normal",
+	other := &stand.Job{ID: "job-000001", Lane: "repasotrafico", Crew: "modeladores", Shape: "batch", Rank: "normal",
 		Pieces: 4, Vcpus: 6, Gpus: 1, MemGb: 36, Bundle: "img-other", ImageGb: 0.5, GuessS: 40, RunTime: 40 * time.Second}
 	running := func() bool { _, _, running := d.Fleet.Count(other); return running == other.Pieces }
 	if !d.User.Submit(d.Fleet, other) || !stand.Wait(15*time.Second, running) {
-		d.Fatal("%s does not run", other.Id)
+		d.Fatal("%s does not run", other.ID)
 	}
 	pieces := manySize
 	if os.Getenv("TROUBLE") == "0" {
 		pieces = fewSize
 	}
-	service := &stand.Job{Id: "job-000002", Lane: "rastreovivo", Crew: "invitadosucr", Shape: "standing", Rank: "critical",
+	service := &stand.Job{ID: "job-000002", Lane: "rastreovivo", Crew: "invitadosucr", Shape: "standing", Rank: "critical",
 		Pieces: pieces, Vcpus: 0.0001, MemGb: 0.001, Bundle: "img-service", ImageGb: 0.5, Together: true}
 	if !d.User.Submit(d.Fleet, service) {
 		d.Fatal("the service was not accepted")
@@ -93,7 +93,7 @@
 	w := &watch{last: time.Now()}
 	var users sync.WaitGroup
 	for _, node := range d.Nodes {
-		users.Go(func() { w.ask(d, node, other.Id, time.Now().Add(askFor)) })
+		users.Go(func() { w.ask(d, node, other.ID, time.Now().Add(askFor)) })
 	}
 	users.Wait()
 	os.Exit(judge(d, w, other))
@@ -109,7 +109,7 @@
 	var killed int
 	d.Fleet.Locked(func() { killed = d.Fleet.Killed })
 	line := fmt.Sprintf("no question about %s was answered for %.1f s; %d of %d questions without an answer, after %d of "+
-		"which the health check passed; %d of its %d tasks done, %d run; %d tasks were killed as leases ended", other.Id,
+		"which the health check passed; %d of its %d tasks done, %d run; %d tasks were killed as leases ended", other.ID,
 		w.longest.Seconds(), w.silent, w.asked, w.healthy, done, other.Pieces, running, killed)
 	for _, node := range d.Nodes {
 		for _, end := range node.Ended {
