--- a/review/2/main.go
+++ b/review/2/main.go
@@ -21,7 +21,7 @@
 )
 
 func newJob(id, team string, pieces int, vcpus float64, yard *string) *stand.Job {
-	return &stand.Job{Id: id, Lane: "essaysweep", Crew: team, Shape: "batch", Rank: "normal", Pieces: pieces,
+	return &stand.Job{ID: id, Lane: "essaysweep", Crew: team, Shape: "batch", Rank: "normal", Pieces: pieces,
 		Vcpus: vcpus, Gpus: 1, MemGb: 30, Bundle: "img-" + id, ImageGb: 0.15, GuessS: taskTime.Seconds(),
 		Yard: yard, RunTime: taskTime}
 }
@@ -78,7 +78,7 @@
 	s.Cloud.SetCapacity(zone, machines)
 	running := func() bool { _, _, running := s.Fleet.Count(job); return running == job.Pieces }
 	if !s.User.Submit(s.Fleet, job) || !stand.Wait(25*time.Second, running) {
-		s.Fatal("%s does not run", job.Id)
+		s.Fatal("%s does not run", job.ID)
 	}
 	s.Cloud.SetCapacity(zone, 0)
 }
@@ -130,8 +130,8 @@
 		s.trouble()
 	}
 	for end := time.Now().Add(35 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Second) {
-		s.User.Poll(s.Nodes[1], long.Id)
-		s.User.Poll(s.Nodes[2], long.Id)
+		s.User.Poll(s.Nodes[1], long.ID)
+		s.User.Poll(s.Nodes[2], long.ID)
 	}
 	code := 0
 	s.Fleet.Locked(func() {
