--- a/review/chaos/main.go
+++ b/review/chaos/main.go
@@ -3,6 +3,9 @@
 //
 //	chaos ROOT RECORD SEED SECONDS
 //
+// With EARLIER, the path of an earlier version's program, each process runs that version or the present one, by chance,
+// and the users submit no services.
+//
 // The seed fixes the troubles and jobs, not the timing of the processes.
 package main
 
@@ -10,6 +13,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"strconv"
 	"sync"
 	"time"
@@ -67,6 +71,7 @@
 		p.Cloud.SetCapacity(zone, 6)
 	}
 	for _, node := range p.Nodes {
+		p.drawVersion(node)
 		if err := node.Start(); err != nil {
 			p.Fatal("%v", err)
 		}
@@ -89,6 +94,17 @@
 	os.Exit(p.report(seed))
 }
 
+// drawVersion draws the version of a controller's next process.
+func (p *play) drawVersion(node *stand.Node) {
+	programs := []string{filepath.Join(os.Args[1], "target", "juniperchute")}
+	if earlier := os.Getenv("EARLIER"); earlier != "" {
+		programs = append(programs, earlier)
+	}
+	program := programs[p.rng.IntN(len(programs))]
+	p.Record.Printf("%s: next version %s", node.Name, program)
+	node.SetProgram(program)
+}
+
 // report prints what was found and ends the play.
 func (p *play) report(seed uint64) (code int) {
 	p.Fleet.Locked(func() {
--- a/review/chaos/troubles.go
+++ b/review/chaos/troubles.go
@@ -53,6 +53,7 @@
 	case 0, 1, 2:
 		node.Signal(syscall.SIGKILL)
 		time.Sleep([]time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second}[p.rng.IntN(3)])
+		p.drawVersion(node)
 		_ = node.Start()
 	case 3, 4:
 		node.Signal(syscall.SIGSTOP)
--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -94,10 +94,10 @@
 		return err
 	}
 	defer file.Close()
-	command := exec.Command(n.run[0], append(n.run[1:len(n.run):len(n.run)], n.settings)...)
-	command.Stderr = file
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	command := exec.Command(n.run[0], append(n.run[1:len(n.run):len(n.run)], n.settings)...)
+	command.Stderr = file
 	if err := startProcess(command); err != nil {
 		return err
 	}
@@ -135,6 +135,13 @@
 	return <-result
 }
 
+// SetProgram changes the program of the controller's next process, such as one of an earlier version.
+func (n *Node) SetProgram(path string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.run = append([]string{path}, n.run[1:]...)
+}
+
 // Signal sends a signal to the controller's process.
 func (n *Node) Signal(sig syscall.Signal) {
 	n.mu.Lock()
