Review: records name each report, command and answer

The records of the cases showed users, the cloud, tokens and starts, not the workers' reports and the direct commands.

--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -402,13 +402,16 @@
 	}
 	if status != http.StatusOK {
 		w.fleet.Refused[status]++
+		w.note("report", node, status, false, orders{})
 	}
 	switch {
 	case status == http.StatusOK && w.stint != stint:
 		return 0
 	case status == http.StatusOK:
 		var answer orders
-		if json.Unmarshal(body, &answer) == nil && answer.Baton >= w.baton {
+		accepted := json.Unmarshal(body, &answer) == nil && answer.Baton >= w.baton
+		w.note("report", node, status, accepted, answer)
+		if accepted {
 			w.see(answer.Baton, node)
 			w.leaseFrom = sent
 			w.execute(answer.Orders)
@@ -427,6 +430,16 @@
 	return next()
 }
 
+// note records a report that was answered, or direct commands. Status 0: there was no answer.
+func (w *Worker) note(kind string, node, status int, accepted bool, o orders) {
+	verbs := map[string]int{}
+	for _, order := range o.Orders {
+		verbs[order.Verb]++
+	}
+	w.fleet.Record.Printf("worker %s: %s, %s, session %d, %d tasks: %d, token %d, accepted %v, orders %v", w.Host.ID, kind,
+		w.fleet.nodeName(node), w.stint, len(w.tasks), status, o.Baton, accepted, verbs)
+}
+
 func (w *Worker) see(baton uint64, node int) {
 	if baton > w.baton {
 		w.baton, w.changed = baton, true
@@ -485,9 +498,9 @@
 	case req.URL.Path == "/show":
 	case body.Baton < w.baton || body.Stint != w.stint:
 		status = http.StatusConflict
-		w.fleet.Record.Printf("worker %s: refuses a command of %s under token %d", w.Host.ID,
-			w.fleet.nodeName(node), body.Baton)
+		w.note("command", node, status, false, body)
 	default:
+		w.note("command", node, status, true, body)
 		w.see(body.Baton, node)
 		w.execute(body.Orders)
 	}
