Wait for every earlier lease holder that may still renew worker leases

The leader derived which of the two holds from the latest term alone: its holder's member record had been replaced, so its process had ended. That this holder had been told to wait for the one before it, and had ended before it did, was lost. The same conclusion was drawn from a release of the shard.

Change: the shard record states that all earlier terms have ended (field AllEnded). A new term has this only if the last holder has ended and the last term had it too, or has recorded it since (key c/e/N): once it is open, as every worker that may have tasks has then seen its token or is deleted, or once the time of such renewals is over. The predecessor's end is therefore never taken for that of the holders before it, and ordinary failovers, whose machines all answer, wait no longer than before.

TestCampaign: the cases "lease holder restarted" and "shard released" stated the fault: their records say nothing of the terms before the last, and they wanted "ended". They now have records that state it, and the same two without it want "not ended"; each check is as strict, and both stored fields are compared.

--- a/internal/admin/version.go
+++ b/internal/admin/version.go
@@ -7,13 +7,13 @@
 
 const (
 	// releaseVersion is the version of the release.
-	releaseVersion = "0.3.0"
+	releaseVersion = "0.3.1"
 	// revisionLength is the number of hexadecimal digits of the commit hash in a version.
 	revisionLength = 8
 )
 
 // Version returns the release and, if the build recorded it, the commit of this program, such as
-// 0.3.0+6c35e8c1.
+// 0.3.1+6c35e8c1.
 var Version = sync.OnceValue(func() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
--- a/internal/controller/formats_test.go
+++ b/internal/controller/formats_test.go
@@ -40,6 +40,19 @@
 		decodeInto: &leader.ShardRecord{},
 		want:       &leader.ShardRecord{Holder: "n1", Incarnation: 9, Token: 4, PredecessorEnded: true},
 	},
+	{
+		name:       "assigned shard, every earlier term has ended",
+		encoded:    `{"Holder":"n1","Inc":9,"Baton":4,"Ended":true,"AllEnded":true}`,
+		decodeInto: &leader.ShardRecord{},
+		want: &leader.ShardRecord{Holder: "n1", Incarnation: 9, Token: 4, PredecessorEnded: true,
+			EarlierTermsEnded: true},
+	},
+	{
+		name:       "earlier terms have ended",
+		encoded:    `{"Baton":4}`,
+		decodeInto: &leader.EarlierTermsRecord{},
+		want:       &leader.EarlierTermsRecord{Token: 4},
+	},
 	{
 		name:       "released shard",
 		encoded:    `{"Holder":"","Inc":0,"Baton":4,"Ended":false,"Deaf":"n1"}`,
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -53,15 +53,17 @@
 	if !ok {
 		return
 	}
+	earlierTermsEnded := m.earlierTermsEnded(shard, last)
 	record := ShardRecord{
-		Holder:           chosen.value.Member,
-		Incarnation:      chosen.value.Incarnation,
-		Token:            m.records.token.value.Last + 1,
-		PredecessorEnded: m.predecessorEnded(last),
-		AssignedAtMs:     m.options.WallClock().UnixMilli(),
+		Holder:            chosen.value.Member,
+		Incarnation:       chosen.value.Incarnation,
+		Token:             m.records.token.value.Last + 1,
+		PredecessorEnded:  earlierTermsEnded,
+		EarlierTermsEnded: earlierTermsEnded,
+		AssignedAtMs:      m.options.WallClock().UnixMilli(),
 	}
 	m.options.Log.Info("assigning shard lease", "shard", shard, "member", record.Holder, "term", record.Token,
-		"predecessor_ended", record.PredecessorEnded)
+		"earlier_terms_ended", earlierTermsEnded)
 	m.sendTransaction(wire.Transaction{
 		Compares: []wire.Compare{
 			store.VersionEquals(keyLeader, m.records.leader.version),
@@ -76,16 +78,6 @@
 	})
 }
 
-// predecessorEnded reports whether the lease holder of a shard's latest term can no longer act: the
-// shard had none, the lease holder released the shard, or a restarted process has replaced its
-// member record. The caller must have checked that the lease holder's incarnation is not live, so
-// that a member record of its name belongs to another incarnation. An absent member record proves
-// nothing: the process may still run, partitioned from the state service.
-func (m *Membership) predecessorEnded(last versioned[ShardRecord]) bool {
-	_, replaced := m.records.members[last.value.Holder]
-	return last.version == 0 || last.value.Holder == "" || replaced
-}
-
 // recordFeatures stores the feature gates in force, which are those that every member announces. A
 // member of a version that announces none disables all of them.
 func (m *Membership) recordFeatures() {
--- a/internal/leader/election_test.go
+++ b/internal/leader/election_test.go
@@ -16,17 +16,29 @@
 	leaderN0            = keyValue("c/leader", LeaderRecord{"n0", 7}, 30)
 	tokenThree          = keyValue("c/baton", tokenRecord{3}, 31)
 	heldByN1            = keyValue("c/b/0", ShardRecord{Holder: "n1", Incarnation: 5, Token: 3}, 32)
-	heldByReplacedN1    = keyValue("c/b/0", ShardRecord{Holder: "n1", Incarnation: 4, Token: 3}, 32)
-	released            = keyValue("c/b/0", ShardRecord{Token: 3}, 32)
-	releasedUnreachable = keyValue("c/b/0", ShardRecord{Token: 3, UnreachableMember: "n1"}, 32)
+	releasedUnreachable = keyValue("c/b/0",
+		ShardRecord{Token: 3, EarlierTermsEnded: true, UnreachableMember: "n1"}, 32)
+	earlierTermsThree = keyValue("c/e/0", EarlierTermsRecord{Token: 3}, 33)
+	earlierTermsTwo   = keyValue("c/e/0", EarlierTermsRecord{Token: 2}, 33)
 )
 
+// heldByReplacedN1 returns the record of a term whose lease holder has restarted.
+func heldByReplacedN1(earlierTermsEnded bool) wire.KeyValue {
+	record := ShardRecord{Holder: "n1", Incarnation: 4, Token: 3, EarlierTermsEnded: earlierTermsEnded}
+	return keyValue("c/b/0", record, 32)
+}
+
+// released returns the record of a term whose lease holder has released the shard.
+func released(earlierTermsEnded bool) wire.KeyValue {
+	return keyValue("c/b/0", ShardRecord{Token: 3, EarlierTermsEnded: earlierTermsEnded}, 32)
+}
+
 type campaignCase struct {
-	name                 string
-	items                []wire.KeyValue
-	wantKey              string // key of the first write; "": no transaction
-	wantToken            uint64 // token of the assigned term; 0: no assignment
-	wantPredecessorEnded bool   // PredecessorEnded of the assigned term
+	name                  string
+	items                 []wire.KeyValue
+	wantKey               string // key of the first write; "": no transaction
+	wantToken             uint64 // token of the assigned term; 0: no assignment
+	wantEarlierTermsEnded bool   // EarlierTermsEnded of the assigned term
 }
 
 var campaignCases = []campaignCase{
@@ -50,47 +62,81 @@
 		wantKey: "c/leader",
 	},
 	{
-		name:                 "is leader, shard never leased: assigns it",
-		items:                []wire.KeyValue{leaderN0, tokenThree},
-		wantKey:              "c/baton",
-		wantToken:            4,
-		wantPredecessorEnded: true,
+		name:                  "is leader, shard never leased: assigns it",
+		items:                 []wire.KeyValue{leaderN0, tokenThree},
+		wantKey:               "c/baton",
+		wantToken:             4,
+		wantEarlierTermsEnded: true,
 	},
 	{
 		name:  "is leader, shard leased: does nothing",
 		items: []wire.KeyValue{memberN1, leaderN0, heldByN1},
 	},
 	{
-		name:                 "is leader, lease holder is no longer a member: assigns the shard, predecessor may run",
-		items:                []wire.KeyValue{leaderN0, tokenThree, heldByN1},
-		wantKey:              "c/baton",
-		wantToken:            4,
-		wantPredecessorEnded: false,
+		name:                  "is leader, lease holder is no longer a member: assigns the shard, predecessor may run",
+		items:                 []wire.KeyValue{leaderN0, tokenThree, heldByN1},
+		wantKey:               "c/baton",
+		wantToken:             4,
+		wantEarlierTermsEnded: false,
+	},
+	{
+		name:                  "is leader, lease holder restarted: assigns the shard",
+		items:                 []wire.KeyValue{memberN1, leaderN0, tokenThree, heldByReplacedN1(true)},
+		wantKey:               "c/baton",
+		wantToken:             4,
+		wantEarlierTermsEnded: true,
+	},
+	{
+		name:                  "is leader, shard released: assigns it",
+		items:                 []wire.KeyValue{memberN1, leaderN0, tokenThree, released(true)},
+		wantKey:               "c/baton",
+		wantToken:             4,
+		wantEarlierTermsEnded: true,
+	},
+	{
+		name:      "lease holder restarted, a holder before it may run: earlier terms may run",
+		items:     []wire.KeyValue{memberN1, leaderN0, tokenThree, heldByReplacedN1(false)},
+		wantKey:   "c/baton",
+		wantToken: 4,
+	},
+	{
+		name:      "shard released, a holder before the last one may run: earlier terms may run",
+		items:     []wire.KeyValue{memberN1, leaderN0, tokenThree, released(false)},
+		wantKey:   "c/baton",
+		wantToken: 4,
+	},
+	{
+		name: "lease holder restarted and has recorded the end of earlier terms",
+		items: []wire.KeyValue{
+			memberN1, leaderN0, tokenThree, earlierTermsThree, heldByReplacedN1(false),
+		},
+		wantKey:               "c/baton",
+		wantToken:             4,
+		wantEarlierTermsEnded: true,
 	},
 	{
-		name:                 "is leader, lease holder restarted: assigns the shard",
-		items:                []wire.KeyValue{memberN1, leaderN0, tokenThree, heldByReplacedN1},
-		wantKey:              "c/baton",
-		wantToken:            4,
-		wantPredecessorEnded: true,
+		name:      "the end of earlier terms was recorded by an earlier term than the latest",
+		items:     []wire.KeyValue{memberN1, leaderN0, tokenThree, earlierTermsTwo, heldByReplacedN1(false)},
+		wantKey:   "c/baton",
+		wantToken: 4,
 	},
 	{
-		name:                 "is leader, shard released: assigns it",
-		items:                []wire.KeyValue{memberN1, leaderN0, tokenThree, released},
-		wantKey:              "c/baton",
-		wantToken:            4,
-		wantPredecessorEnded: true,
+		name:      "end of earlier terms recorded, lease holder is no longer a member: it may run",
+		items:     []wire.KeyValue{leaderN0, tokenThree, earlierTermsThree, heldByN1},
+		wantKey:   "c/baton",
+		wantToken: 4,
 	},
 	{
-		name:                 "is leader, shard released as unreachable: assigns it to another member",
-		items:                []wire.KeyValue{memberN1, leaderN0, tokenThree, releasedUnreachable},
-		wantKey:              "c/baton",
-		wantToken:            4,
-		wantPredecessorEnded: true,
+		name:                  "is leader, shard released as unreachable: assigns it to another member",
+		items:                 []wire.KeyValue{memberN1, leaderN0, tokenThree, releasedUnreachable},
+		wantKey:               "c/baton",
+		wantToken:             4,
+		wantEarlierTermsEnded: true,
 	},
 }
 
-// Guards against two leaders, unassigned shards and reused fencing tokens.
+// Guards against two leaders, unassigned shards, reused fencing tokens, and terms that do not wait for an
+// earlier lease holder that may still renew workers' leases.
 func TestCampaign(t *testing.T) {
 	for _, c := range campaignCases {
 		t.Run(c.name, func(t *testing.T) {
@@ -126,8 +172,10 @@
 	t.Helper()
 	var assigned ShardRecord
 	err := json.Unmarshal(sent.Writes[1].Value, &assigned)
-	if err != nil || assigned.Token != c.wantToken || assigned.PredecessorEnded != c.wantPredecessorEnded {
-		t.Errorf("shard record %+v, want token %d, predecessor ended %t", assigned, c.wantToken, c.wantPredecessorEnded)
+	ended := c.wantEarlierTermsEnded
+	if err != nil || assigned.Token != c.wantToken ||
+		assigned.EarlierTermsEnded != ended || assigned.PredecessorEnded != ended {
+		t.Errorf("shard record %+v, want token %d, earlier terms ended %t", assigned, c.wantToken, ended)
 	}
 	var previous ShardRecord
 	if last := c.items[len(c.items)-1]; json.Unmarshal(last.Value, &previous) == nil &&
--- a/internal/leader/membership.go
+++ b/internal/leader/membership.go
@@ -33,10 +33,10 @@
 //   - A term ends when its lease holder releases the shard (ReleaseShard) or when the leader assigns
 //     the shard again, which requires that the holder's incarnation is no longer a member.
 type Assignment struct {
-	Shard            int
-	Token            uint64
-	Version          uint64 // version of the shard record
-	PredecessorEnded bool   // see ShardRecord
+	Shard             int
+	Token             uint64
+	Version           uint64 // version of the shard record
+	EarlierTermsEnded bool   // see ShardRecord
 }
 
 // Options configures a Membership.
@@ -157,7 +157,7 @@
 	}
 	m.options.Log.Info("releasing shard lease", "shard", assignment.Shard,
 		"term", assignment.Token, "unreachable", unreachable)
-	record := ShardRecord{Token: assignment.Token}
+	record := ShardRecord{Token: assignment.Token, EarlierTermsEnded: assignment.EarlierTermsEnded}
 	if unreachable {
 		record.UnreachableMember = m.options.Member
 	}
@@ -230,10 +230,10 @@
 			continue
 		}
 		assignments = append(assignments, Assignment{
-			Shard:            shard,
-			Token:            record.value.Token,
-			Version:          record.version,
-			PredecessorEnded: record.value.PredecessorEnded,
+			Shard:             shard,
+			Token:             record.value.Token,
+			Version:           record.version,
+			EarlierTermsEnded: record.value.EarlierTermsEnded,
 		})
 	}
 	return assignments
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"strings"
 
 	"juniperchute/internal/wire"
@@ -18,6 +19,8 @@
 	shardPrefix   = "c/b/"
 	// keyFeatures is ignored by versions before 0.3.
 	keyFeatures = "c/switches"
+	// earlierTermsPrefix is ignored by versions before 0.3.1.
+	earlierTermsPrefix = "c/e/"
 )
 
 // MemberRecord registers a live process. Its key is attached to the process's lease and is deleted when
@@ -42,9 +45,12 @@
 	Holder      string // member name of the lease holder, "" after a release
 	Incarnation uint64 `json:"Inc"`
 	Token       uint64 `json:"Baton"` // the term's fencing token
-	// PredecessorEnded states that the previous lease holder could no longer renew any worker's lease
-	// when this term was assigned.
+	// PredecessorEnded equals EarlierTermsEnded when this version writes it. Versions before 0.3.1 read it
+	// in place of EarlierTermsEnded, and set it if the latest term's lease holder alone has ended.
 	PredecessorEnded bool `json:"Ended"`
+	// EarlierTermsEnded states that no lease holder of an earlier term could renew any worker's lease any
+	// more when this term was assigned.
+	EarlierTermsEnded bool `json:"AllEnded,omitempty"`
 	// UnreachableMember names the member that released the shard because the workers could reach other
 	// members but not this one; "" if there is none.
 	UnreachableMember string `json:"Deaf,omitempty"`
@@ -65,6 +71,9 @@
 // ShardKey returns the key of the record of a shard.
 func ShardKey(shard int) string { return fmt.Sprintf("%s%d", shardPrefix, shard) }
 
+// earlierTermsKey returns the key of a shard's EarlierTermsRecord.
+func earlierTermsKey(shard int) string { return fmt.Sprintf("%s%d", earlierTermsPrefix, shard) }
+
 // versioned is a record with the version of its key. Version 0 means that the key does not exist.
 type versioned[T any] struct {
 	value   T
@@ -73,19 +82,21 @@
 
 // controlRecords holds the control records of membership and election as last read.
 type controlRecords struct {
-	members  map[string]versioned[MemberRecord]
-	shards   map[int]versioned[ShardRecord]
-	leader   versioned[LeaderRecord]
-	token    versioned[tokenRecord]
-	features versioned[FeaturesRecord]
-	log      *slog.Logger
+	members      map[string]versioned[MemberRecord]
+	shards       map[int]versioned[ShardRecord]
+	earlierTerms map[int]versioned[EarlierTermsRecord] // by shard
+	leader       versioned[LeaderRecord]
+	token        versioned[tokenRecord]
+	features     versioned[FeaturesRecord]
+	log          *slog.Logger
 }
 
 func newControlRecords(log *slog.Logger) controlRecords {
 	return controlRecords{
-		members: map[string]versioned[MemberRecord]{},
-		shards:  map[int]versioned[ShardRecord]{},
-		log:     log,
+		members:      map[string]versioned[MemberRecord]{},
+		shards:       map[int]versioned[ShardRecord]{},
+		earlierTerms: map[int]versioned[EarlierTermsRecord]{},
+		log:          log,
 	}
 }
 
@@ -116,6 +127,10 @@
 		c.applyShard(name, item, deleted)
 		return true
 	}
+	if name, ok := strings.CutPrefix(key, earlierTermsPrefix); ok && name != "" {
+		c.applyEarlierTerms(name, item, deleted)
+		return true
+	}
 	return false
 }
 
@@ -134,8 +149,8 @@
 }
 
 func (c *controlRecords) applyShard(name string, item wire.KeyValue, deleted bool) {
-	var shard int
-	if _, err := fmt.Sscanf(name, "%d", &shard); err != nil {
+	shard, err := strconv.Atoi(name)
+	if err != nil {
 		return
 	}
 	delete(c.shards, shard)
@@ -147,6 +162,17 @@
 	c.log.Info("shard lease changed", "shard", shard, "member", record.value.Holder, "term", record.value.Token)
 }
 
+func (c *controlRecords) applyEarlierTerms(name string, item wire.KeyValue, deleted bool) {
+	shard, err := strconv.Atoi(name)
+	if err != nil {
+		return
+	}
+	delete(c.earlierTerms, shard)
+	if record, ok := decode[EarlierTermsRecord](c.log, item, deleted); ok {
+		c.earlierTerms[shard] = record
+	}
+}
+
 // decode parses a record. It returns false if the record was deleted or is malformed.
 func decode[T any](log *slog.Logger, item wire.KeyValue, deleted bool) (versioned[T], bool) {
 	if deleted {
--- a/internal/term/fencing.go
+++ b/internal/term/fencing.go
@@ -20,14 +20,29 @@
 }
 
 // unreconciledLeaseExpiry returns the time by which the lease of a worker that this term has not reconciled
-// is guaranteed to have expired. The time allows for renewals by the previous lease holder if that may
-// still run.
+// is guaranteed to have expired. The time allows for renewals by the lease holders of earlier terms if one
+// of them may still run.
 func (t *Term) unreconciledLeaseExpiry() time.Time {
-	end := t.startedAt.Add(t.workers.LeaseTimeout())
-	if !t.PredecessorEnded {
-		end = end.Add(t.maxRenewalPastWatermark())
+	return t.earlierRenewalsEnd().Add(t.workers.LeaseTimeout())
+}
+
+// earlierRenewalsEnd returns the time from which no lease holder of an earlier term renews a worker's lease.
+// The state service expired or replaced the lease of each of them before this term started, so the
+// cancellation watermark of none has passed that time.
+func (t *Term) earlierRenewalsEnd() time.Time {
+	if t.EarlierTermsEnded {
+		return t.startedAt
+	}
+	return t.startedAt.Add(t.maxRenewalPastWatermark())
+}
+
+// recordEarlierTermsEnded records that no lease holder of an earlier term can renew a worker's lease any more,
+// once that is certain. It is certain before earlierRenewalsEnd if the term is open: every worker that may
+// have tasks has then seen this term's token and drops responses under an older one, or is deleted.
+func (t *Term) recordEarlierTermsEnded(now time.Time) {
+	if t.state == Open || now.After(t.earlierRenewalsEnd()) {
+		t.options.Membership.RecordEarlierTermsEnded(now, t.Assignment)
 	}
-	return end
 }
 
 // fenceWorkers queries the state of unreconciled workers under this term's token, and opens the term once
--- a/internal/term/options.go
+++ b/internal/term/options.go
@@ -50,6 +50,9 @@
 	LeaseDeadline() time.Time
 	// FeatureInForce reports whether the feature gate is in force: every member has announced it.
 	FeatureInForce(name string) bool
+	// RecordEarlierTermsEnded records that no lease holder of an earlier term can renew a worker's lease
+	// any more. It may do nothing; the caller must retry.
+	RecordEarlierTermsEnded(now time.Time, assignment leader.Assignment)
 	// CurrentAsOf returns the time up to which every change of the control records has been read.
 	CurrentAsOf() time.Time
 }
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -160,7 +160,7 @@
 
 // Start starts reading the records of earlier terms.
 func (t *Term) Start(now time.Time) {
-	t.log.Info("term started", "predecessor_ended", t.PredecessorEnded)
+	t.log.Info("term started", "earlier_terms_ended", t.EarlierTermsEnded)
 	t.readRecords(now)
 }
 
@@ -264,6 +264,7 @@
 	}
 	t.enableIntentLog()
 	t.fenceWorkers(now)
+	t.recordEarlierTermsEnded(now)
 	t.detectIsolation(now)
 	t.detectCloudIsolation(now)
 	t.completions.flush(now)
