Resolve direct commands by task, and count running tasks as they change

Ten answers for a machine with 10,000 tasks of a gang took 4.8 to 6.8 s. A question about a job went through all its tasks: 500 questions about a service of 20,000 replicas, as many as one call carries, took 0.43 s.

Change: a command's task is looked up by its name, and a job counts its running tasks when a phase or a reported state changes; the tests of the package compare that count with the tasks.

--- a/internal/placement/counts_test.go
+++ b/internal/placement/counts_test.go
@@ -3,17 +3,22 @@
 import (
 	"maps"
 	"slices"
+
+	"juniperchute/internal/wire"
 )
 
 // checkCounts compares the counts of all jobs and machines with the tasks that they count.
 func (h *testHarness) checkCounts() {
 	h.t.Helper()
 	for id, job := range h.scheduler.jobs.byID {
-		want, stoppable := newZoneCounts(), 0
+		want, stoppable, running := newZoneCounts(), 0, 0
 		for _, task := range job.tasks {
 			if task.phase.stoppable() {
 				stoppable++
 			}
+			if task.phase == Stopping || task.phase == Active && task.lastReportedState != wire.TaskFetching {
+				running++
+			}
 			if task.phase.onMachine() {
 				want.assigned[task.machine.Zone]++
 			} else if task.primary != nil {
@@ -23,8 +28,9 @@
 		if got := job.zones; !maps.Equal(got.assigned, want.assigned) || !maps.Equal(got.queued, want.queued) {
 			h.t.Fatalf("%s: tasks by zone %+v, want %+v", id, got, want)
 		}
-		if job.stoppable != stoppable {
-			h.t.Fatalf("%s: %d stoppable tasks counted, want %d", id, job.stoppable, stoppable)
+		if job.stoppable != stoppable || job.RunningTasks() != running {
+			h.t.Fatalf("%s: %d stoppable and %d running tasks counted, want %d and %d",
+				id, job.stoppable, job.RunningTasks(), stoppable, running)
 		}
 	}
 	for machine, info := range h.scheduler.capacity.machines {
--- a/internal/placement/event_cost_test.go
+++ b/internal/placement/event_cost_test.go
@@ -137,6 +137,24 @@
 			shape: wire.ShapeGang,
 			event: func(h *testHarness, _ *Job) { h.reportAll(wire.TaskExited, wire.ExitDone) },
 		},
+		{
+			name:  "direct commands to a machine with tasks of a gang are answered",
+			shape: wire.ShapeGang,
+			event: func(h *testHarness, job *Job) {
+				for range 10 {
+					h.scheduler.ResolveDirectCommands(h.registry.All()[0], h.runCommands(job))
+				}
+			},
+		},
+		{
+			name:  "users ask for the progress of a job",
+			shape: wire.ShapeService,
+			event: func(_ *testHarness, job *Job) {
+				for range tuning.MaxProgressJobs {
+					job.RunningTasks()
+				}
+			},
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, 2)
@@ -178,3 +196,11 @@
 			gang.AssignedTasks(), gang.stoppable, gang.aborting)
 	}
 }
+
+// runCommands returns as many run commands for tasks of a job as one message carries.
+func (h *testHarness) runCommands(job *Job) (commands []wire.Command) {
+	for _, task := range job.tasksByIndex()[:tuning.MaxCommandsPerReply] {
+		commands = append(commands, wire.Command{Verb: wire.VerbRun, Task: task.Name(), Attempt: task.attempt})
+	}
+	return commands
+}
--- a/internal/placement/job_tasks.go
+++ b/internal/placement/job_tasks.go
@@ -15,6 +15,7 @@
 	tasks            map[int]*Task // scheduled tasks by index
 	assigned         int           // scheduled tasks that are on machines
 	stoppable        int           // assigned tasks that are not being stopped
+	running          int           // see RunningTasks
 	zones            zoneCounts    // of the scheduled tasks
 	nextIndex        int           // lowest index that was never scheduled
 	returned         returnedTasks // pending tasks that were scheduled before
@@ -40,14 +41,19 @@
 
 // RunningTasks returns the number of tasks that run on their machines,
 // including those that are being stopped. It is meant for display.
-func (j *jobTasks) RunningTasks() int {
-	n := 0
-	for _, task := range j.tasks {
-		if task.phase == Active && task.lastReportedState != wire.TaskFetching || task.phase == Stopping {
-			n++
-		}
+func (j *jobTasks) RunningTasks() int { return j.running }
+
+// countRunning updates the count of running tasks after the phase or the reported
+// state of a task has changed.
+func (j *jobTasks) countRunning(task *Task) {
+	running := task.phase == Stopping || task.phase == Active && task.lastReportedState != wire.TaskFetching
+	switch {
+	case running && !task.countedRunning:
+		j.running++
+	case !running && task.countedRunning:
+		j.running--
 	}
-	return n
+	task.countedRunning = running
 }
 
 // countStoppable updates the count of stoppable tasks after the phase of a task has changed.
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -62,12 +62,13 @@
 // ResolveDirectCommands records that each of the given direct commands has
 // either been executed or will never be.
 func (s *Scheduler) ResolveDirectCommands(machine *worker.Machine, commands []wire.Command) {
-	for task := range s.capacity.info(machine).assigned.all() {
-		for _, command := range commands {
-			if command.Verb == wire.VerbRun && command.Attempt == task.attempt && command.Task == task.Name() &&
-				task.unansweredCommands > 0 {
-				task.unansweredCommands--
-			}
+	for _, command := range commands {
+		job, index := s.jobs.findTask(command.Task)
+		if command.Verb != wire.VerbRun || job == nil {
+			continue
+		}
+		if task := job.tasks[index]; task.isAttemptOn(machine, command.Attempt) && task.unansweredCommands > 0 {
+			task.unansweredCommands--
 		}
 	}
 }
--- a/internal/placement/reconciler.go
+++ b/internal/placement/reconciler.go
@@ -76,6 +76,7 @@
 			"worker", machine.Host, "to", reported.State)
 	}
 	task.lastReportedState = reported.State
+	task.Job.countRunning(task)
 	task.Job.recordHealthyRun(now, task)
 	if task.phase == Dispatched {
 		r.tasks.setPhase(now, task, Active, reported.State)
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -43,7 +43,8 @@
 	phase Phase
 	assignment
 	queuedCopies
-	positions [listKinds]int // in the lists of machines
+	positions      [listKinds]int // in the lists of machines
+	countedRunning bool           // the job counts the task as running
 }
 
 // assignment describes the copy of a task that is assigned to a machine, and its last known
--- a/internal/placement/task_lifecycle.go
+++ b/internal/placement/task_lifecycle.go
@@ -50,6 +50,7 @@
 	}
 	task.phase = phase
 	job.countStoppable(previous, phase)
+	job.countRunning(task)
 	l.log.Debug("task phase changed", "task", task.Name(), "attempt", task.attempt, "worker", machine.Host,
 		"from", previous.String(), "to", phase.String(), "backup", task.isBackup, "reason", reason)
 }
