Put back reasons of constants that the rewording had deleted

Put back are the reasons, numbers and faults behind 29 constants that a maintainer needs and that still hold, in today's names. No code is changed.

--- a/internal/tuning/fleet.go
+++ b/internal/tuning/fleet.go
@@ -48,8 +48,8 @@
 const (
 	// ScaleOutInterval is the time between two comparisons of demand and capacity.
 	ScaleOutInterval = 1 * time.Second
-	// ScaleOutDelay is the time after a failover in which unreconciled machines block
-	// provisioning.
+	// ScaleOutDelay is the time after a failover in which unreconciled machines block provisioning.
+	// Most workers answer within a second of a failover; the machines of the others may be deleted.
 	ScaleOutDelay = 10 * time.Second
 	// ProvisioningRateShare is the share of the lease holder's call rate that provisioning
 	// requests use.
@@ -75,15 +75,16 @@
 	// MachineIdleTimeout is the default time after which an idle machine is deleted. Operators can
 	// override it.
 	MachineIdleTimeout = 6 * time.Second
-	// LeaseExpiredTimeout is the time after which a machine with an expired worker lease is
-	// deleted.
+	// LeaseExpiredTimeout is the time after which a machine with an expired worker lease is deleted.
+	// Until then it costs as much as a machine that works.
 	LeaseExpiredTimeout = 10 * time.Second
 	// PreemptionGrace is added to the time in a preemption notice before the machine counts as
 	// deleted.
 	PreemptionGrace = 2 * time.Second
 	// UnreconciledDeletionDelay is the time from a failover to the early deletion of the unreconciled
 	// machines, if UnreconciledDeletionMinRatio allows it. Otherwise they are deleted when their worker
-	// leases have expired. Running jobs are blocked until every machine is reconciled or deleted.
+	// leases have expired. Running jobs are blocked until every machine is reconciled or deleted. Most
+	// machines answer within a second.
 	UnreconciledDeletionDelay = 4 * time.Second
 	// UnreconciledDeletionMinRatio is the minimum ratio of all machines to unreconciled ones for an
 	// early deletion of the latter.
@@ -92,8 +93,9 @@
 
 // Intent log, used by packages intentlog and fleet.
 const (
-	// IntentWriteInterval is the minimum time between two writes of a page of the intent log.
-	// Intents that arrive in this time are batched.
+	// IntentWriteInterval is the minimum time between two writes of a page of the intent log. Intents
+	// that arrive in this time are batched. Machines are deleted by tens at a time, and each waits for
+	// its intent.
 	IntentWriteInterval = 250 * time.Millisecond
 	// MaxOpenIntents bounds the intents that are recorded and not completed. Further ones wait.
 	MaxOpenIntents = 16000
--- a/internal/tuning/httpapi.go
+++ b/internal/tuning/httpapi.go
@@ -14,9 +14,9 @@
 	IdleConnectionHeartbeats = 4
 	// MinConnectionIdleTimeout is the lower bound of the idle timeout of a client connection.
 	MinConnectionIdleTimeout = 20 * time.Second
-	// KeepAliveConnectionShare is the share of the client connections that must be in use before
-	// worker connections are closed after each heartbeat. A fleet may have more workers than a
-	// controller has sockets.
+	// KeepAliveConnectionShare is the share of the client connections that must be in use before worker
+	// connections are closed after each heartbeat. A fleet may have more workers than a controller has
+	// sockets. Below that share connections are kept, which is cheaper.
 	KeepAliveConnectionShare = 0.98
 	// HeartbeatQueueTimeout bounds the queueing time of a heartbeat. Workers fail over to another
 	// controller after 4 s.
--- a/internal/tuning/leadership.go
+++ b/internal/tuning/leadership.go
@@ -5,8 +5,9 @@
 // Membership and leader election, used by package leader.
 const (
 	// MemberLease is the TTL of a member's lease in the state service. It is well below a worker's
-	// lease, so that a successor can renew worker leases after a failover, and leaves time for two
-	// lost renewals.
+	// lease, so that a successor can renew worker leases after a failover, and leaves time for two lost
+	// renewals. The 10 s of the original design are as long as the shortest worker lease: workers would
+	// lose their tasks before a successor could renew their leases.
 	MemberLease = 3500 * time.Millisecond
 	// MemberRenewInterval is the time between two renewals of the lease.
 	MemberRenewInterval = 1000 * time.Millisecond
--- a/internal/tuning/placement.go
+++ b/internal/tuning/placement.go
@@ -12,14 +12,14 @@
 	// BackupSamples is the number of random machines tried for a backup copy.
 	BackupSamples = 16
 	// RescheduleHeartbeats is the time, in heartbeat intervals, after which a primary copy that has
-	// not started is rescheduled. It exceeds the jitter of heartbeats.
+	// not started is rescheduled. It exceeds the jitter of heartbeats, a quarter of the interval.
 	RescheduleHeartbeats = 1.5
 	// BackupStartHeartbeats is the time, in heartbeat intervals, that a primary copy must have
 	// waited before its backup copy starts. An earlier start would often be stopped at once by a
 	// start of the primary copy.
 	BackupStartHeartbeats = 1.5
-	// FreeShareLevels is the number of levels to which the free share of a machine is quantized.
-	// The choice among machines of one level is random.
+	// FreeShareLevels is the number of levels to which the free share of a machine is quantized. The
+	// choice among machines of one level is random. Finer levels would leave nothing to chance.
 	FreeShareLevels = 4
 )
 
@@ -28,7 +28,8 @@
 // GangStartOverhead and ImagePullSlack are no costs: they estimate the start time of a gang and the time
 // of an image pull, from which costs follow.
 const (
-	// CostPreemption applies to a machine on which tasks have to be preempted.
+	// CostPreemption applies to a machine on which tasks have to be preempted. The gang waits until
+	// they have stopped and their exits are reported.
 	CostPreemption = 30.0
 	// CostImageMissing applies to a machine that cannot pull the image in time.
 	CostImageMissing = 90.0
--- a/internal/tuning/process.go
+++ b/internal/tuning/process.go
@@ -4,7 +4,8 @@
 
 // Resources of the controller process, used by packages controller and config.
 const (
-	// RecommendedCPU is the CPU share, in cores, below which package config warns.
+	// RecommendedCPU is the CPU share, in cores, below which package config warns. It is the smallest
+	// share seen to keep up with a fleet (docs/operations.md).
 	RecommendedCPU = 0.036
 	// RecommendedMemoryMB is the memory, in MiB, below which package config warns.
 	RecommendedMemoryMB = 65
--- a/internal/tuning/scheduling.go
+++ b/internal/tuning/scheduling.go
@@ -7,8 +7,9 @@
 	// PassInterval is the time after which a pass runs even without a change, for expired backoffs
 	// and unresponsive machines.
 	PassInterval = 100 * time.Millisecond
-	// MaxTasksPerPass bounds the array tasks queued in one pass; the next pass continues. A long
-	// pass would delay the renewal of the lease.
+	// MaxTasksPerPass bounds the array tasks queued in one pass; the next pass continues. A long pass
+	// would delay the renewal of the lease. A pass that placed all tasks of a burst kept a lease holder
+	// with a twentieth of a core from renewing its lease for a second.
 	MaxTasksPerPass = 64
 	// MaxReplicasPerPass bounds the replicas of services placed in one pass.
 	MaxReplicasPerPass = 256
@@ -17,15 +18,16 @@
 	MaxPreemptingReplicasPerPass = 8
 	// MaxGangsPerPass bounds the gangs placed in one pass.
 	MaxGangsPerPass = 8
-	// MaxUnplacedGangs bounds the gangs for which one pass fails to find a placement before it
-	// skips the rest.
+	// MaxUnplacedGangs bounds the gangs for which one pass fails to find a placement before it skips
+	// the rest. With thousands waiting, the first have found no placement either.
 	MaxUnplacedGangs = 200
 	// MaxGangClasses bounds the equivalence classes of gangs whose free slots are cached. Gangs of one
 	// class have the same needs and constraints, and so the same free slots.
 	MaxGangClasses = 32
 	// StartMarkersAhead is the number of arrays at the head of the queue whose start markers are
 	// written before resources are free, so that the write does not delay their start. A start marker
-	// is a stored record that tasks of the job may have started.
+	// is a stored record that tasks of the job may have started. Room that the response to one
+	// heartbeat does not fill waits for the next heartbeat.
 	StartMarkersAhead = 8
 	// MaxGangStartMarkers is the number of pending start markers at which gangs request no further
 	// ones.
@@ -35,21 +37,26 @@
 // Fair-share order of jobs, used by package placement. A job's position is a time in seconds; the
 // lowest position is scheduled first.
 const (
-	// FairShareInterval is the time between two updates of the positions.
+	// FairShareInterval is the time between two updates of the positions. Pending work drains within
+	// seconds.
 	FairShareInterval = 1 * time.Second
-	// FairShareMinInterval is the minimum time between two updates when jobs arrive and end.
+	// FairShareMinInterval is the minimum time between two updates when jobs arrive and end. A burst
+	// brings tens of jobs a second.
 	FairShareMinInterval = 100 * time.Millisecond
 	// MaxBacklogPenalty is the limit of the penalty on an array's position, which grows with the
-	// array's pending work. The bound keeps the largest arrays from starving.
+	// array's pending work. The bound keeps the largest arrays from starving. An array with the average
+	// amount of pending work gets half of it.
 	MaxBacklogPenalty = 800 * time.Second
-	// GangPositionBonus is subtracted from the position of a gang or service. The bound keeps
-	// arrays from starving in a burst of gangs.
+	// GangPositionBonus is subtracted from the position of a gang or service. The bound keeps arrays
+	// from starving in a burst of gangs. A gang that waits holds no machine up, whereas an array fills
+	// whatever room is left.
 	GangPositionBonus = 120 * time.Second
 	// GangBlockingDelay is the waiting time after which a gang without a placement blocks all later
 	// gangs of the scheduling pass.
 	GangBlockingDelay = 60 * time.Second
 	// FirstStartDeadline is the time after which a job without a completed task is starving and has
-	// FirstStartTasks of its tasks scheduled first.
+	// FirstStartTasks of its tasks scheduled first. The largest jobs too must start within four
+	// minutes, whatever the burst.
 	FirstStartDeadline = 150 * time.Second
 	// FirstStartTasks is the number of tasks of a starving job that are scheduled first.
 	FirstStartTasks = 8
--- a/internal/tuning/store.go
+++ b/internal/tuning/store.go
@@ -47,6 +47,8 @@
 	LimitRejectionWindow = 10 * time.Second
 	// LoweredLimitsInitialDuration is the time for which the upcoming limits are enforced before the
 	// rate limiter tries the current limits again. It doubles with each switch to the upcoming limits.
+	// The trial is for a burst that was taken for lower limits; it costs some rejections, hence the
+	// doubling.
 	LoweredLimitsInitialDuration = 2 * time.Minute
 	// LoweredLimitsMaxDuration bounds the doubling of LoweredLimitsInitialDuration.
 	LoweredLimitsMaxDuration = 30 * time.Minute
@@ -70,8 +72,8 @@
 	PageRemovalInterval = 10 * time.Second
 	// MaxPages bounds the numbers of stored pages.
 	MaxPages = 10000
-	// MinPageBytes is the lower bound to which a page shrinks when the service rejects its size.
-	// The longest entry takes half of it.
+	// MinPageBytes is the lower bound to which a page shrinks when the service rejects its size. The
+	// longest entry takes half of it. Such an entry is a machine's name with its address.
 	MinPageBytes = 128
 	// WriterBackoffInitial is the backoff after a failed write of a desired value. It doubles after
 	// each size rejection of a value that cannot be split.
--- a/internal/tuning/submission.go
+++ b/internal/tuning/submission.go
@@ -3,9 +3,10 @@
 // Requests of users, used by package submission.
 const (
 	// RetryAfterBusyS is the Retry-After value, in seconds, while too many requests are in flight.
+	// Overload passes quickly.
 	RetryAfterBusyS = 1
-	// RetryAfterUnavailableS is the Retry-After value, in seconds, while the controller cannot
-	// serve a request.
+	// RetryAfterUnavailableS is the Retry-After value, in seconds, while the controller cannot serve a
+	// request. An outage takes a little longer than overload.
 	RetryAfterUnavailableS = 2
 	// EndedJobsKept is the capacity of the cache of ended jobs.
 	EndedJobsKept = 20000
--- a/internal/tuning/term.go
+++ b/internal/tuning/term.go
@@ -14,10 +14,11 @@
 	CompletionBitsPerByte = 2
 	// CompletionNameBytes is the size of a bitmap's name and its JSON in a page.
 	CompletionNameBytes = 64
-	// StartMarkerInterval is the time for which start markers are batched into one write.
+	// StartMarkerInterval is the time for which start markers are batched into one write. It is short,
+	// as a gang waits for its marker.
 	StartMarkerInterval = 100 * time.Millisecond
-	// RegistrationInterval is the time for which machines that sent their first heartbeat are
-	// batched into one write.
+	// RegistrationInterval is the time for which machines that sent their first heartbeat are batched
+	// into one write. Hundreds of machines boot within seconds, and each waits for its record.
 	RegistrationInterval = 250 * time.Millisecond
 	// CounterLogInterval is the time between two log lines with the task counters.
 	CounterLogInterval = 60 * time.Second
@@ -30,7 +31,8 @@
 	CancellationRenewMargin = 5 * time.Second
 	// MinRenewalPastWatermark is the lower bound of the period in which a lease holder continues to
 	// renew worker leases although its cancellation watermark does not advance. It exceeds
-	// WatchTimeout, as a watch without events advances the watermark only when it ends.
+	// WatchTimeout, as a watch without events advances the watermark only when it ends. It matters only
+	// where a worker lease is nearly as long as the time within which cancelled tasks must end.
 	MinRenewalPastWatermark = 6 * time.Second
 )
 
@@ -40,7 +42,7 @@
 	// lack of heartbeats does not indicate isolation.
 	IsolationMinMachines = 3
 	// IsolationHeartbeats is the time, in heartbeat intervals, without any heartbeat after which a
-	// lease holder suspects its own isolation. It exceeds the jitter of heartbeats.
+	// lease holder suspects its own isolation. It exceeds the jitter of heartbeats, a quarter of the interval.
 	IsolationHeartbeats = 1.25
 	// CloudIsolationTimeout is the time without a successful cloud call after which a lease holder
 	// suspects its own isolation from the cloud. It allows for several timeouts and retries.
--- a/internal/tuning/worker.go
+++ b/internal/tuning/worker.go
@@ -25,17 +25,20 @@
 
 // Direct commands to workers, used by package controller.
 const (
-	// CommandTimeout bounds a direct command. It is long, as a timeout counts against the
-	// machine even if the lease holder lacks the CPU time to read the response.
+	// CommandTimeout bounds a direct command. It is long, as a timeout counts against the machine even
+	// if the lease holder lacks the CPU time to read the response. With 3 s, a lease holder without CPU
+	// time deleted one machine after the other.
 	CommandTimeout = 8 * time.Second
 	// WorkerDialTimeout bounds the dial of a connection to a worker. A failed dial shows that the
-	// machine is unreachable.
+	// machine is unreachable. It is not too short, for the same reason as CommandTimeout.
 	WorkerDialTimeout = 2 * time.Second
 	// MinCommandsInFlight is the lower bound of the limit on concurrent direct commands, whatever
 	// CommandSocketShare yields.
 	MinCommandsInFlight = 16
 	// CommandSocketShare is the share of the controller's sockets for direct commands, if that exceeds
-	// MinCommandsInFlight. Commands to unreachable machines hold their sockets until the dial times out.
+	// MinCommandsInFlight. Commands to unreachable machines hold their sockets until the dial times
+	// out. A fifth of the machines may be unreachable, and each command to one of them hangs for a
+	// second.
 	CommandSocketShare = 0.025
 	// CommandIdleConnections is the number of idle connections kept for further commands.
 	CommandIdleConnections = 16
