Search the machines for a service only when a replica may be placed

A service at its team's limit, or behind the bound of a pass, cost a search of all machines in each pass. A replica for which work was requeued counts towards the pass's bound once it is placed, so that a service without room cannot use the bound up.

--- a/internal/placement/service_placement.go
+++ b/internal/placement/service_placement.go
@@ -13,24 +13,23 @@
 // and a choice among the candidates for each replica.
 type replicaPlacement struct {
 	*serviceScheduler
-	service          *Job
-	scope            quotaScope
-	tasksByZone      map[string]int // scheduled replicas; nil if the service has no zone constraints
-	candidates       []candidate    // machines on which one more replica fits without preemption
-	candidatesUnsure bool           // preemption has changed machines since the search
+	service           *Job
+	scope             quotaScope
+	tasksByZone       map[string]int // scheduled replicas; nil if the service has no zone constraints
+	candidates        []candidate    // machines on which one more replica fits without preemption
+	candidatesCurrent bool           // the machines have been searched, and no preemption has changed them since
+	preemptedForQuota bool           // other work was requeued for the next replica
 }
 
-// newReplicaPlacement returns a placement with the candidates of the present state.
+// newReplicaPlacement returns a placement that has not searched the machines yet.
 func newReplicaPlacement(s *serviceScheduler, service *Job, scope quotaScope) *replicaPlacement {
-	p := &replicaPlacement{serviceScheduler: s, service: service, scope: scope}
-	p.findCandidates()
-	return p
+	return &replicaPlacement{serviceScheduler: s, service: service, scope: scope}
 }
 
 // findCandidates collects the machines on which one more replica fits without preemption.
 func (p *replicaPlacement) findCandidates() {
 	p.tasksByZone = p.service.constrainedTasksByZone(nil)
-	p.candidates, p.candidatesUnsure = p.candidates[:0], false
+	p.candidates, p.candidatesCurrent = p.candidates[:0], true
 	for _, machine := range p.registry.All() {
 		if p.eligibleForReplica(machine, p.service, p.tasksByZone) {
 			info := p.capacity.info(machine)
@@ -54,19 +53,18 @@
 	if p.ledger.AdmitsReservation(service.Spec.Team, service.need) {
 		return true
 	}
-	p.candidatesUnsure = true
-	if !p.preemptForQuota(now, service) {
+	p.candidatesCurrent = false
+	p.preemptedForQuota = p.preemptForQuota(now, service)
+	if !p.preemptedForQuota {
 		p.setPendingReason(service, "team's limit")
-		return false
 	}
-	p.pass.replicasByPreemption++
-	return true
+	return p.preemptedForQuota
 }
 
 // place places one pending replica and reports whether it found a machine. It dispatches the replica if it
 // fits at once; otherwise it queues the replica and preempts the victims.
 func (p *replicaPlacement) place(now time.Time) bool {
-	if p.candidatesUnsure {
+	if !p.candidatesCurrent {
 		p.findCandidates()
 	}
 	service := p.service
@@ -90,11 +88,14 @@
 	service.pendingReason = ""
 	p.pass.replicasPlaced++
 	p.startOrQueue(now, service.addTask(index), machine, victims)
+	if chosen < 0 || p.preemptedForQuota {
+		p.pass.replicasByPreemption++
+		p.preemptedForQuota = false
+	}
 	if chosen >= 0 {
 		p.updateCandidates(chosen)
 	} else {
-		p.pass.replicasByPreemption++
-		p.candidatesUnsure = true
+		p.candidatesCurrent = false
 	}
 	return true
 }
