--- a/review/stand2/checks.go
+++ b/review/stand2/checks.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
+	"juniperchute/internal/config"
+	"juniperchute/internal/fakes"
 	"juniperchute/internal/wire"
 )
 
@@ -30,6 +33,7 @@
 			}
 		}
 	}
+	d.checkTotals()
 	for _, task := range slices.Sorted(maps.Keys(on)) {
 		if len(on[task]) > 1 && !d.twice[task] {
 			d.twice[task] = true
@@ -38,6 +42,50 @@
 	}
 }
 
+// checkStart checks that a task that starts on a machine, which has its image, is on no other one; the lock
+// must be held.
+func (d *Deployment) checkStart(starting *fakes.Worker, started *fakes.Task) {
+	name := wire.TaskName(started.Job.Spec.ID, started.Index)
+	if !starting.Images[started.Job.Spec.Image] || d.twice[name] {
+		return
+	}
+	for _, w := range d.Cluster.Workers {
+		for _, t := range w.Tasks {
+			same := t.Job == started.Job && t.Index == started.Index
+			if w != starting && same && t.OnMachine() && t.State != wire.TaskFetching {
+				d.twice[name] = true
+				d.Violate("ran_twice: %s starts on %s (attempt %d) while it is on %s (attempt %d, %s)", name,
+					starting.Host.ID, started.Attempt, w.Host.ID, t.Attempt, t.State)
+			}
+		}
+	}
+}
+
+// checkTotals checks the teams' limits and the ends of cancelled jobs; the lock must be held.
+func (d *Deployment) checkTotals() {
+	used, margin := map[string]float64{}, 100*time.Millisecond
+	for _, w := range d.Cluster.Workers {
+		for _, t := range w.Tasks {
+			if !t.OnMachine() || t.State == wire.TaskFetching {
+				continue
+			}
+			used[t.Job.Spec.Team] += t.Job.Spec.Gpus
+			over := t.Job.KnownState == wire.JobCancelled &&
+				d.Clock.Now().Sub(t.Job.CancelledAt) > config.Seconds(d.Platform.Workers.CancelS)+margin
+			if key := "cancelled " + t.Job.Spec.ID; over && !d.twice[key] {
+				d.twice[key] = true
+				d.Violate("ran_cancelled: %s/%d is still on %s", t.Job.Spec.ID, t.Index, w.Host.ID)
+			}
+		}
+	}
+	for _, team := range d.Platform.Teams {
+		if key := "quota " + team.Name; team.GPUsMax > 0 && used[team.Name] > team.GPUsMax && !d.twice[key] {
+			d.twice[key] = true
+			d.Violate("quota: %s uses %v GPUs of %v", team.Name, used[team.Name], team.GPUsMax)
+		}
+	}
+}
+
 // Violate records that a rule is broken; the lock must be held.
 func (d *Deployment) Violate(format string, args ...any) {
 	d.Violations = append(d.Violations, fmt.Sprintf(format, args...))
--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -58,7 +58,9 @@
 	wait      sync.WaitGroup
 	byAddress map[string]*fakes.Worker
 	clients   map[string]*http.Client // of the workers, by host
+	relays    []*relay
 	checkedAt time.Time
+	deleting  string          // controller whose call the cloud carries out
 	twice     map[string]bool // tasks that were seen on two machines at once
 	states    map[string]string
 	sessions  map[string]uint64
@@ -105,6 +107,7 @@
 	d.Cluster = fakes.NewCluster(d.Clock, rng, options.Platform, d)
 	d.Cluster.OnTaskStart = func(w *fakes.Worker, t *fakes.Task) {
 		d.Logf("worker %s: start of %s attempt %d", w.Host.ID, wire.TaskName(t.Job.Spec.ID, t.Index), t.Attempt)
+		d.checkStart(w, t)
 	}
 	if err := d.addControllers(); err != nil {
 		return nil, err
@@ -268,6 +271,9 @@
 		d.Kill(c)
 	}
 	close(d.done)
+	for _, r := range d.relays {
+		r.close()
+	}
 	for _, c := range d.Controllers {
 		c.Cut.Open()
 	}
@@ -330,6 +336,9 @@
 	}
 }
 
+// ActsFor reports whether the cloud is carrying out a call of a controller; the lock must be held.
+func (d *Deployment) ActsFor(c *Controller) bool { return d.deleting == c.Name }
+
 // Holder returns the controller that holds the shard's lease by the state service's records, or nil. The
 // lock must be held.
 func (d *Deployment) Holder() *Controller {
--- a/review/stand2/network.go
+++ b/review/stand2/network.go
@@ -63,64 +63,117 @@
 	}
 }
 
+// relay is a TCP relay from one controller to a peer.
+type relay struct {
+	d        *Deployment
+	to       string
+	gates    []*Gate
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool // both ends of all connections
+}
+
 // relay starts a TCP relay to an address, through gates, and returns its address.
 func (d *Deployment) relay(to string, gates ...*Gate) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	go func() {
-		<-d.done
-		listener.Close()
-	}()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go d.relayConn(conn, to, gates)
-		}
-	}()
+	r := &relay{d: d, to: to, gates: gates, listener: listener, conns: map[net.Conn]bool{}}
+	d.relays = append(d.relays, r)
+	go r.accept(listener)
 	return listener.Addr().String(), nil
 }
 
-func (d *Deployment) relayConn(from net.Conn, address string, gates []*Gate) {
-	defer from.Close()
-	pass := func() {
-		for _, gate := range gates {
-			gate.Pass()
+// RefusePeers makes all connections between controllers end and be refused, or lets them through again.
+func (d *Deployment) RefusePeers(refuse bool) error {
+	d.Logf("connections between controllers are refused: %v", refuse)
+	for _, r := range d.relays {
+		if refuse {
+			r.close()
+			continue
 		}
+		listener, err := net.Listen("tcp", r.listener.Addr().String())
+		if err != nil {
+			return err
+		}
+		r.listener = listener
+		go r.accept(listener)
 	}
-	pass()
-	to, err := net.Dial("tcp", address)
+	return nil
+}
+
+// close ends the listener and all connections.
+func (r *relay) close() {
+	r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		conn.Close()
+	}
+}
+
+func (r *relay) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(conn)
+	}
+}
+
+func (r *relay) track(conn net.Conn, open bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if open {
+		r.conns[conn] = true
+	} else {
+		delete(r.conns, conn)
+		conn.Close()
+	}
+}
+
+func (r *relay) pass() {
+	for _, gate := range r.gates {
+		gate.Pass()
+	}
+}
+
+func (r *relay) serve(from net.Conn) {
+	r.track(from, true)
+	defer r.track(from, false)
+	r.pass()
+	to, err := net.Dial("tcp", r.to)
 	if err != nil {
 		return
 	}
-	defer to.Close()
+	r.track(to, true)
+	defer r.track(to, false)
 	ended := make(chan struct{}, 2)
-	copyAll := func(dst, src net.Conn) {
-		buffer := make([]byte, 32<<10)
-		for {
-			n, err := src.Read(buffer)
-			pass()
-			if n > 0 {
-				if _, err := dst.Write(buffer[:n]); err != nil {
-					break
-				}
-			}
-			if err != nil {
+	go r.copyAll(to, from, ended)
+	go r.copyAll(from, to, ended)
+	select {
+	case <-ended:
+	case <-r.d.done:
+	}
+}
+
+func (r *relay) copyAll(dst, src net.Conn, ended chan<- struct{}) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := src.Read(buffer)
+		r.pass()
+		if n > 0 {
+			if _, err := dst.Write(buffer[:n]); err != nil {
 				break
 			}
 		}
-		ended <- struct{}{}
-	}
-	go copyAll(to, from)
-	go copyAll(from, to)
-	select {
-	case <-ended:
-	case <-d.done:
+		if err != nil {
+			break
+		}
 	}
+	ended <- struct{}{}
 }
 
 // Nodes implements fakes.Network.
--- a/review/stand2/servers.go
+++ b/review/stand2/servers.go
@@ -105,6 +105,9 @@
 	})
 }
 
+// cloudLatency is the latency of the cloud in the site files.
+const cloudLatency = 200 * time.Millisecond
+
 func parseCloudCall(request *http.Request) cloud.Call {
 	raw, _ := io.ReadAll(request.Body)
 	call := cloud.Call{Operation: cloud.ListMachines, After: request.URL.Query().Get("After")}
@@ -133,9 +136,14 @@
 				d.OnDelete(c, call.Hosts)
 			}
 		}
+		time.Sleep(cloudLatency)
 		c.Cut.Pass()
 		var result cloud.Result
-		d.With(func() { result = d.Cloud.Call(call) })
+		d.With(func() {
+			d.deleting = c.Name
+			result = d.Cloud.Call(call)
+			d.deleting = ""
+		})
 		response, err := result.Response()
 		if call.Operation == cloud.CreateMachines || call.Operation == cloud.DeleteMachines {
 			d.Logf("cloud: carried out for %s: %v %+v %v: %v %v", c.Name, call.Operation, call.Request, call.Hosts,
--- a/review/stand2/users.go
+++ b/review/stand2/users.go
@@ -59,3 +59,13 @@
 	}
 	return wire.JobState{}, false
 }
+
+// Repeat repeats the submission of an accepted job at a controller. ok is false without an answer of 200.
+func (d *Deployment) Repeat(c *Controller, spec wire.JobSpec) (state wire.JobState, ok bool) {
+	raw, _ := json.Marshal(fakes.SubmissionBody(spec))
+	client := &http.Client{Timeout: submitTimeout}
+	status, body := post(client, "http://"+c.Config.APIAddr+"/submissions", raw)
+	_ = json.Unmarshal(body, &state)
+	d.Logf("user -> %s: POST /submissions %s, repeated: %d %s", c.Name, spec.ID, status, body)
+	return state, status == http.StatusOK
+}
