review: the stand-ins end their processes when a case is stopped

Cause: a case that was ended by a signal left its temporary folder behind. Change: stand2 closes the deployment on the signal and exits with 2.

--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -55,6 +55,7 @@
 	record    *os.File
 	recordMu  sync.Mutex
 	done      chan struct{}
+	closing   sync.Once
 	wait      sync.WaitGroup
 	byAddress map[string]*fakes.Worker
 	clients   map[string]*http.Client // of the workers, by host
@@ -266,7 +267,9 @@
 }
 
 // Close ends all processes and adds the controllers' logs to the record.
-func (d *Deployment) Close() {
+func (d *Deployment) Close() { d.closing.Do(d.closeAll) }
+
+func (d *Deployment) closeAll() {
 	for _, c := range d.Controllers {
 		d.Kill(c)
 	}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"juniperchute/internal/config"
 	"juniperchute/internal/wire"
@@ -32,6 +34,13 @@
 		return 2
 	}
 	defer d.Close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-ended
+		d.Close()
+		os.Exit(2)
+	}()
 	d.Logf("TROUBLE=%v", Trouble())
 	for _, c := range d.Controllers {
 		if err == nil {
