--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,70 +1,64 @@
-// Command 5 submits a job of many small tasks, of which one machine takes more than its report has room for.
+// Command 5 hangs a machine for some seconds while a gang is started there. Once it goes on, it gets no
+// work any more.
 package main
 
 import (
 	"errors"
 	"time"
 
+	"juniperchute/internal/fakes"
 	"juniperchute/internal/wire"
 	"juniperchute/review/stand2"
 )
 
 const (
-	tasks   = 2400
-	runTime = 25 * time.Second
-	patrol  = 75 * time.Second
-	// bystanderTime is the run time of another user's task, longer than a worker's lease.
-	bystanderTime = 30 * time.Second
+	waiting = 90 * time.Second        // that a job may wait, by the rule
+	hang    = 9 * time.Second         // within the lease of 18 s
+	long    = 115 * time.Second       // run time of the task that keeps the machine in use
+	settled = 1500 * time.Millisecond // from the end of the trouble to the job
 )
 
 func main() {
 	options := stand2.Dispatch()
-	options.Machines = 4
+	options.Platform.Workers = stand2.HuntWorkers()
+	options.Machines = 1
 	stand2.Main(options, run)
 }
 
 func run(d *stand2.Deployment) error {
-	// Another user's job, which is on one of the machines before.
-	bystander := stand2.Replay("job-000002", 1)
-	other, ok := d.Submit(bystander, bystanderTime)
-	if !ok {
-		return errors.New("the first job was not accepted")
+	array, gang, next := stand2.Replay("job-000001", 1), stand2.Replay("job-000002", 1), stand2.Replay("job-000003", 1)
+	gang.Class, gang.Shape, gang.Priority = "rutamadrugada", wire.ShapeGang, "normal"
+	if _, ok := d.Submit(array, long); !ok {
+		return errors.New("a job was not accepted")
 	}
-	if !d.WaitFor(30*time.Second, "the other user's task runs", func() bool { return len(d.RunsOn(bystander.ID)) == 1 }) {
+	runs := func(id string) func() bool { return func() bool { return len(d.RunsOn(id)) == 1 } }
+	if !d.WaitFor(20*time.Second, "the machine is in use", runs(array.ID)) {
 		return errors.New("the first job did not start")
 	}
-	spec := stand2.Replay("job-000001", tasks)
-	spec.Vcpus, spec.Gpus, spec.MemGB, spec.EstimatedRunTimeS = 0.05, 0, 0.25, runTime.Seconds()
-	if !stand2.Trouble() { // the same work in larger pieces
-		spec.Tasks, spec.Vcpus, spec.MemGB = tasks/8, 8*spec.Vcpus, 8*spec.MemGB
-	}
-	job, ok := d.Submit(spec, runTime)
-	if !ok {
-		return errors.New("the job was not accepted")
-	}
-	for end := time.Now().Add(patrol); time.Now().Before(end); d.Sleep(5 * time.Second) {
-		first, _ := d.AskAny(bystander.ID)
-		second, _ := d.AskAny(spec.ID)
-		if first.State == wire.JobDone && second.State == wire.JobDone {
-			return nil
+	var machine *fakes.Worker
+	d.With(func() {
+		for _, machine = range d.Cluster.Workers {
+			machine.Hung = stand2.Trouble()
 		}
+	})
+	d.Logf("%s hangs: %v", machine.Host.ID, stand2.Trouble())
+	if _, ok := d.Submit(gang, 2*time.Second); !ok {
+		return errors.New("a job was not accepted")
 	}
-	done := 0
+	d.Sleep(hang)
+	d.With(func() { machine.Hung = false })
+	d.Logf("%s goes on", machine.Host.ID)
+	d.Sleep(settled)
+	if _, ok := d.Submit(next, 2*time.Second); !ok {
+		return errors.New("a job was not accepted")
+	}
+	started := d.WaitFor(waiting+time.Second, "the next job runs", runs(next.ID))
 	d.With(func() {
-		for _, ended := range job.Done {
-			if ended {
-				done++
-			}
-		}
-		killed := 0
-		for _, w := range d.Cluster.Workers {
-			killed += int(w.Incarnation) - 1
-		}
-		d.Logf("%d of %d tasks completed, the other user's: %v; %d worker leases ran out", done, spec.Tasks, other.Done[0],
-			killed)
-		if killed > 0 {
-			d.Violate("accepted jobs do not run: %d tasks of %s completed, %s done %v, %d worker leases ran out for lack "+
-				"of reports", done, spec.ID, bystander.ID, other.Done[0], killed)
+		free := machine.Available()
+		d.Logf("%s: session %d, free %+v", machine.Host.ID, machine.Incarnation, free)
+		room := free.CPUs >= next.Vcpus && free.GPUs >= next.Gpus && free.MemGB >= next.MemGB
+		if !started && room && !machine.Terminated {
+			d.Violate("%s has waited for %v while %s has room", next.ID, waiting, machine.Host.ID)
 		}
 	})
 	return nil
