--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -81,6 +81,11 @@
 	}
 }
 
+// HuntWorkers returns the workers' settings of kit/more/hunt/crvc-despacho-sanjose-hunt.toml.
+func HuntWorkers() config.Workers {
+	return config.Workers{HeartbeatS: 5, LeaseS: 26.5, GangWaitS: 50, GangPeerS: 6, CancelS: 46.5}
+}
+
 // Replay returns a job of the class repasotrafico of that site, whose tasks do not save.
 func Replay(id string, tasks int) wire.JobSpec {
 	return wire.JobSpec{
--- a/review/stand2/servers.go
+++ b/review/stand2/servers.go
@@ -165,6 +165,17 @@
 	})
 }
 
+// whileHung blocks while the worker at an address hangs: it handles what it was sent when it goes on, also
+// for a caller that has given up.
+func (d *Deployment) whileHung(address string) {
+	for hung := true; hung; time.Sleep(clockInterval) {
+		d.With(func() {
+			worker := d.byAddress[address]
+			hung = worker != nil && worker.Hung
+		})
+	}
+}
+
 // serveWorker serves the direct commands to all workers; the local address tells which one.
 func (d *Deployment) serveWorker(w http.ResponseWriter, request *http.Request) {
 	address := request.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
@@ -174,6 +185,7 @@
 	var worker *fakes.Worker
 	var heartbeat *wire.Heartbeat
 	status := 0
+	d.whileHung(address)
 	d.With(func() {
 		worker = d.byAddress[address]
 		switch {
