Reconcile workers that became unresponsive while a term read its records

Cause: while loading, a term answers heartbeats and reconciles the workers once the records are read, but only those whose machine was Up at that moment. In the outage it stopped answering, took the machines for unresponsive and then for reconciled, and opened: nothing that they ran was adopted or counted. The log of the case has "records read" after 20.1 s and "every machine reconciled or terminated" 0.2 s later, both machines being unresponsive.

Change: recoverContacts reconciles every worker that sent a status under this term's token and whose lease may last, whatever its machine's state. Such a worker executes no command of an earlier term and this term has sent none, so the status is complete. On related paths: renewals under an older token before the machine is known are kept with their times, so the lease is not taken for expired too early; a machine that reports while records are read is no longer adopted as an orphan with a second record.

--- a/internal/term/heartbeats.go
+++ b/internal/term/heartbeats.go
@@ -114,10 +114,10 @@
 	if result == worker.HeartbeatStale {
 		return false
 	}
-	t.autoscaler.HandleHeartbeat(now, machine)
 	if t.state == Loading {
-		return true
+		return true // recoverContacts reconciles the machine
 	}
+	t.autoscaler.HandleHeartbeat(now, machine)
 	hadUnknownTasks := machine.HasUnknownTasks
 	t.scheduler.ReconcileHeartbeat(now, machine, result, source)
 	if machine.HasUnknownTasks && !hadUnknownTasks {
@@ -130,12 +130,12 @@
 // be a delayed copy from a terminated machine, so its task states are ignored. A live worker gets its
 // lease renewed and immediately sends another heartbeat, under the new token.
 func (t *Term) answerStaleToken(now time.Time, heartbeat *wire.Heartbeat) ([]wire.Command, error) {
-	if machine := t.workers.Get(heartbeat.Host); machine != nil {
-		if !machine.ObserveSequence(heartbeat) {
-			return nil, errStaleHeartbeat
-		}
-		machine.LeaseRenewedAt = now
-		t.autoscaler.RegisterOnFirstContact(now, machine, heartbeat)
+	machine := t.workers.Get(heartbeat.Host)
+	switch {
+	case machine != nil && !t.observeStaleToken(now, machine, heartbeat):
+		return nil, errStaleHeartbeat
+	case machine == nil && t.state == Loading:
+		t.recovery.recordRenewal(now, heartbeat)
 	}
 	commands := []wire.Command{}
 	if t.state != Loading {
@@ -146,6 +146,17 @@
 	return commands, nil
 }
 
+// observeStaleToken records that the response to a heartbeat that arrived at the given time under an older
+// token renews the worker's lease. It returns false, and records nothing, if a newer message has been seen.
+func (t *Term) observeStaleToken(arrivedAt time.Time, machine *worker.Machine, heartbeat *wire.Heartbeat) bool {
+	if !machine.ObserveSequence(heartbeat) {
+		return false
+	}
+	machine.LeaseRenewedAt = arrivedAt
+	t.autoscaler.RegisterOnFirstContact(arrivedAt, machine, heartbeat)
+	return true
+}
+
 // hasUnloadedJob reports whether a heartbeat contains a running task whose job is not among the open jobs
 // read so far. While the term is loading it cannot stop the task, whose job may have been cancelled, so it
 // does not renew the worker's lease.
--- a/internal/term/recovery.go
+++ b/internal/term/recovery.go
@@ -14,11 +14,27 @@
 	"juniperchute/internal/worker"
 )
 
-// recovery holds the records of a shard that its term reads while loading.
+// recovery holds what a term collects while loading: the records of its shard, and the contacts with workers
+// whose machines those records may name.
 type recovery struct {
 	completions, registrations, startMarkers, intents []wire.KeyValue
 
 	readsInFlight int
+	// renewals holds, by host, the last renewal of each lease of a worker whose machine is unknown so far.
+	renewals map[string]leaseRenewal
+}
+
+// leaseRenewal is a response that renewed a worker's lease and from whose heartbeat nothing was concluded.
+type leaseRenewal struct {
+	at        time.Time      // arrival of the heartbeat
+	heartbeat wire.Heartbeat // without its tasks
+}
+
+// recordRenewal records that a response renews the lease of the worker of an unknown machine.
+func (r *recovery) recordRenewal(now time.Time, heartbeat *wire.Heartbeat) {
+	renewal := leaseRenewal{at: now, heartbeat: *heartbeat}
+	renewal.heartbeat.Tasks = nil
+	r.renewals[heartbeat.Host] = renewal
 }
 
 // readRecords starts the reads of the records that earlier terms wrote.
@@ -30,6 +46,7 @@
 		{term: t, prefix: startMarkerPrefix(t.Shard), results: &t.recovery.startMarkers},
 		{term: t, prefix: intentlog.ShardPrefix(t.Shard), results: &t.recovery.intents},
 	}
+	t.recovery.renewals = map[string]leaseRenewal{}
 	t.recovery.readsInFlight = len(caches) + len(reads)
 	for _, cache := range caches {
 		t.waitUntilCurrent(now, cache)
@@ -111,16 +128,28 @@
 	t.autoscaler.LoadRegistrations(now, t.recovery.registrations)
 	t.completions.bitmaps.load(t.recovery.completions, t.scheduler.OpenJob)
 	t.recoverStartMarkers()
-	t.recovery = recovery{}
 	t.completions.recoverCompletedJobs(now, t.scheduler.OpenJobs())
 	t.setState(now, Fencing, "records read")
+	t.recoverContacts(now)
+	t.recovery = recovery{}
+	// A heartbeat may trigger a scheduling pass before the next tick.
+	t.reserveUnknownUsage()
+}
+
+// recoverContacts applies the contacts with workers during Loading to the machines that the records name. A
+// worker that sent a status under this term's token executes no command of an earlier term, and this term has
+// sent none yet. So only tasks of that status can run on the machine, also if the worker has become
+// unresponsive since.
+func (t *Term) recoverContacts(now time.Time) {
 	for _, machine := range slices.Clone(t.workers.All()) {
-		if machine.State == worker.Up {
+		if renewal, renewed := t.recovery.renewals[machine.Host]; renewed {
+			t.observeStaleToken(renewal.at, machine, &renewal.heartbeat)
+		}
+		if machine.MayRunReportedTasks() {
+			t.autoscaler.HandleHeartbeat(now, machine)
 			t.scheduler.ReconcileHeartbeat(now, machine, worker.HeartbeatCurrent, worker.FromCommandReply)
 		}
 	}
-	// A heartbeat may trigger a scheduling pass before the next tick.
-	t.reserveUnknownUsage()
 }
 
 // ApplyOpenJob applies a change of an open job's record. It ignores changes while the term is loading,
--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -171,6 +171,13 @@
 	return inService && reachable && m.Registered && !m.HasUnknownTasks
 }
 
+// MayRunReportedTasks reports whether tasks of the last status applied in this term may run on the machine. It
+// returns false if the worker has not been in contact with this term, or if its lease has expired.
+func (m *Machine) MayRunReportedTasks() bool {
+	leaseExpired := m.State == LeaseExpired || m.State == Deleted || m.ExpiredWhileDeleting
+	return !m.LastContact.IsZero() && !leaseExpired
+}
+
 // Unreachable reports whether heartbeats of the worker have arrived for longer than threshold without
 // evidence that replies or commands reach it.
 func (m *Machine) Unreachable(now time.Time, threshold time.Duration) bool {
