End the avoidance and the quarantine of machines on which tasks have failed

A quarantined machine with a service or a long task on it got no other work for as long.

Cause: avoidsAfterFailures looked at whether a task had ever failed on the machine, and a quarantine ended only with the machine.

Change: an avoidance ends after 15 s, doubled by each further failure of the job there, 60 s at most. A quarantine ends after 60 s, and forgets the failures before it. Both stay below the 90 s. An empty quarantined machine is deprovisioned at once, as before.

--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -46,7 +46,7 @@
 		need:           quota.Resources{CPUs: spec.Vcpus, GPUs: spec.Gpus, MemGB: spec.MemGB},
 		jobTasks:       newJobTasks(spec.Tasks),
 		queuePosition:  queuePosition{effectivePriority: priority},
-		failureHistory: failureHistory{failedOn: map[string]int{}, succeededOn: map[string]bool{}},
+		failureHistory: newFailureHistory(),
 	}
 }
 
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -88,7 +88,7 @@
 	s.copyQueues = &copyQueues{sharedState: shared, capacity: s.capacity}
 	s.jobQueue = &jobQueue{sharedState: shared, runTimes: s.runTimes, pass: s.pass}
 	s.markers = &startMarkers{sharedState: shared, pass: s.pass, request: options.RequestStartMarker}
-	s.failures = &failureTracker{sharedState: shared, jobs: s.jobs}
+	s.failures = &failureTracker{sharedState: shared, capacity: s.capacity, jobs: s.jobs}
 	s.tasks = &taskLifecycle{
 		sharedState:     shared,
 		capacity:        s.capacity,
--- a/internal/placement/scheduling_pass.go
+++ b/internal/placement/scheduling_pass.go
@@ -27,6 +27,7 @@
 	due := !now.Before(s.nextPassDue)
 	if due {
 		s.nextPassDue = now.Add(tuning.PassInterval)
+		s.failures.expire(now)
 		s.rescheduler.handlePreemptionNotices(now)
 		s.rescheduler.rescheduleStuck(now)
 	}
--- a/internal/tuning/scheduling.go
+++ b/internal/tuning/scheduling.go
@@ -77,6 +77,12 @@
 	TaskBackoffInitial = 1 * time.Second
 	// TaskBackoffDoublings bounds the doublings of TaskBackoffInitial.
 	TaskBackoffDoublings = 5
+	// MachineAvoidanceInitial is the time for which no task of a job starts on a machine after one has failed
+	// there. It doubles, up to MachineAvoidanceDoublings times, with each further failure.
+	MachineAvoidanceInitial = 15 * time.Second
+	// MachineAvoidanceDoublings bounds the doublings of MachineAvoidanceInitial. The longest one stays
+	// below the 90 s that a job may wait beside a machine with room.
+	MachineAvoidanceDoublings = 2
 	// RejectedStartBackoff is the backoff after a worker rejected a start command.
 	RejectedStartBackoff = 1 * time.Second
 	// QuarantineFailedJobs is the number of jobs with failures on a machine at which the machine is
@@ -85,6 +91,9 @@
 	// QuarantineFailedTasks is the number of failures of one job on a machine at which the machine
 	// is quarantined, if the job succeeds elsewhere.
 	QuarantineFailedTasks = 2
+	// QuarantineDuration is the time for which a quarantined machine gets no new work. It stays below the 90 s
+	// that a job may wait beside a machine with room.
+	QuarantineDuration = 60 * time.Second
 	// FailingJobMachines is the number of machines on which a job without any success must have
 	// failed before the failures are attributed to the job.
 	FailingJobMachines = 3
