Query machines that left a direct command unanswered until they answer

Cause: a direct command without an answer within 8 s counts against the machine, and only a new incarnation of its worker set the count back. Likewise a task whose start got no answer, and that was stopped before it was reported, held up its gang until the machine had no other task and was deleted.

Change: the lease holder queries a machine that is up and left a command unanswered once a second, and any answer clears the count. Starts without an answer are recorded by task, so that a machine with nothing else is still deleted. Elsewhere the next heartbeat's answer carries the start and a stop: the worker lists the attempt as exited and ignores a late copy, and the attempt is not reaped in that incarnation.

The tests of placement, fleet, term, worker and controller pass.

--- a/internal/fleet/deprovisioner.go
+++ b/internal/fleet/deprovisioner.go
@@ -61,10 +61,16 @@
 		Machine:              machine,
 		missedLists:          d.lists.missed[machine.Host],
 		bootTime:             d.types.bootTime(machine.Type),
-		onlyUnconfirmedStops: machine.UnansweredCommands > 0 && d.scheduler.OnlyUnconfirmedStops(machine),
+		onlyUnconfirmedStops: d.onlyUnconfirmedStops(machine),
 	}
 }
 
+// onlyUnconfirmedStops returns terminationCandidate.onlyUnconfirmedStops.
+func (d *deprovisioner) onlyUnconfirmedStops(machine *worker.Machine) bool {
+	unanswered := machine.UnansweredCommands > 0 || d.scheduler.HasUnansweredStart(machine)
+	return unanswered && d.scheduler.OnlyUnconfirmedStops(machine)
+}
+
 // terminate logs the intent to terminate a machine, which from then on gets no tasks. If the log is
 // full, or the machine may belong to another shard, it is unchanged and the next pass retries.
 func (d *deprovisioner) terminate(now time.Time, machine *worker.Machine, decision termination) {
--- a/internal/fleet/termination.go
+++ b/internal/fleet/termination.go
@@ -36,8 +36,8 @@
 	*worker.Machine
 	missedLists int           // number of consecutive lists without the machine
 	bootTime    time.Duration // usual boot time of the type, 0 if unknown
-	// onlyUnconfirmedStops is set if the machine can only run tasks that were stopped and that it has
-	// never reported.
+	// onlyUnconfirmedStops is set if a direct command got no reply in time, and the machine can only run
+	// tasks that were stopped and that it has never reported.
 	onlyUnconfirmedStops bool
 }
 
@@ -75,7 +75,7 @@
 	if candidate.Unreachable(r.now, tuning.UnreachableLeases*r.workerLease) && candidate.AssignedCopies == 0 {
 		return reclaim("unreachable")
 	}
-	if candidate.UnansweredCommands > 0 && candidate.onlyUnconfirmedStops {
+	if candidate.onlyUnconfirmedStops {
 		// A delayed copy of a command without a reply may still start its task minutes later.
 		// Only the deletion of the machine rules that out.
 		return reclaim("command not answered")
--- a/internal/placement/commands.go
+++ b/internal/placement/commands.go
@@ -25,13 +25,13 @@
 func (b *commandBuilder) forMachine(machine *worker.Machine, channel Channel) []wire.Command {
 	var commands []wire.Command
 	for i := range machine.Tasks {
-		if len(commands) == tuning.MaxCommandsPerReply {
+		if len(commands) >= tuning.MaxCommandsPerReply {
 			return commands
 		}
 		commands = append(commands, b.forReported(machine, &machine.Tasks[i])...)
 	}
 	for task := range b.capacity.info(machine).assigned.all() {
-		if len(commands) == tuning.MaxCommandsPerReply {
+		if len(commands) >= tuning.MaxCommandsPerReply {
 			return commands
 		}
 		commands = append(commands, b.forAssigned(task, channel)...)
@@ -83,9 +83,8 @@
 	return !b.capacity.info(machine).directAttempts[attemptKey{reported.Name, reported.Attempt}]
 }
 
-// forAssigned returns at most one command for a task that is assigned to a
-// machine: a run if it is dispatched, a stop if it is stopping and was never
-// reported.
+// forAssigned returns the commands for a task that is assigned to a machine: a
+// run if it is dispatched, a stop if it is stopping and was never reported.
 func (b *commandBuilder) forAssigned(task *Task, channel Channel) []wire.Command {
 	info := b.capacity.info(task.machine)
 	switch {
@@ -103,11 +102,24 @@
 	case task.phase == Stopping && !task.reported && task.commandSent:
 		// The run command may still be in flight, so the stop is sent after it.
 		task.stopPending = false
+		if task.startTimedOut && !task.Job.closed && channel == HeartbeatReply {
+			return startAndStop(task)
+		}
 		return []wire.Command{stopCommand(task.Name(), task.attempt, task.gracePeriodS)}
 	}
 	return nil
 }
 
+// startAndStop returns commands that make a machine list an attempt as exited. The machine ignores a run command
+// for an attempt that it lists, so that the attempt has ended even if an earlier run command, which got no
+// reply, is executed later. Such an attempt is not reaped; see directCommandState.
+func startAndStop(task *Task) []wire.Command {
+	return []wire.Command{
+		{Verb: wire.VerbRun, Task: task.Name(), Attempt: task.attempt},
+		stopCommand(task.Name(), task.attempt, 0),
+	}
+}
+
 // stopCommand returns a command that stops an attempt after at most
 // gracePeriodS seconds for saving a checkpoint.
 func stopCommand(task string, attempt uint64, gracePeriodS float64) wire.Command {
--- a/internal/placement/commands_test.go
+++ b/internal/placement/commands_test.go
@@ -66,6 +66,33 @@
 	}
 }
 
+// Guards against a gang that waits for as long as other tasks run on a machine: a task that is stopped after its run
+// command got no reply must end with the next heartbeats, so that a late copy of the command has no effect.
+func TestStopAfterUnansweredRunCommand(t *testing.T) {
+	h := newHarness(t, 1)
+	machine := h.registry.All()[0]
+	gang := h.addJob("blue", wire.ShapeGang, "low", 1, 1)
+	h.scheduler.Schedule(h.now)
+	h.scheduler.RecordUnansweredCommands(machine, h.scheduler.Commands(h.now, machine, DirectCommand))
+	task := gang.tasks[0]
+	h.scheduler.tasks.stop(h.now, task, 0, "test")
+	h.applyHeartbeat(machine, h.newHeartbeat(machine), worker.FromHeartbeat)
+	if got := describe(h.scheduler.Commands(h.now, machine, HeartbeatReply)); got != "run job-1/0;stop job-1/0;" {
+		t.Fatalf("commands %s, want the run and the stop of the task", got)
+	}
+	heartbeat := h.newHeartbeat(machine)
+	listed := exited(task.Name(), wire.ExitStopped)
+	listed.Attempt = task.attempt
+	heartbeat.Tasks = []wire.TaskStatus{listed}
+	h.applyHeartbeat(machine, heartbeat, worker.FromHeartbeat)
+	if machine.AssignedCopies != 0 || h.scheduler.HasUnansweredStart(machine) {
+		t.Error("the task has not ended")
+	}
+	if got := describe(h.scheduler.Commands(h.now, machine, HeartbeatReply)); got != "" {
+		t.Errorf("commands %s, want none: a reap would let a late copy start the task", got)
+	}
+}
+
 // Guards against reaping a completed task before its outcome is durable.
 func TestReapRequiresDurableOutcome(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -73,6 +73,28 @@
 	}
 }
 
+// RecordUnansweredCommands records that the given direct commands got no reply in time. The worker may execute
+// them later, while its incarnation lasts.
+func (s *Scheduler) RecordUnansweredCommands(machine *worker.Machine, commands []wire.Command) {
+	for _, command := range commands {
+		job, index := s.jobs.findTask(command.Task)
+		if command.Verb != wire.VerbRun || job == nil {
+			continue
+		}
+		if task := job.tasks[index]; task.isAttemptOn(machine, command.Attempt) {
+			task.startTimedOut = task.unansweredCommands > 0
+		}
+	}
+}
+
+// HasUnansweredStart reports whether a machine was sent a run command that got no reply in time and whose attempt
+// it has not reported.
+func (s *Scheduler) HasUnansweredStart(machine *worker.Machine) bool {
+	return s.capacity.info(machine).assigned.contains(func(task *Task) bool {
+		return task.startTimedOut && !task.reported
+	})
+}
+
 // MayStartAfterClose reports whether a machine whose lease lasts until the given
 // time may execute a run command for a closed job after the job's termination
 // deadline. An unanswered direct command may be executed minutes later.
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -68,6 +68,7 @@
 	commandSent        bool   // the run command has been sent at least once, by any channel
 	commandSeq         uint64 // sequence number of the last heartbeat whose reply carried the run command
 	unansweredCommands int    // direct commands that carried the run command and whose outcome is unknown
+	startTimedOut      bool   // one of unansweredCommands got no reply in time; it may be executed later
 }
 
 // queuedCopies records the machines at which a task's copies are queued.
--- a/internal/term/commands.go
+++ b/internal/term/commands.go
@@ -39,10 +39,15 @@
 		// The worker may still execute the commands while its incarnation lasts.
 		if machine.Incarnation == sent.Incarnation && len(sent.Commands) > 0 {
 			machine.UnansweredCommands++
+			t.scheduler.RecordUnansweredCommands(machine, sent.Commands)
 		}
 		return
 	}
 	t.scheduler.ResolveDirectCommands(machine, sent.Commands)
+	if machine.UnansweredCommands > 0 {
+		machine.UnansweredCommands = 0
+		t.scheduler.MarkMachineChanged(machine)
+	}
 	switch {
 	case heartbeat.Token > t.Token:
 		t.End(now, "a machine has seen a higher token")
--- a/internal/term/fencing.go
+++ b/internal/term/fencing.go
@@ -9,7 +9,7 @@
 	"juniperchute/internal/worker"
 )
 
-// fencing tracks the queries that locate tasks of earlier terms.
+// fencing tracks the queries of workers: for tasks of earlier terms, and for proof that commands arrive.
 type fencing struct {
 	queryAt      map[string]time.Time // earliest time of the next query, by host
 	incarnations map[string]uint64    // reported by workers that rejected a command's incarnation, by host
@@ -45,15 +45,21 @@
 	}
 }
 
-// fenceWorkers queries the state of unreconciled workers under this term's token, and opens the term once
-// every worker is reconciled.
-func (t *Term) fenceWorkers(now time.Time) {
+// queryWorkers queries the state of the workers that have to prove that they execute this term's commands:
+// those that are unreconciled, and those that have not answered the last direct command but send heartbeats
+// again.
+func (t *Term) queryWorkers(now time.Time) {
 	for _, machine := range t.workers.All() {
-		if t.unreconciled(machine) && t.queryDue(now, machine) {
+		unanswered := machine.State == worker.Up && machine.UnansweredCommands > 0
+		if (unanswered || t.unreconciled(machine)) && t.queryDue(now, machine) {
 			t.fencing.queryAt[machine.Host] = now.Add(tuning.ReconcileInterval)
 			t.sendCommands(machine, []wire.Command{})
 		}
 	}
+}
+
+// openIfReconciled opens the term once every worker is reconciled.
+func (t *Term) openIfReconciled(now time.Time) {
 	if unreconciled := t.reserveUnknownUsage(); unreconciled == 0 && t.state == Fencing {
 		t.setState(now, Open, "every machine reconciled or terminated")
 		t.scheduler.MarkReconciled()
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -263,7 +263,8 @@
 		return
 	}
 	t.enableIntentLog()
-	t.fenceWorkers(now)
+	t.queryWorkers(now)
+	t.openIfReconciled(now)
 	t.recordEarlierTermsEnded(now)
 	t.detectIsolation(now)
 	t.detectCloudIsolation(now)
--- a/internal/tuning/term.go
+++ b/internal/tuning/term.go
@@ -49,6 +49,7 @@
 	CloudIsolationTimeout = 15 * time.Second
 	// CloudProbeInterval is the time between two probes of the cloud through peers.
 	CloudProbeInterval = 5 * time.Second
-	// ReconcileInterval is the time between two queries of an unreconciled machine.
+	// ReconcileInterval is the time between two queries of a machine that is unreconciled or left a command
+	// unanswered.
 	ReconcileInterval = 1 * time.Second
 )
--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -121,7 +121,8 @@
 	UnconfirmedSince time.Time
 	// CommandInFlight is set while the result of a direct command is pending.
 	CommandInFlight bool
-	// UnansweredCommands counts the direct commands to this incarnation that got no reply.
+	// UnansweredCommands counts the direct commands to this incarnation that got no reply, since the last one
+	// that got one.
 	UnansweredCommands int
 }
 
