Call an open job pending only if it is known that no task of it runs

A user whose polls go through the load balancer saw the job go back and forth.

Cause: only the lease holder knows what runs. A controller that got no answer from it had the progress marked as not known, and made "pending" of it all the same. So did a repeated submission, always, without asking; a holder that was loading or fencing, for tasks that it had not located; and a holder past its own lease.

Change: what is not known is answered 503 with Retry-After, from a query and from a repeated submission alike, for which the protocol has users ask again. The holder tells what it knows: nothing while loading or without a valid lease, and nothing of a job without a running task if one may run unreported. A job that no earlier term can have started is known to be pending. A submission that finds its own write, whose response was lost, is answered 201.

Tests: cases of TestSubmit said "pending" for a repeated submission of a job of which the fixture's lease holder reports running tasks. That contradicts "the job's current state" of the protocol; they say "running" now, and there are cases for no task running and for unknown progress. The simulated users check each answer by a new rule, wrong_state.

--- a/internal/controller/cancellation_outage_test.go
+++ b/internal/controller/cancellation_outage_test.go
@@ -205,7 +205,7 @@
 	now := s.clock.Now()
 	record := func(r submission.Response) {
 		if accepted, ok := r.Body.(wire.JobAccepted); r.Status == 200 && ok {
-			s.recordResponse(j, accepted.State, "")
+			s.recordResponse(j, accepted.State, jobBefore{})
 		}
 	}
 	if withResubmission {
--- a/internal/controller/progress.go
+++ b/internal/controller/progress.go
@@ -27,7 +27,7 @@
 func (c *Controller) jobProgress(now time.Time, shard int, job string,
 	reply func(now time.Time, progress submission.Progress)) {
 	if t := c.liveTerm(shard); t != nil {
-		reply(now, t.JobProgress(job))
+		reply(now, t.JobProgress(now, job))
 		return
 	}
 	holder, _, live := c.leaseHolder(shard)
@@ -79,14 +79,14 @@
 
 // HandleProgress replies to another controller's progress queries. The reply is empty if this
 // process does not hold the shard's lease.
-func (c *Controller) HandleProgress(request *peerpb.ProgressRequest) *peerpb.ProgressReply {
+func (c *Controller) HandleProgress(now time.Time, request *peerpb.ProgressRequest) *peerpb.ProgressReply {
 	reply := &peerpb.ProgressReply{}
 	t := c.liveTerm(int(request.Shard))
 	if t == nil {
 		return reply
 	}
 	for _, id := range request.Jobs {
-		progress := t.JobProgress(id)
+		progress := t.JobProgress(now, id)
 		reply.Jobs = append(reply.Jobs, &peerpb.JobProgress{
 			Known: progress.Known, Done: int64(progress.CompletedTasks), Running: int64(progress.Running),
 		})
--- a/internal/controller/rpc_handlers.go
+++ b/internal/controller/rpc_handlers.go
@@ -20,7 +20,9 @@
 // HandleProgress implements peer.Handler.
 func (r *Runtime) HandleProgress(ctx context.Context,
 	request *peerpb.ProgressRequest) (*peerpb.ProgressReply, error) {
-	return callLoop(ctx, r, func(time.Time) *peerpb.ProgressReply { return r.controller.HandleProgress(request) })
+	return callLoop(ctx, r, func(now time.Time) *peerpb.ProgressReply {
+		return r.controller.HandleProgress(now, request)
+	})
 }
 
 // HandleProbe implements peer.Handler. It bypasses the event loop because it uses no state of
--- a/internal/controller/simulation_peers_test.go
+++ b/internal/controller/simulation_peers_test.go
@@ -61,7 +61,7 @@
 ) {
 	e.node.sim.recordPeerCall(e.node.name, member, "progress", m)
 	callPeer(e, member, func(o *simulatedNode) *peerpb.ProgressReply {
-		reply := o.controller.HandleProgress(m)
+		reply := o.controller.HandleProgress(e.node.sim.clock.Now(), m)
 		e.node.sim.recordPeerReply(o.name, "progress", reply)
 		return reply
 	}, done)
--- a/internal/controller/simulation_users_test.go
+++ b/internal/controller/simulation_users_test.go
@@ -67,23 +67,32 @@
 	return ""
 }
 
+// jobBefore is what was known of a job when a request about it was sent.
+type jobBefore struct {
+	state      string // that the user knew
+	knownToRun bool   // see fakes.Cluster.KnownToRun
+}
+
+func (sim *simulation) jobBefore(j *fakes.Job) jobBefore {
+	return jobBefore{state: j.KnownState, knownToRun: sim.cluster.KnownToRun(j)}
+}
+
 // recordResponse records a response with the state of a job. If queryBursts is set, it sends queries when
-// the user first learns that the job was accepted or has ended. before is the state that the user knew
-// when the request was sent.
-func (sim *simulation) recordResponse(j *fakes.Job, state, before string) {
-	if sim.cluster.RecordResponse(j, state, before) && sim.rates.queryBursts {
+// the user first learns that the job was accepted or has ended.
+func (sim *simulation) recordResponse(j *fakes.Job, state string, before jobBefore) {
+	sim.cluster.CheckPendingState(j, state, before.knownToRun)
+	if sim.cluster.RecordResponse(j, state, before.state) && sim.rates.queryBursts {
 		sim.sendQueryBurst(j)
 	}
 }
 
-// handleResponse records a response about a job with any status. before is the state that the user knew
-// when the request was sent.
-func (sim *simulation) handleResponse(j *fakes.Job, before string, r submission.Response) {
+// handleResponse records a response about a job with any status.
+func (sim *simulation) handleResponse(j *fakes.Job, before jobBefore, r submission.Response) {
 	if r.Status == 200 {
 		sim.recordResponse(j, jobStateOf(r), before)
 		return
 	}
-	sim.cluster.RecordFailedRequest(j, before, r.Status)
+	sim.cluster.RecordFailedRequest(j, before.state, r.Status)
 }
 
 // submitJob lets a user submit a job and query its state until the end of the test. Each of its tasks
@@ -104,7 +113,7 @@
 	sim.send(sim.submission(j.Spec), func(r submission.Response) {
 		switch r.Status {
 		case 200, 201:
-			sim.recordResponse(j, jobStateOf(r), "")
+			sim.recordResponse(j, jobStateOf(r), jobBefore{})
 		case 400, 422:
 			sim.cluster.AddViolation(fakes.JobLost, "submission of %s was answered with %d %v",
 				j.Spec.ID, r.Status, r.Body)
@@ -119,7 +128,7 @@
 // pollJob queries the state of a job every 3 s to 6 s. It adds a violation if an accepted job is
 // unknown.
 func (sim *simulation) pollJob(j *fakes.Job) {
-	before, accepted := j.KnownState, j.Accepted
+	before, accepted := sim.jobBefore(j), j.Accepted
 	sim.send(sim.query(j.Spec.ID), func(r submission.Response) {
 		switch {
 		case r.Status == 404 && accepted:
@@ -137,7 +146,7 @@
 	if j.Ended() {
 		return
 	}
-	before := j.KnownState
+	before := sim.jobBefore(j)
 	sim.send(sim.cancellation(j.Spec.ID), func(r submission.Response) {
 		if r.Status == 200 {
 			sim.recordResponse(j, jobStateOf(r), before)
@@ -153,9 +162,9 @@
 	for range 3 {
 		for _, n := range sim.nodes {
 			sim.clock.Schedule(soon(), func() {
-				before := j.KnownState
+				before := sim.jobBefore(j)
 				r := sim.query(j.Spec.ID)
-				if sim.rng.IntN(3) == 2 && before != "" {
+				if sim.rng.IntN(3) == 2 && before.state != "" {
 					r = sim.submission(j.Spec)
 				}
 				sim.sendTo(n, r, func(a submission.Response) { sim.handleResponse(j, before, a) })
@@ -177,7 +186,7 @@
 	sim.clock.Schedule(soon(), func() { sim.cancel(j) })
 	for range 4 {
 		sim.clock.Schedule(soon(), func() {
-			before := j.KnownState
+			before := sim.jobBefore(j)
 			sim.send(sim.query(j.Spec.ID), func(r submission.Response) { sim.handleResponse(j, before, r) })
 			sim.send(sim.submission(j.Spec), func(r submission.Response) { sim.handleResponse(j, before, r) })
 		})
@@ -249,9 +258,9 @@
 	if !j.Accepted {
 		return
 	}
-	before := j.KnownState
+	before := sim.jobBefore(j)
 	sim.send(sim.submission(j.Spec), func(r submission.Response) { sim.handleResponse(j, before, r) })
-	if before == wire.JobDone {
+	if before.state == wire.JobDone {
 		sim.send(sim.cancellation(j.Spec.ID), func(r submission.Response) { sim.handleResponse(j, before, r) })
 	}
 }
--- a/internal/fakes/fixture_test.go
+++ b/internal/fakes/fixture_test.go
@@ -60,6 +60,16 @@
 	c.command(host, wire.Command{Verb: wire.VerbRun, Task: task, Attempt: attempt})
 }
 
+// runReportedTask lets a task of job-1 run for a time after an answered heartbeat listed it as running.
+func (c *Cluster) runReportedTask(d time.Duration) {
+	worker := c.Workers["a1"]
+	c.startTask("a1", "job-1/0", 1)
+	worker.Tasks[0].State = wire.TaskRunning
+	worker.Tasks[0].StateEndsAt = c.Clock.Now().Add(time.Minute)
+	worker.recordRunReported(worker.runningTasks())
+	c.advance(d)
+}
+
 // command sends a worker a command of the first term.
 func (c *Cluster) command(host string, command wire.Command) {
 	worker := c.Workers[host]
--- a/internal/fakes/rules.go
+++ b/internal/fakes/rules.go
@@ -22,6 +22,8 @@
 	JobLost            Rule = "forgotten"
 	CompletedEarly     Rule = "not_done"
 	StateRegressed     Rule = "went_back"
+	// WrongState is the meaning of a job's state: "pending" says that no task runs.
+	WrongState Rule = "wrong_state"
 	// Expectation covers all other expectations of a test.
 	Expectation Rule = "expectation"
 )
@@ -42,6 +44,9 @@
 // faults have ended. A job beyond it counts as lost.
 const LostJobTimeout = 75 * time.Second
 
+// StateLag is the time by which the state in a response may lag.
+const StateLag = 3 * time.Second
+
 // roundingTolerance absorbs rounding errors in sums of resource amounts.
 const roundingTolerance = 1e-6
 
@@ -185,6 +190,27 @@
 	return changed
 }
 
+// KnownToRun reports whether a task of a job runs and was reported as running, in an answered heartbeat, more than
+// StateLag ago. From then on no response may say that the job is pending.
+func (c *Cluster) KnownToRun(job *Job) bool {
+	for _, worker := range job.workersWithTasks() {
+		for _, task := range worker.Tasks {
+			reported := !task.runReportedAt.IsZero() && c.Clock.Now().Sub(task.runReportedAt) > StateLag
+			if task.Job == job && task.State == wire.TaskRunning && reported {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// CheckPendingState checks the state in a response. knownToRun is KnownToRun as the request was sent.
+func (c *Cluster) CheckPendingState(job *Job, state string, knownToRun bool) {
+	if state == wire.JobPending && knownToRun && c.KnownToRun(job) {
+		c.AddViolation(WrongState, "%s reported as pending while a task runs", job.Spec.ID)
+	}
+}
+
 // RecordFailedRequest records a request about a job that got a status other than 200 and 201, or no
 // response (status 0). knownState is the state that the user knew when the request was
 // sent.
--- a/internal/fakes/rules_test.go
+++ b/internal/fakes/rules_test.go
@@ -187,6 +187,26 @@
 			c.RecordResponse(job, wire.JobRunning, wire.JobPending)
 		},
 	},
+	{
+		name: "pending while a task that was reported as running runs is a wrong state",
+		rule: WrongState,
+		run: func(c *Cluster) {
+			job := c.addTestJob(nil)
+			c.runReportedTask(4 * time.Second)
+			c.CheckPendingState(job, wire.JobPending, true)
+		},
+	},
+	{
+		name: "pending within the lag, or in the response to an earlier request, is allowed",
+		run: func(c *Cluster) {
+			job := c.addTestJob(nil)
+			c.runReportedTask(2 * time.Second)
+			c.CheckPendingState(job, wire.JobPending, c.KnownToRun(job))
+			c.advance(2 * time.Second)
+			c.CheckPendingState(job, wire.JobPending, false)
+			c.CheckPendingState(job, wire.JobRunning, true)
+		},
+	},
 	{
 		name: "cancelled without a request is a regression",
 		rule: StateRegressed,
--- a/internal/fakes/task.go
+++ b/internal/fakes/task.go
@@ -19,6 +19,9 @@
 	StateEndsAt     time.Time // end of the image pull, gang wait, run or checkpoint
 
 	memberLostAt time.Time // when a missing gang member was first noticed; zero if none is
+	// runReportedAt is when the worker got the response to the first heartbeat that listed the task as running;
+	// zero before that.
+	runReportedAt time.Time
 }
 
 // OnMachine reports whether the task still occupies resources of its machine.
--- a/internal/fakes/worker_heartbeat.go
+++ b/internal/fakes/worker_heartbeat.go
@@ -43,6 +43,7 @@
 	number, incarnation := w.heartbeats, w.Incarnation
 	w.inFlight, w.heartbeatRequested, w.lastHeartbeat = number, false, now
 	heartbeat := w.Heartbeat()
+	running := w.runningTasks()
 	w.cluster.Clock.Schedule(replyTimeout, func() {
 		if w.inFlight == number && w.Incarnation == incarnation {
 			w.tryNextController(number)
@@ -52,11 +53,31 @@
 		if w.inFlight != number || w.Terminated || w.Hung || w.Incarnation != incarnation {
 			return
 		}
+		if status == http.StatusOK && response.Token >= w.Token {
+			w.recordRunReported(running)
+		}
 		w.handleReply(number, now, status, response, redirectTo)
 	}
 	w.cluster.network.Send(w, w.Controller, heartbeat, reply)
 }
 
+// runningTasks returns the running tasks that no answered heartbeat has listed as running.
+func (w *Worker) runningTasks() (running []*Task) {
+	for _, task := range w.Tasks {
+		if task.State == wire.TaskRunning && task.runReportedAt.IsZero() {
+			running = append(running, task)
+		}
+	}
+	return running
+}
+
+// recordRunReported records the response to a heartbeat that listed the given tasks as running.
+func (w *Worker) recordRunReported(running []*Task) {
+	for _, task := range running {
+		task.runReportedAt = w.cluster.Clock.Now()
+	}
+}
+
 // handleReply handles the reply to the heartbeat in flight. A successful reply renews the worker's
 // lease from the time at which the heartbeat was sent.
 func (w *Worker) handleReply(
--- a/internal/placement/job_tasks.go
+++ b/internal/placement/job_tasks.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"juniperchute/internal/wire"
+	"juniperchute/internal/worker"
 )
 
 // jobTasks tracks the state of a job's tasks. A task is either completed,
@@ -141,3 +142,13 @@
 		j.returned.add(index, notBefore)
 	}
 }
+
+// hasTaskOutOfContact reports whether a task of the job is assigned to a machine whose worker is not in contact.
+func (j *Job) hasTaskOutOfContact() bool {
+	for _, task := range j.tasks {
+		if task.phase.onMachine() && task.machine.State != worker.Up {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -186,6 +186,21 @@
 // must not modify the slice.
 func (s *Scheduler) OpenJobs() []*Job { return s.jobQueue.open }
 
+// MayRunUnreported reports whether a task of a job may run that no machine has reported as running in this term. A
+// job that the scheduler does not know has no task on a machine: it was accepted just now.
+func (s *Scheduler) MayRunUnreported(id string) bool {
+	job := s.jobs.byID[id]
+	switch {
+	case s.jobs.unreadable[id]:
+		return true
+	case job == nil:
+		return false
+	case job.closed || !s.markers.safeToStart(job):
+		return true
+	}
+	return job.hasTaskOutOfContact()
+}
+
 // SetJobUnreadable records whether this version of the software fails to read a
 // job's record. Tasks of an unreadable job are neither started nor stopped.
 func (s *Scheduler) SetJobUnreadable(id string, unreadable bool) {
--- a/internal/submission/cancel.go
+++ b/internal/submission/cancel.go
@@ -34,14 +34,14 @@
 // tryCancel reads a job's records and cancels the job if it is open. It retries if the open job's
 // record changes between the read and the write.
 func (s *Service) tryCancel(id string, attempt int, reply func(Response)) {
-	s.lookUp(id, func(found jobStatus, err error) {
+	s.lookUp(id, func(now time.Time, found jobStatus, err error) {
 		switch {
 		case errors.Is(err, errJobNotFound):
 			reply(notFoundResponse())
 		case err != nil:
 			reply(UnavailableResponse(reasonStoreUnavailable))
-		case found.state != wire.JobPending:
-			reply(stateResponse(id, found.state))
+		case !found.open:
+			reply(stateResponse(id, found.endState))
 		default:
 			s.writeCancellation(id, found.version, attempt, reply)
 		}
--- a/internal/submission/fixture_test.go
+++ b/internal/submission/fixture_test.go
@@ -36,11 +36,12 @@
 	openJobs  *store.WatchCache
 	calls     []store.Call // in flight
 	callbacks []func(time.Time, store.Result)
+	progress  Progress // of every job
 	cancelled []string // IDs of jobs passed to RecordCancellation
 }
 
 func newFixture(machineTypes map[string]wire.MachineType) *fixture {
-	f := &fixture{}
+	f := &fixture{progress: Progress{Known: true, CompletedTasks: 3, Running: 2}}
 	f.openJobs = store.NewWatchCache(store.WatchCacheOptions{
 		Prefix:    OpenJobPrefix,
 		StateCall: f.callStore,
@@ -62,7 +63,7 @@
 		MachineTypes: func() map[string]wire.MachineType { return machineTypes },
 		OpenJobs:     f.openJobs,
 		QueryProgress: func(now time.Time, _ int, _ string, callback func(time.Time, Progress)) {
-			callback(now, Progress{Known: true, CompletedTasks: 3, Running: 2})
+			callback(now, f.progress)
 		},
 		RecordCancellation: func(_ time.Time, id string) { f.cancelled = append(f.cancelled, id) },
 	})
@@ -106,6 +107,12 @@
 	return storedValue(string(raw))
 }
 
+// acceptedAt returns the result of reading the open record of job-1, accepted at the given time.
+func acceptedAt(at time.Time) store.Result {
+	raw, _ := json.Marshal(OpenJobRecord{Spec: newSpec(nil), AcceptedAt: at.UnixMilli()})
+	return storedValue(string(raw))
+}
+
 func storedValue(value string) store.Result {
 	return store.Result{KeyValue: wire.KeyValue{Value: json.RawMessage(value), Version: 5}}
 }
--- a/internal/submission/query.go
+++ b/internal/submission/query.go
@@ -10,7 +10,8 @@
 )
 
 // Query calls reply with a job's state. The state is no older than the query, so it never contradicts
-// what another controller has reported to a user before.
+// what another controller has reported to a user before. The response is retryable if the job is open and its
+// lease holder cannot be asked.
 func (s *Service) Query(now time.Time, id string, reply func(Response)) {
 	if !wire.ValidJobID(id) {
 		reply(notFoundResponse())
@@ -59,29 +60,29 @@
 			s.queryEnded(id, reply)
 			return
 		}
-		state := wire.JobState{
+		if !progress.Known {
+			reply(UnavailableResponse(reasonProgressUnknown))
+			return
+		}
+		reply(Response{Status: http.StatusOK, Body: wire.JobState{
 			ID:             id,
-			State:          wire.JobPending,
+			State:          progress.jobState(),
 			CompletedTasks: progress.CompletedTasks,
 			Running:        progress.Running,
-		}
-		if progress.Running > 0 {
-			state.State = wire.JobRunning
-		}
-		reply(Response{Status: http.StatusOK, Body: state})
+		}})
 	})
 }
 
 // queryEnded replies with the final state of a job that is not open.
 func (s *Service) queryEnded(id string, reply func(Response)) {
-	s.lookUpEnd(id, func(found jobStatus, err error) {
+	s.lookUpEnd(id, func(now time.Time, found jobStatus, err error) {
 		switch {
 		case errors.Is(err, errJobNotFound):
 			reply(notFoundResponse())
 		case err != nil:
 			reply(UnavailableResponse(reasonStoreUnavailable))
 		default:
-			state := wire.JobState{ID: id, State: found.state, CompletedTasks: found.completedTasks}
+			state := wire.JobState{ID: id, State: found.endState, CompletedTasks: found.completedTasks}
 			reply(Response{Status: http.StatusOK, Body: state})
 		}
 	})
--- a/internal/submission/query_test.go
+++ b/internal/submission/query_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// Guards against a job reported as pending because its lease holder cannot be asked: the controller does not know
+// whether a task runs.
+func TestQueryWithoutKnownProgress(t *testing.T) {
+	f := newFixture(testMachineTypes)
+	f.progress = Progress{}
+	var got *Response
+	f.query(func(response Response) { got = &response })
+	f.complete(store.Result{Revision: 12, Events: []wire.Event{openJobEvent()}})
+	if got == nil || got.Status != http.StatusServiceUnavailable || got.RetryAfter == 0 {
+		t.Errorf("got %+v, want a retryable error", got)
+	}
+}
+
 // A query must not be answered from a catch-up that was sent before the query: another controller may have
 // reported a newer state to the same user in between.
 func TestQueriesShareOneRefresh(t *testing.T) {
--- a/internal/submission/response.go
+++ b/internal/submission/response.go
@@ -13,6 +13,7 @@
 	reasonNoSuchJob        = "no such job"
 	reasonUndecided        = "cannot tell yet"
 	reasonStoreUnavailable = "state service does not answer"
+	reasonProgressUnknown  = "whether the job runs is not known"
 )
 
 // Response is an HTTP response to a user's request.
@@ -46,6 +47,11 @@
 	return errorResponse(http.StatusNotFound, reasonNoSuchJob, 0)
 }
 
+// acceptedResponse returns the response to the submission that creates a job.
+func acceptedResponse(id string) Response {
+	return Response{Status: http.StatusCreated, Body: wire.JobAccepted{ID: id, State: wire.JobPending}}
+}
+
 // stateResponse returns the response to an idempotent submission or cancellation of a job that already is
 // in the given state.
 func stateResponse(id, state string) Response {
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -18,8 +18,18 @@
 
 // Progress holds the task counts of an open job, as reported by its shard's lease holder.
 type Progress struct {
-	Known                   bool // false if the lease holder has not replied or does not know the job
-	CompletedTasks, Running int  // numbers of tasks
+	// Known is false if the lease holder has not replied, or cannot tell whether a task of the job runs. Nothing
+	// may be concluded from the task counts then.
+	Known                   bool
+	CompletedTasks, Running int // numbers of tasks
+}
+
+// jobState returns the state of an open job with this progress, which must be known.
+func (p Progress) jobState() string {
+	if p.Running > 0 {
+		return wire.JobRunning
+	}
+	return wire.JobPending
 }
 
 // QueryProgressFunc asks the lease holder of a shard for a job's progress. The callback may run before the
--- a/internal/submission/submit.go
+++ b/internal/submission/submit.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"net/http"
 	"slices"
 	"time"
 
@@ -108,9 +107,9 @@
 		switch {
 		case result.OK():
 			s.options.Log.Debug("job accepted", "job", id, "class", record.Spec.Class, "shard", record.Shard)
-			reply(Response{Status: http.StatusCreated, Body: wire.JobAccepted{ID: id, State: wire.JobPending}})
+			reply(acceptedResponse(id))
 		case errors.Is(result.Err, store.ErrConflict):
-			s.replyExisting(id, reply)
+			s.replyExisting(record, reply)
 		case errors.Is(result.Err, store.ErrNoResponse) && attempt == 0:
 			// The write may have been executed. If it was, the retry fails with a conflict.
 			s.create(record, attempt+1, reply)
@@ -126,24 +125,30 @@
 	})
 }
 
-// replyExisting replies with the state of a job that is known to have a record.
-func (s *Service) replyExisting(id string, reply func(Response)) {
-	s.lookUp(id, func(found jobStatus, err error) {
-		if err != nil {
+// replyExisting replies to the submission of a job that is known to have a record. submitted is the record that
+// this submission tried to write.
+func (s *Service) replyExisting(submitted OpenJobRecord, reply func(Response)) {
+	id := submitted.Spec.ID
+	s.lookUp(id, func(now time.Time, found jobStatus, err error) {
+		switch {
+		case err != nil:
 			reply(UnavailableResponse(reasonStoreUnavailable))
-			return
+		case found.open && found.record.AcceptedAt == submitted.AcceptedAt:
+			// An earlier try of this submission has written the record, and got no response.
+			reply(acceptedResponse(id))
+		default:
+			s.replyAccepted(now, id, found, reply)
 		}
-		reply(stateResponse(id, found.state))
 	})
 }
 
 // rejectUnlessAccepted replies with a rejection unless the job was accepted before. An accepted job stays
 // accepted even if the settings, limits or machine types have changed since.
 func (s *Service) rejectUnlessAccepted(id string, reason error, reply func(Response)) {
-	s.lookUp(id, func(found jobStatus, err error) {
+	s.lookUp(id, func(now time.Time, found jobStatus, err error) {
 		switch {
 		case err == nil:
-			reply(stateResponse(id, found.state))
+			s.replyAccepted(now, id, found, reply)
 		case errors.Is(err, errJobNotFound):
 			reply(rejectionResponse(reason))
 		default:
@@ -151,3 +156,29 @@
 		}
 	})
 }
+
+// replyAccepted replies to the repeated submission of an accepted job with the job's state.
+func (s *Service) replyAccepted(now time.Time, id string, found jobStatus, reply func(Response)) {
+	if !found.open {
+		reply(stateResponse(id, found.endState))
+		return
+	}
+	s.options.QueryProgress(now, found.record.Shard, id, func(_ time.Time, progress Progress) {
+		if !progress.Known {
+			reply(UnavailableResponse(reasonProgressUnknown))
+			return
+		}
+		// The job may have ended during the progress query, and another controller may already have reported
+		// its final state to a user.
+		s.lookUp(id, func(now time.Time, found jobStatus, err error) {
+			switch {
+			case err != nil:
+				reply(UnavailableResponse(reasonStoreUnavailable))
+			case !found.open:
+				reply(stateResponse(id, found.endState))
+			default:
+				reply(stateResponse(id, progress.jobState()))
+			}
+		})
+	})
+}
--- a/internal/submission/submit_cases_test.go
+++ b/internal/submission/submit_cases_test.go
@@ -14,6 +14,7 @@
 	name                string
 	change              func(spec *wire.JobSpec)
 	machineTypesUnknown bool
+	progress            *Progress // that the lease holder reports; nil: the fixture's, with running tasks
 	results             []store.Result
 	wantStatus          int
 	wantState           string // "" for an error response
@@ -28,10 +29,29 @@
 	},
 	{
 		name:       "open job",
-		results:    []store.Result{conflict, storedJob(wire.JobPending)},
+		results:    []store.Result{conflict, storedJob(wire.JobPending), storedJob(wire.JobPending)},
+		wantStatus: http.StatusOK,
+		wantState:  wire.JobRunning,
+	},
+	{
+		name:       "open job, no task runs",
+		progress:   &Progress{Known: true},
+		results:    []store.Result{conflict, storedJob(wire.JobPending), storedJob(wire.JobPending)},
 		wantStatus: http.StatusOK,
 		wantState:  wire.JobPending,
 	},
+	{
+		name:       "open job, whether a task runs is not known",
+		progress:   &Progress{},
+		results:    []store.Result{conflict, storedJob(wire.JobPending)},
+		wantStatus: http.StatusServiceUnavailable,
+	},
+	{
+		name:       "open job that ends while its progress is queried",
+		results:    []store.Result{conflict, storedJob(wire.JobPending), notFound, storedJob(wire.JobDone)},
+		wantStatus: http.StatusOK,
+		wantState:  wire.JobDone,
+	},
 	{
 		name:       "completed job",
 		results:    []store.Result{conflict, notFound, storedJob(wire.JobDone)},
@@ -40,8 +60,15 @@
 	},
 	{
 		name:       "write executed without a response",
-		results:    []store.Result{noResponse, conflict, storedJob(wire.JobPending)},
+		results:    []store.Result{noResponse, conflict, storedJob(wire.JobPending), storedJob(wire.JobPending)},
 		wantStatus: http.StatusOK,
+		wantState:  wire.JobRunning,
+	},
+	{
+		name:       "write executed without a response, whether a task runs is not known",
+		progress:   &Progress{},
+		results:    []store.Result{noResponse, conflict, acceptedAt(startTime)},
+		wantStatus: http.StatusCreated,
 		wantState:  wire.JobPending,
 	},
 	{
@@ -66,11 +93,18 @@
 		wantStatus: http.StatusUnprocessableEntity,
 	},
 	{
-		name:       "unknown team, accepted before",
+		name:       "unknown team, accepted before, whether a task runs is not known",
 		change:     func(spec *wire.JobSpec) { spec.Team = "green" },
+		progress:   &Progress{},
 		results:    []store.Result{storedJob(wire.JobPending)},
+		wantStatus: http.StatusServiceUnavailable,
+	},
+	{
+		name:       "unknown team, accepted before",
+		change:     func(spec *wire.JobSpec) { spec.Team = "green" },
+		results:    []store.Result{storedJob(wire.JobPending), storedJob(wire.JobPending)},
 		wantStatus: http.StatusOK,
-		wantState:  wire.JobPending,
+		wantState:  wire.JobRunning,
 	},
 	{
 		name:       "gang over the team's limit",
@@ -161,9 +195,9 @@
 			spec.Shape = wire.ShapeService
 			spec.Tasks = 9
 		},
-		results:    []store.Result{storedJob(wire.JobPending)},
+		results:    []store.Result{storedJob(wire.JobPending), storedJob(wire.JobPending)},
 		wantStatus: http.StatusOK,
-		wantState:  wire.JobPending,
+		wantState:  wire.JobRunning,
 	},
 	{
 		name: "service over the team's limit, accepted and cancelled before",
@@ -219,9 +253,9 @@
 	},
 	{
 		name:       "record size rejected by the state service, accepted before",
-		results:    []store.Result{invalid, storedJob(wire.JobPending)},
+		results:    []store.Result{invalid, storedJob(wire.JobPending), storedJob(wire.JobPending)},
 		wantStatus: http.StatusOK,
-		wantState:  wire.JobPending,
+		wantState:  wire.JobRunning,
 	},
 	{
 		name:       "unreadable open job record",
@@ -242,9 +276,9 @@
 	{
 		name:                "machine types unknown, accepted before",
 		machineTypesUnknown: true,
-		results:             []store.Result{storedJob(wire.JobPending)},
+		results:             []store.Result{storedJob(wire.JobPending), storedJob(wire.JobPending)},
 		wantStatus:          http.StatusOK,
-		wantState:           wire.JobPending,
+		wantState:           wire.JobRunning,
 	},
 	{
 		name:       "record too large",
@@ -255,9 +289,9 @@
 	{
 		name:       "record too large, accepted before",
 		change:     func(spec *wire.JobSpec) { spec.Image = strings.Repeat("x", 5000) },
-		results:    []store.Result{storedJob(wire.JobPending)},
+		results:    []store.Result{storedJob(wire.JobPending), storedJob(wire.JobPending)},
 		wantStatus: http.StatusOK,
-		wantState:  wire.JobPending,
+		wantState:  wire.JobRunning,
 	},
 	{
 		name:       "record too large, state service unavailable",
--- a/internal/submission/submit_test.go
+++ b/internal/submission/submit_test.go
@@ -19,6 +19,9 @@
 		machineTypes = nil
 	}
 	f := newFixture(machineTypes)
+	if test.progress != nil {
+		f.progress = *test.progress
+	}
 	var got *Response
 	f.submit(newSpec(test.change), func(response Response) { got = &response })
 	for _, result := range test.results {
--- a/internal/term/status.go
+++ b/internal/term/status.go
@@ -10,13 +10,19 @@
 	"juniperchute/internal/tuning"
 )
 
-// JobProgress returns the numbers of completed and running tasks of a job; Known is false if it is not open.
-func (t *Term) JobProgress(id string) submission.Progress {
-	job := t.scheduler.OpenJob(id)
-	if job == nil {
+// JobProgress returns the numbers of completed and running tasks of an open job. Known is false if the term cannot
+// tell whether a task of the job runs: it has not read the jobs yet, it may have been superseded, the job has ended,
+// or a task may run that no machine has reported.
+func (t *Term) JobProgress(now time.Time, id string) submission.Progress {
+	if t.state == Loading || !t.options.Membership.LeaseValid(now) || t.cancellations.contains(id) {
 		return submission.Progress{}
 	}
-	return submission.Progress{Known: true, CompletedTasks: job.CompletedTasks(), Running: job.RunningTasks()}
+	progress := submission.Progress{Known: !t.scheduler.MayRunUnreported(id)}
+	if job := t.scheduler.OpenJob(id); job != nil {
+		progress.CompletedTasks, progress.Running = job.CompletedTasks(), job.RunningTasks()
+		progress.Known = progress.Known || progress.Running > 0
+	}
+	return progress
 }
 
 // Operations returns the status of the incomplete cloud operations by kind. known is false while the term
