Do not count the room of an orphaned machine in demand planning

A gang waited for more than 90 s although it fit the machines that were up.

Cause: a machine that no record names is adopted only when no provisioning request of any shard may still be granted, which is up to three minutes after a refusal with the intent log. Until then it gets no work, but the planner counted its room and provisioned nothing.

Change: such a machine is no bin of the plan, and is kept until it is adopted.

--- a/internal/placement/demand_bins.go
+++ b/internal/placement/demand_bins.go
@@ -46,7 +46,7 @@
 func (p *demandPlan) addMachineBins() {
 	lease := config.Seconds(p.platform.Workers.LeaseS)
 	for _, machine := range p.registry.All() {
-		machine.InDemand = machine.AssignedCopies > 0
+		machine.InDemand = machine.AssignedCopies > 0 || orphaned(machine)
 		if !acceptsWork(p.now, machine, lease) {
 			continue
 		}
@@ -70,12 +70,21 @@
 // acceptsWork reports whether a machine runs new tasks now, or is expected to once
 // it has booted or responds again.
 func acceptsWork(now time.Time, machine *worker.Machine, lease time.Duration) bool {
+	if orphaned(machine) {
+		return false
+	}
 	if machine.Quarantined || machine.Cordoned || !machine.PreemptionTime.IsZero() || machine.Unreachable(now, lease) {
 		return false
 	}
 	return machine.State == worker.Up || machine.State == worker.Booting || machine.State == worker.Unresponsive
 }
 
+// orphaned reports whether a machine is up that no record names. It gets no work before it is adopted or its
+// provisioning request is granted, which may take minutes.
+func orphaned(machine *worker.Machine) bool {
+	return machine.State == worker.Up && !machine.Recorded && !machine.Registered
+}
+
 // addProvisioningBins adds a bin for each machine that is being provisioned.
 func (p *demandPlan) addProvisioningBins(provisioning []int) {
 	for i := range p.offers {
--- a/internal/placement/demand_test.go
+++ b/internal/placement/demand_test.go
@@ -134,3 +134,23 @@
 		})
 	}
 }
+
+// Guards against a job that waits for an orphaned machine, which gets no work for minutes while a provisioning request
+// of any shard may still be granted: other machines must be provisioned meanwhile, and the orphan be kept.
+func TestOrphanedMachineIsNoCapacity(t *testing.T) {
+	for _, recorded := range []bool{true, false} {
+		h := newHarness(t, 1)
+		machine := h.registry.All()[0]
+		machine.Recorded, machine.Registered = recorded, false
+		h.addJob("blue", wire.ShapeGang, "low", 1, 1)
+		want := 1
+		if recorded {
+			want = 0
+		}
+		got := h.scheduler.ProvisioningDemand(h.now, []Offer{testOffer(false, 3, 25)}, []int{0})
+		if got[0] != want || !machine.InDemand {
+			t.Errorf("recorded %t: %d machines to provision, want %d; machine in demand: %t, want true",
+				recorded, got[0], want, machine.InDemand)
+		}
+	}
+}
