Deliver late copies of executed start commands in tests, and check that they start nothing

A late copy of a start command that was executed and answered could start a task again on a service like this one.

A copy that starts a task is a violation.

Attempts started by direct commands are not reaped in their incarnation and term, and older tokens and incarnations are refused.

--- a/internal/controller/fault_combinations_test.go
+++ b/internal/controller/fault_combinations_test.go
@@ -96,6 +96,12 @@
 		teams:    limitedTeams,
 		simulate: simulateDelayedCommands,
 	},
+	{
+		name:     "copies of executed start commands arrive after the attempts have ended, moved or been cancelled",
+		zones:    1,
+		teams:    limitedTeams,
+		simulate: simulateRepeatedCommands,
+	},
 	{
 		name:     "jobs are cancelled during a failover",
 		zones:    1,
--- a/internal/controller/simulation_commands_test.go
+++ b/internal/controller/simulation_commands_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"net/http"
 	"strings"
 	"time"
 
@@ -82,8 +83,11 @@
 		})
 		return
 	}
-	_, heartbeat := m.HandleCommand(commands)
+	status, heartbeat := m.HandleCommand(commands)
 	sim.deliver(m, e.node, func() { finish(heartbeat, nil) })
+	if status == http.StatusOK {
+		sim.copyCommands(m, commands)
+	}
 	if sim.randomMessageFaults && sim.rng.IntN(20) == 0 { // executed, and repeated late
 		sim.clock.Schedule(time.Duration(200+sim.rng.IntN(60000))*time.Millisecond, func() {
 			if !m.Terminated && !m.Hung {
--- a/internal/fakes/fixture_test.go
+++ b/internal/fakes/fixture_test.go
@@ -80,6 +80,24 @@
 	})
 }
 
+// stopStartedTask starts and stops task job-1/0.
+func (c *Cluster) stopStartedTask() {
+	c.addTestJob(nil)
+	c.startTask("a1", "job-1/0", 1)
+	c.command("a1", wire.Command{Verb: wire.VerbStop, Task: "job-1/0", Attempt: 1})
+}
+
+// copyStart delivers a copy of the command that started task job-1/0, under a token.
+func (c *Cluster) copyStart(token uint64) {
+	worker := c.Workers["a1"]
+	start := wire.Command{Verb: wire.VerbRun, Task: "job-1/0", Attempt: 1}
+	worker.HandleCommandCopy(wire.DirectCommands{
+		Token:       token,
+		Incarnation: worker.Incarnation,
+		Commands:    []wire.Command{start},
+	})
+}
+
 // advance runs the clock for a duration.
 func (c *Cluster) advance(d time.Duration) { c.Clock.RunUntil(c.Clock.Now().Add(d)) }
 
--- a/internal/fakes/rules_test.go
+++ b/internal/fakes/rules_test.go
@@ -161,6 +161,34 @@
 	},
 }
 
+// copyRuleCases deliver a late copy of the command that started task job-1/0, which has been stopped.
+var copyRuleCases = []ruleCase{
+	{
+		name: "a copy that arrives after a reap starts the task again",
+		rule: Expectation,
+		run: func(c *Cluster) {
+			c.stopStartedTask()
+			c.command("a1", wire.Command{Verb: wire.VerbReap, Task: "job-1/0", Attempt: 1})
+			c.copyStart(1)
+		},
+	},
+	{
+		name: "a copy of an attempt that is still listed has no effect",
+		run: func(c *Cluster) {
+			c.stopStartedTask()
+			c.copyStart(1)
+		},
+	},
+	{
+		name: "a copy under an older token has no effect",
+		run: func(c *Cluster) {
+			c.stopStartedTask()
+			c.command("a1", wire.Command{Verb: wire.VerbReap, Task: "job-1/0", Attempt: 1})
+			c.copyStart(0)
+		},
+	},
+}
+
 // responseRuleCases record responses that users get.
 var responseRuleCases = []ruleCase{
 	{
@@ -253,7 +281,7 @@
 // TestRuleViolations guards against checks that miss a violation of a rule or report one for a valid
 // sequence.
 func TestRuleViolations(t *testing.T) {
-	for _, cases := range [][]ruleCase{taskRuleCases, cancellationRuleCases, responseRuleCases} {
+	for _, cases := range [][]ruleCase{taskRuleCases, cancellationRuleCases, copyRuleCases, responseRuleCases} {
 		for _, test := range cases {
 			t.Run(test.name, func(t *testing.T) {
 				cluster := testCluster()
--- a/internal/fakes/worker_commands.go
+++ b/internal/fakes/worker_commands.go
@@ -19,6 +19,19 @@
 	return http.StatusOK, w.Heartbeat()
 }
 
+// HandleCommandCopy executes a late copy of direct commands that the worker has executed and answered before. It
+// adds a violation if the copy starts a task, which can only be one that was reaped since.
+func (w *Worker) HandleCommandCopy(copied wire.DirectCommands) {
+	before := slices.Clone(w.Tasks)
+	w.HandleCommand(copied)
+	for _, task := range w.Tasks {
+		if !slices.Contains(before, task) {
+			w.cluster.AddViolation(Expectation, "a late copy starts %s, attempt %d, on %s again",
+				wire.TaskName(task.Job.Spec.ID, task.Index), task.Attempt, w.Host.ID)
+		}
+	}
+}
+
 // execute executes commands in order and stops at the first one for an unknown task.
 func (w *Worker) execute(commands []wire.Command) {
 	for _, command := range commands {
