End a term that is shown a higher token while it reads its records

A heartbeat with a higher token ends the term if its machine is registered in the shard. While a term is loading it knows no machine yet, so it redirected the worker and went on once the records were read, as if it were not superseded, and answered other workers.

Change: the hosts are kept and looked at once the registrations are read.

Measured: TestHigherTokenWhileLoadingEndsTerm fails before ("term fencing, want status 421 and term over") and passes now. The tests of term, worker and controller pass.

--- a/internal/controller/loading_test.go
+++ b/internal/controller/loading_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -75,12 +76,31 @@
 		sim.clock.Step()
 	}
 	machine := successor.Workers().Get(m.Host.ID)
-	if status != 200 || machine.State != worker.Unreconciled || machine.LeaseRenewedAt != renewedAt {
+	if status != http.StatusOK || machine.State != worker.Unreconciled || machine.LeaseRenewedAt != renewedAt {
 		t.Errorf("status %d, machine %v, lease renewed at %v, want %v", status, machine.State,
 			machine.LeaseRenewedAt, renewedAt)
 	}
 }
 
+// Guards against a superseded term that goes on: a worker of its shard showed a higher token while the term was
+// loading and did not know the machine.
+func TestHigherTokenWhileLoadingEndsTerm(t *testing.T) {
+	sim := steadySimulation(t, 6, 2)
+	heartbeat := sim.lastMachineWithTaskOf(sim.cluster.Submitted[0]).Heartbeat()
+	sim.leaseHolder().crash(time.Hour)
+	successor := sim.stepUntilTermIn(term.Loading)
+	heartbeat.Token = successor.Token + 1
+	status := 0
+	successor.HandleHeartbeat(sim.clock.Now(), heartbeat, func(s int, _ any) { status = s })
+	for successor.State() == term.Loading {
+		sim.clock.Step()
+	}
+	if status != http.StatusMisdirectedRequest || successor.State() != term.Ended {
+		t.Errorf("status %d, term %v, want status %d and term %v", status, successor.State(),
+			http.StatusMisdirectedRequest, term.Ended)
+	}
+}
+
 // Guards against a second provisioning record of a machine that reports while the records are read: such a
 // machine is no orphan.
 func TestMachineReportingWhileLoadingIsNoOrphan(t *testing.T) {
--- a/internal/term/heartbeats.go
+++ b/internal/term/heartbeats.go
@@ -19,11 +19,7 @@
 // HandleHeartbeat applies a worker's heartbeat and calls reply once, with commands, an error or a redirect.
 func (t *Term) HandleHeartbeat(now time.Time, heartbeat *wire.Heartbeat, reply func(status int, body any)) {
 	if heartbeat.Token > t.Token {
-		// A machine unknown to this shard may belong to another shard whose record of it has not
-		// been read yet.
-		if machine := t.workers.Get(heartbeat.Host); machine != nil && machine.Registered {
-			t.End(now, "a heartbeat shows a higher token")
-		}
+		t.observeHigherToken(now, heartbeat.Host)
 		t.options.Controller.Redirect(t.Shard, reply)
 		return
 	}
@@ -38,6 +34,19 @@
 	}
 }
 
+// observeHigherToken ends the term if the machine of a heartbeat with a higher token is registered here. A machine
+// unknown to this shard may belong to another shard whose record of it has not been read yet. A term that is loading
+// decides once it has read the registrations.
+func (t *Term) observeHigherToken(now time.Time, host string) {
+	if t.state == Loading {
+		t.recovery.higherTokens[host] = true
+		return
+	}
+	if machine := t.workers.Get(host); machine != nil && machine.Registered {
+		t.End(now, "a heartbeat shows a higher token")
+	}
+}
+
 // Reasons for which a heartbeat does not renew its worker's lease. The texts are part of the protocol:
 // workers receive them in the response body.
 var (
--- a/internal/term/recovery.go
+++ b/internal/term/recovery.go
@@ -22,6 +22,8 @@
 	readsInFlight int
 	// renewals holds, by host, the last renewal of each lease of a worker whose machine is unknown so far.
 	renewals map[string]leaseRenewal
+	// higherTokens holds the hosts whose heartbeats had a higher token than this term's.
+	higherTokens map[string]bool
 }
 
 // leaseRenewal is a response that renewed a worker's lease and from whose heartbeat nothing was concluded.
@@ -46,7 +48,7 @@
 		{term: t, prefix: startMarkerPrefix(t.Shard), results: &t.recovery.startMarkers},
 		{term: t, prefix: intentlog.ShardPrefix(t.Shard), results: &t.recovery.intents},
 	}
-	t.recovery.renewals = map[string]leaseRenewal{}
+	t.recovery.renewals, t.recovery.higherTokens = map[string]leaseRenewal{}, map[string]bool{}
 	t.recovery.readsInFlight = len(caches) + len(reads)
 	for _, cache := range caches {
 		t.waitUntilCurrent(now, cache)
@@ -145,6 +147,9 @@
 		if renewal, renewed := t.recovery.renewals[machine.Host]; renewed {
 			t.observeStaleToken(renewal.at, machine, &renewal.heartbeat)
 		}
+		if t.recovery.higherTokens[machine.Host] {
+			t.observeHigherToken(now, machine.Host)
+		}
 		if machine.MayRunReportedTasks() {
 			t.autoscaler.HandleHeartbeat(now, machine)
 			t.scheduler.ReconcileHeartbeat(now, machine, worker.HeartbeatCurrent, worker.FromCommandReply)
