Query a machine that left a command unanswered only while replies reach it

Machines whose heartbeats arrive and that nothing reaches would each be queried once a second, and each query holds one of the few connections for direct commands until it times out. Such a machine is known by its heartbeats already (ReplyConfirmed), and gets no work whatever a query says.

--- a/internal/term/fencing.go
+++ b/internal/term/fencing.go
@@ -46,12 +46,11 @@
 }
 
 // queryWorkers queries the state of the workers that have to prove that they execute this term's commands:
-// those that are unreconciled, and those that have not answered the last direct command but send heartbeats
-// again.
+// those that are unreconciled, and those that have not answered the last direct command.
 func (t *Term) queryWorkers(now time.Time) {
 	for _, machine := range t.workers.All() {
-		unanswered := machine.State == worker.Up && machine.UnansweredCommands > 0
-		if (unanswered || t.unreconciled(machine)) && t.queryDue(now, machine) {
+		needsQuery := t.unreconciled(machine) || machine.NeedsCommandProbe()
+		if needsQuery && t.queryDue(now, machine) {
 			t.fencing.queryAt[machine.Host] = now.Add(tuning.ReconcileInterval)
 			t.sendCommands(machine, []wire.Command{})
 		}
--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -179,6 +179,12 @@
 	return !m.LastContact.IsZero() && !leaseExpired
 }
 
+// NeedsCommandProbe reports whether the worker has to prove that it executes commands: it has not answered the last
+// direct command, but sends heartbeats and gets the replies.
+func (m *Machine) NeedsCommandProbe() bool {
+	return m.State == Up && m.ReplyConfirmed && m.UnansweredCommands > 0
+}
+
 // Unreachable reports whether heartbeats of the worker have arrived for longer than threshold without
 // evidence that replies or commands reach it.
 func (m *Machine) Unreachable(now time.Time, threshold time.Duration) bool {
