Probe workers and cloud through peers by one function

detectCloudIsolation wrote probeThroughPeers again, and handleCloudProbe the end of handleProbe. One function sends the probe and calls back for each peer that got an answer; endIsolated ends the term.

--- a/internal/term/cloud_isolation.go
+++ b/internal/term/cloud_isolation.go
@@ -26,17 +26,14 @@
 	}
 	t.cloudIsolation.probeAt = now.Add(tuning.CloudProbeInterval)
 	t.log.Info("no cloud call succeeds; probing the cloud through peers", "duration", t.autoscaler.CloudFailingFor())
-	for _, member := range t.options.Peers {
-		t.options.Effects.ProbeWorkers(member, &peerpb.ProbeRequest{Cloud: true}, t.handleCloudProbe)
-	}
+	t.probeThroughPeers(&peerpb.ProbeRequest{Cloud: true}, t.endIfCloudUnreachable)
 }
 
-// handleCloudProbe ends the term if a peer has reached the cloud while no call of this process succeeds.
-func (t *Term) handleCloudProbe(now time.Time, reply *peerpb.ProbeReply, err error) {
-	failing := t.autoscaler.CloudFailingFor() >= tuning.CloudIsolationTimeout
-	if err == nil && reply.Answered > 0 && failing && t.Live() {
+// endIfCloudUnreachable ends the term if still no cloud call of this process succeeds, while a peer has reached the
+// cloud.
+func (t *Term) endIfCloudUnreachable(now time.Time) {
+	if t.autoscaler.CloudFailingFor() >= tuning.CloudIsolationTimeout {
 		t.cloudIsolation.isolated = true
-		t.End(now, "only this process does not reach the cloud")
-		t.options.Controller.ReconcileTerms(now)
+		t.endIsolated(now, "only this process does not reach the cloud")
 	}
 }
--- a/internal/term/isolation.go
+++ b/internal/term/isolation.go
@@ -37,7 +37,7 @@
 	t.isolation.probeAt = now.Add(tuning.ProbeTimeout + tuning.ProgressTimeout)
 	t.log.Info("no heartbeats from workers; probing them through peers", "count", machines,
 		"duration", now.Sub(last))
-	t.probeThroughPeers(t.addressesToProbe(now))
+	t.probeThroughPeers(&peerpb.ProbeRequest{Addresses: t.addressesToProbe(now)}, t.endIfWorkersUnreachable)
 }
 
 // addressesToProbe returns the addresses of up to tuning.ProbeWorkers machines.
@@ -51,13 +51,32 @@
 	return addresses
 }
 
-// probeThroughPeers asks every peer to probe the workers at the given addresses.
-func (t *Term) probeThroughPeers(addresses []string) {
+// probeThroughPeers asks every peer to probe what this process does not reach. It calls onAnswered for each peer
+// that gets an answer while the term is live.
+func (t *Term) probeThroughPeers(request *peerpb.ProbeRequest, onAnswered func(now time.Time)) {
+	handle := func(now time.Time, reply *peerpb.ProbeReply, err error) {
+		if err == nil && reply.Answered > 0 && t.Live() {
+			onAnswered(now)
+		}
+	}
 	for _, member := range t.options.Peers {
-		t.options.Effects.ProbeWorkers(member, &peerpb.ProbeRequest{Addresses: addresses}, t.handleProbe)
+		t.options.Effects.ProbeWorkers(member, request, handle)
+	}
+}
+
+// endIfWorkersUnreachable ends the term if this process still reaches no worker, while a peer has reached one.
+func (t *Term) endIfWorkersUnreachable(now time.Time) {
+	if t.isolation.unreachable {
+		t.endIsolated(now, "only this process does not reach the workers")
 	}
 }
 
+// endIsolated ends the term and releases the shard to a controller that is not isolated.
+func (t *Term) endIsolated(now time.Time, reason string) {
+	t.End(now, reason)
+	t.options.Controller.ReconcileTerms(now)
+}
+
 // machinesWithinLease iterates over the machines that are expected to send heartbeats and whose worker
 // leases may be valid.
 func (t *Term) machinesWithinLease(now time.Time) iter.Seq[*worker.Machine] {
@@ -71,11 +90,3 @@
 		}
 	}
 }
-
-// handleProbe ends the term if a peer has reached a worker while this process reaches none.
-func (t *Term) handleProbe(now time.Time, reply *peerpb.ProbeReply, err error) {
-	if err == nil && reply.Answered > 0 && t.isolation.unreachable && t.Live() {
-		t.End(now, "only this process does not reach the workers")
-		t.options.Controller.ReconcileTerms(now)
-	}
-}
