Let the fake workers deliver late copies of start commands, in real time too

The copies stood in the simulation alone, and internal/integration repeated commands at random times. Delayed commands and the repeats at random times are checked in the same way.

--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -12,6 +12,9 @@
 	"juniperchute/internal/wire"
 )
 
+// randomCommandCopyShare is the share of the start commands of which copies arrive late on random days.
+const randomCommandCopyShare = 0.1
+
 // maxCloudCallDelay bounds the delay of a cloud call under random message faults.
 const maxCloudCallDelay = 70 * time.Second
 
@@ -202,6 +205,7 @@
 	}
 	sim.cloud.BootFailureProbability = 0.02
 	sim.randomMessageFaults, sim.scale = true, c.scale
+	sim.cluster.CommandCopyShare = randomCommandCopyShare
 	if c.upgrade {
 		sim.startOldVersion()
 	}
--- a/internal/controller/simulation_checks_test.go
+++ b/internal/controller/simulation_checks_test.go
@@ -93,6 +93,7 @@
 func (sim *simulation) endFaultsAndAwaitJobs() {
 	const rounds, round = 40, 15 * time.Second
 	sim.randomMessageFaults, sim.rates, sim.isolatedZone = false, faultRates{}, ""
+	sim.cluster.CommandCopyShare = 0
 	sim.runFor(30 * time.Second) // faults in progress end
 	sim.checks.faultsEndedAt = sim.clock.Now()
 	for _, j := range sim.cluster.Submitted {
--- a/internal/controller/simulation_commands_test.go
+++ b/internal/controller/simulation_commands_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"net/http"
 	"strings"
 	"time"
 
@@ -83,15 +82,12 @@
 		})
 		return
 	}
-	status, heartbeat := m.HandleCommand(commands)
+	_, heartbeat := m.HandleCommand(commands)
 	sim.deliver(m, e.node, func() { finish(heartbeat, nil) })
-	if status == http.StatusOK {
-		sim.copyCommands(m, commands)
-	}
 	if sim.randomMessageFaults && sim.rng.IntN(20) == 0 { // executed, and repeated late
 		sim.clock.Schedule(time.Duration(200+sim.rng.IntN(60000))*time.Millisecond, func() {
 			if !m.Terminated && !m.Hung {
-				m.HandleCommand(commands)
+				m.HandleCommandCopy(commands)
 			}
 		})
 	}
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -46,8 +46,7 @@
 	rates               faultRates
 	isolatedZone        string            // zone that is partitioned from the rest; "" for none
 	heldHeartbeats      []*wire.Heartbeat // copies to deliver when the next term starts
-	commandCopies       heldCommandCopies
-	highestToken        uint64 // highest fencing token at the last check for a new term
+	highestToken        uint64            // highest fencing token at the last check for a new term
 
 	invalidRequests int           // number of invalid requests sent
 	longestEvent    time.Duration // longest real time in which a controller handled one event
@@ -76,8 +75,6 @@
 	// Direct commands and their responses.
 	delayedCommands float64       // share of the commands that are delayed
 	commandDelay    time.Duration // delay of these commands; 0 draws a random delay
-	// repeatedCommands is the share of the executed start commands that arrive again, after an event that follows.
-	repeatedCommands float64
 
 	// Requests of users.
 	cancelledAtCompletion float64 // share of the jobs that are cancelled as their last task ends
@@ -206,7 +203,6 @@
 			sim.checkCancellationWatermarks()
 			sim.checkWaitingJobs()
 		}
-		sim.deliverDueCommandCopies()
 		if len(sim.heldHeartbeats) > 0 {
 			sim.releaseToNextLeaseHolder()
 		}
--- a/internal/fakes/cluster.go
+++ b/internal/fakes/cluster.go
@@ -36,6 +36,9 @@
 	OnJobCompleted func(j *Job)
 	// OnTaskStart is called when a worker has accepted a task and starts it; may be nil.
 	OnTaskStart func(w *Worker, t *Task)
+	// CommandCopyShare is the share of the executed direct start commands of which the worker gets a late copy,
+	// after the attempt has started, ended, been reaped, moved or cancelled, or after a failover.
+	CommandCopyShare float64
 
 	rng          *rand.Rand
 	network      Network
--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -58,6 +58,8 @@
 	heartbeats         int // heartbeats sent so far
 	heartbeatRequested bool
 	lastHeartbeat      time.Time
+
+	commandCopies []commandCopy
 }
 
 // AddWorker starts the worker of a booted machine. The worker sends its first heartbeat to a random
@@ -126,6 +128,7 @@
 	if w.Hung {
 		return
 	}
+	w.deliverCopies()
 	for _, task := range w.Tasks {
 		w.advance(task)
 	}
--- a/internal/fakes/worker_commands.go
+++ b/internal/fakes/worker_commands.go
@@ -11,25 +11,11 @@
 // HandleCommand executes direct commands. It rejects commands with a stale fencing token or for
 // another incarnation. It returns the HTTP status and the heartbeat of the reply.
 func (w *Worker) HandleCommand(command wire.DirectCommands) (status int, heartbeat *wire.Heartbeat) {
-	if command.Token < w.Token || command.Incarnation != w.Incarnation {
-		return http.StatusConflict, w.Heartbeat()
-	}
-	w.observeToken(command.Token)
-	w.execute(command.Commands)
-	return http.StatusOK, w.Heartbeat()
-}
-
-// HandleCommandCopy executes a late copy of direct commands that the worker has executed and answered before. It
-// adds a violation if the copy starts a task, which can only be one that was reaped since.
-func (w *Worker) HandleCommandCopy(copied wire.DirectCommands) {
-	before := slices.Clone(w.Tasks)
-	w.HandleCommand(copied)
-	for _, task := range w.Tasks {
-		if !slices.Contains(before, task) {
-			w.cluster.AddViolation(Expectation, "a late copy starts %s, attempt %d, on %s again",
-				wire.TaskName(task.Job.Spec.ID, task.Index), task.Attempt, w.Host.ID)
-		}
+	status = w.executeDirect(command)
+	if status == http.StatusOK {
+		w.keepCopy(command)
 	}
+	return status, w.Heartbeat()
 }
 
 // execute executes commands in order and stops at the first one for an unknown task.
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -35,6 +35,9 @@
 // machinesPerSubnet is the number of machines with the same third byte of their loopback address.
 const machinesPerSubnet = 200
 
+// commandCopyShare is the share of the start commands of which workers get late copies.
+const commandCopyShare = 0.2
+
 // userConnections bounds the users' connections to one controller.
 const userConnections = 40
 
@@ -95,6 +98,7 @@
 	}
 	d.cloud.OnBooted, d.cloud.OnRemoved = d.startWorker, d.removeWorker
 	d.cluster = fakes.NewCluster(d.clock, rng, settings, d)
+	d.cluster.CommandCopyShare = commandCopyShare
 	_, port, _ := net.SplitHostPort(d.serve("0.0.0.0:0", d.serveWorker))
 	d.workerPort, _ = strconv.Atoi(port)
 	d.addControllers()
--- a/internal/integration/fake_servers_test.go
+++ b/internal/integration/fake_servers_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,7 +11,6 @@
 	"time"
 
 	"juniperchute/internal/cloud"
-	"juniperchute/internal/fakes"
 	"juniperchute/internal/store"
 	"juniperchute/internal/wire"
 )
@@ -175,25 +173,6 @@
 		default:
 			status, heartbeat = worker.HandleCommand(commands)
 		}
-		if status == http.StatusOK && len(commands.Commands) > 0 {
-			d.repeatCommands(worker, commands)
-		}
 	})
 	writeReply(w, status, heartbeat)
 }
-
-// repeatCommands delivers a late copy of commands that a worker has executed, for a part of them.
-func (d *deployment) repeatCommands(worker *fakes.Worker, commands wire.DirectCommands) {
-	const oneIn = 5
-	const maxDelay = 5 * time.Second
-	if rand.IntN(oneIn) > 0 {
-		return
-	}
-	time.AfterFunc(rand.N(maxDelay), func() {
-		d.withLock(func() {
-			if !worker.Terminated && !worker.Hung {
-				worker.HandleCommandCopy(commands)
-			}
-		})
-	})
-}
