Apply nothing more to the machines of a term that was shown a higher token

recoverContacts went on through the machines after a higher token had ended the term. Its writes are conditional and would have failed; it stops there now.

The tests of term and controller pass.

--- a/internal/term/recovery.go
+++ b/internal/term/recovery.go
@@ -143,13 +143,16 @@
 // sent none yet. So only tasks of that status can run on the machine, also if the worker has become
 // unresponsive since.
 func (t *Term) recoverContacts(now time.Time) {
+	for host := range t.recovery.higherTokens {
+		t.observeHigherToken(now, host)
+	}
+	if !t.Live() {
+		return
+	}
 	for _, machine := range slices.Clone(t.workers.All()) {
 		if renewal, renewed := t.recovery.renewals[machine.Host]; renewed {
 			t.observeStaleToken(renewal.at, machine, &renewal.heartbeat)
 		}
-		if t.recovery.higherTokens[machine.Host] {
-			t.observeHigherToken(now, machine.Host)
-		}
 		if machine.MayRunReportedTasks() {
 			t.autoscaler.HandleHeartbeat(now, machine)
 			t.scheduler.ReconcileHeartbeat(now, machine, worker.HeartbeatCurrent, worker.FromCommandReply)
